--- /dev/null
+++ b/src/api/users.ts
@@ -0,0 +1,166 @@
+import type { NodeContext } from '../cluster/context.js';
+import type { JobId, Stamp } from '../model/ids.js';
+import { isJobId, NO_STAMP } from '../model/ids.js';
+import type { JobRecord, JobSpec } from '../model/job.js';
+import { fits } from '../model/job.js';
+import { sleep } from '../model/time.js';
+import { teamRoom } from '../scheduler/place.js';
+import { StateRefused, StateUnknown } from '../store/client.js';
+import { decodeJob, encodeJob, keys } from '../store/records.js';
+import { accepted, jobStatus, parseSubmission, type Progress } from '../wire/users.js';
+
+export interface UserAnswer {
+  readonly status: number;
+  readonly body: object;
+  /** Seconds after which it is worth asking again. */
+  readonly retryAfter?: number;
+}
+
+const TRIES = 3;
+const KEPT_ENDED = 4000;
+
+export const unavailable = (error: string, retryAfter = 1): UserAnswer => ({
+  status: 503,
+  body: { error },
+  retryAfter,
+});
+
+interface Found {
+  readonly record: JobRecord;
+  readonly stamp: Stamp;
+}
+
+/**
+ * Users are answered straight from the state service, so that no node ever gives an older answer
+ * than another one gave. Only final states are remembered: they do not change.
+ */
+export class UserService {
+  private readonly endedJobs = new Map<JobId, object>();
+
+  constructor(
+    private readonly ctx: NodeContext,
+    private readonly progressOf: (id: JobId) => Progress | null,
+  ) {}
+
+  /** May throw StateRefused or StateUnknown: the caller then asks another node or answers 503. */
+  async submit(body: unknown): Promise<UserAnswer> {
+    const ref = (body as { ref?: unknown } | null | undefined)?.ref;
+    const parsed = parseSubmission(body);
+    const refusal = parsed.ok ? this.neverRuns(parsed.value) : { status: 400, body: { error: parsed.error } };
+    if (refusal) {
+      // A known job is answered from its record, whatever the repeat says.
+      if (refusal.status !== 503 && typeof ref === 'string' && isJobId(ref)) {
+        const found = await this.find(ref);
+        if (found) return this.known(ref, found.record);
+      }
+      return refusal;
+    }
+    if (!parsed.ok) return unavailable('not decided');
+    return this.accept(parsed.value);
+  }
+
+  private neverRuns(spec: JobSpec): UserAnswer | null {
+    const never = (error: string): UserAnswer => ({ status: 422, body: { error } });
+    const team = this.ctx.settings.teams.find((t) => t.id === spec.team);
+    if (!team) return never('unknown team');
+    const types = [...this.ctx.types.values()];
+    if (types.length === 0) return unavailable('machine types not known yet');
+    const { types: only, zone } = spec;
+    const fit = types.some(
+      (t) =>
+        (only === null || only.includes(t.id)) && (zone === null || t.zones.includes(zone)) && fits(spec, t),
+    );
+    if (!fit) return never('a task fits no allowed machine type');
+    const room = teamRoom(team, { cpus: 0, gpus: 0 }, spec);
+    if (room < (spec.kind === 'array' ? 1 : spec.tasks)) return never("more than the team's limit");
+    return null;
+  }
+
+  private async accept(spec: JobSpec): Promise<UserAnswer> {
+    const { id } = spec;
+    if (this.endedJobs.has(id)) return { status: 200, body: this.endedJobs.get(id) as object };
+    const value = encodeJob({ spec, state: 'accepted', acceptedAt: this.ctx.clock.wall() });
+    for (let tries = 1; ; tries++) {
+      try {
+        const result = await this.ctx.store.commit(
+          [{ key: keys.job(id), stamp: NO_STAMP }],
+          [
+            { set: keys.job(id), value },
+            { set: keys.openHead(id), value },
+          ],
+        );
+        if (result.ok) return { status: 201, body: accepted(id) };
+        const found = await this.find(id);
+        if (found) return this.known(id, found.record);
+      } catch (error) {
+        // The same transaction is tried again: at most one of the two is carried out.
+        if (!worthAgain(error) || tries >= TRIES) throw error;
+        await sleep(this.ctx.clock, 60 * tries + this.ctx.random() * 60);
+      }
+      if (tries >= TRIES) return unavailable('not decided');
+    }
+  }
+
+  private async find(id: JobId): Promise<Found | null> {
+    for (let tries = 1; ; tries++) {
+      try {
+        const row = await this.ctx.store.get(keys.job(id));
+        return row ? { record: decodeJob(id, row.value), stamp: row.stamp } : null;
+      } catch (error) {
+        if (!worthAgain(error) || tries >= TRIES) throw error;
+        await sleep(this.ctx.clock, 40 * tries + this.ctx.random() * 40);
+      }
+    }
+  }
+
+  private known(id: JobId, record: JobRecord): UserAnswer {
+    const progress = this.progressOf(id) ?? { done: 0, running: 0 };
+    const body = jobStatus(id, record.state, record.spec.tasks, progress);
+    if (record.state !== 'accepted') this.remember(id, body);
+    return { status: 200, body };
+  }
+
+  private remember(id: JobId, body: object): void {
+    this.endedJobs.set(id, body);
+    if (this.endedJobs.size > KEPT_ENDED) {
+      const oldest = this.endedJobs.keys().next().value;
+      if (oldest !== undefined) this.endedJobs.delete(oldest);
+    }
+  }
+
+  async query(id: string): Promise<UserAnswer> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    const ended = this.endedJobs.get(id);
+    if (ended) return { status: 200, body: ended };
+    const found = await this.find(id);
+    return found ? this.known(id, found.record) : { status: 404, body: { error: 'no such job' } };
+  }
+
+  /** Durable on the job's record before it is told; the record's stamp decides against done. */
+  async cancel(id: string): Promise<UserAnswer> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    const told = (status: string): UserAnswer => ({ status: 200, body: { ref: id, status } });
+    for (let tries = 1; tries <= TRIES + 2; tries++) {
+      const found = await this.find(id);
+      if (!found) return { status: 404, body: { error: 'no such job' } };
+      const { record } = found;
+      if (record.state !== 'accepted') return told(record.state);
+      try {
+        const result = await this.ctx.store.commit(
+          [{ key: keys.job(id), stamp: found.stamp }],
+          [{ set: keys.job(id), value: encodeJob({ ...record, state: 'cancelled' }) }],
+        );
+        if (result.ok) return told('cancelled');
+      } catch (error) {
+        if (!worthAgain(error) || tries > TRIES) throw error;
+        await sleep(this.ctx.clock, 60 * tries + this.ctx.random() * 60);
+      }
+    }
+    return unavailable('not decided');
+  }
+}
+
+/** A 503 is an outage or meant for this node alone: asking again at once does not help. */
+function worthAgain(error: unknown): boolean {
+  return error instanceof StateUnknown || (error instanceof StateRefused && error.tooMany);
+}
--- /dev/null
+++ b/src/cluster/context.ts
@@ -0,0 +1,56 @@
+import type { Cloud } from '../cloud/client.js';
+import type { Operators } from '../config/operators.js';
+import type { Log } from '../log/logger.js';
+import type { Epoch, HostId, JobId, MemberId, Stamp, Tenure, TypeId } from '../model/ids.js';
+import type { MachineType } from '../model/machine.js';
+import type { Order, Report } from '../model/report.js';
+import type { Clock, Steady } from '../model/time.js';
+import type { JobBook } from '../scheduler/job-book.js';
+import type { StateStore } from '../store/client.js';
+import type { Settings } from '../wire/settings.js';
+import type { HostBook } from '../workers/host-book.js';
+
+/** Direct calls to a worker's own address. */
+export interface WorkerCaller {
+  command(
+    address: string,
+    epoch: Epoch,
+    tenure: Tenure,
+    orders: readonly Order[],
+    deadlineMs: number,
+  ): Promise<{ executed: boolean; report: Report | null }>;
+  show(address: string, deadlineMs: number): Promise<Report | null>;
+}
+
+/** What a node has at hand, leader or not. */
+export interface NodeContext {
+  readonly member: MemberId;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly settings: Settings;
+  readonly ops: Operators;
+  readonly store: StateStore;
+  readonly cloud: Cloud;
+  readonly workers: WorkerCaller;
+  /** Between 0 and 1. */
+  readonly random: () => number;
+  readonly types: Map<TypeId, MachineType>;
+}
+
+/** What the parts of one leadership share. */
+export interface LeaderContext extends NodeContext {
+  readonly epoch: Epoch;
+  readonly epochStamp: Stamp;
+  /** When the takeover's transaction had been answered. */
+  readonly startedAt: Steady;
+  readonly jobs: JobBook;
+  readonly hosts: HostBook;
+  /** Another leadership exists: ours ends at once. */
+  deposed(why: string): void;
+  ended(): boolean;
+  /** Something changed that decisions depend on. */
+  poke(): void;
+  cancelled(job: JobId): void;
+  /** Orders wait for this host. */
+  dispatch(host: HostId): void;
+}
--- /dev/null
+++ b/src/cluster/leader.ts
@@ -0,0 +1,525 @@
+import { Mutex } from 'async-mutex';
+import { FleetManager } from '../fleet/manager.js';
+import type { Need } from '../fleet/plan.js';
+import { reason } from '../log/logger.js';
+import type { Epoch, HostId, JobId, Stamp, TeamId } from '../model/ids.js';
+import type { Machine } from '../model/machine.js';
+import type { Order, Report } from '../model/report.js';
+import type { Team } from '../model/team.js';
+import { type Cancel, type Steady, plus, since, sleep } from '../model/time.js';
+import { Budget } from '../net/budget.js';
+import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
+import { type JobView, type MachineView, place } from '../scheduler/place.js';
+import { Committer } from '../store/committer.js';
+import { decodeJob, keys } from '../store/records.js';
+import { ordersBody } from '../wire/workers.js';
+import { Dispatcher, runsAmong } from '../workers/dispatcher.js';
+import { Health } from '../workers/health.js';
+import { type Host, HostBook } from '../workers/host-book.js';
+import { clearsFor, ordersFor } from '../workers/orders.js';
+import { applyReport, loseAll, type Told } from '../workers/reports.js';
+import type { LeaderContext, NodeContext } from './context.js';
+import { loadOpenJobs, restoreFleet, saveSlot } from './takeover.js';
+
+export interface Answer {
+  readonly status: number;
+  readonly body?: object;
+}
+
+const TICK_MS = 500;
+const WATCH_MS = 20_000;
+const MOST_ORDERS = 250;
+/** Decisions that follow each other closely are made together. */
+const DECIDE_MS = 15;
+
+/** One leadership: everything that one epoch decides. */
+export class Leader {
+  private readonly ctx: LeaderContext;
+  private readonly jobs = new JobBook();
+  private readonly hosts = new HostBook();
+  private readonly fleet: FleetManager;
+  private readonly committer: Committer;
+  private readonly dispatcher: Dispatcher;
+  private readonly health: Health;
+  private readonly teams: Map<TeamId, Team>;
+  private readonly lock = new Mutex();
+  private readonly stateBudget: Budget;
+  private over = false;
+  private ready = false;
+  private poked = false;
+  private saving = false;
+  private fleetDirty = false;
+  private stopTick: Cancel | null = null;
+
+  constructor(
+    node: NodeContext,
+    epoch: Epoch,
+    epochStamp: Stamp,
+    /** How long an earlier leader may answer reports after its grant was lost. */
+    answerAloneMs: number,
+    private readonly onOver: (why: string) => void,
+  ) {
+    const { clock, settings } = node;
+    this.ctx = {
+      ...node,
+      epoch,
+      epochStamp,
+      startedAt: clock.now(),
+      jobs: this.jobs,
+      hosts: this.hosts,
+      deposed: (why) => this.end(why),
+      ended: () => this.over,
+      poke: () => this.poke(),
+      cancelled: (id) => this.cancel(id),
+      dispatch: (id) => this.wake(id),
+    };
+    this.teams = new Map(settings.teams.map((t) => [t.id, t]));
+    this.stateBudget = new Budget(clock, settings.stateWriteRps * 0.7, settings.stateWriteRps * 0.7);
+    const cloudBudget = new Budget(clock, settings.cloudRps * 0.8, settings.cloudRps);
+    this.fleet = new FleetManager(
+      this.ctx,
+      cloudBudget,
+      (host) => this.hostGone(host),
+      () => {
+        this.fleetDirty = true;
+      },
+    );
+    this.committer = new Committer(
+      this.ctx,
+      this.stateBudget,
+      (tasks) => this.placed(tasks),
+      (job) => this.ctx.log.debug({ job: job.spec.id, cancelled: job.cancelled }, 'job closed'),
+    );
+    const onReport = (host: Host, report: Report): void => void this.directReport(host, report);
+    this.dispatcher = new Dispatcher(this.ctx, onReport);
+    this.health = new Health(
+      this.ctx,
+      answerAloneMs,
+      onReport,
+      (host, why) => this.fleet.remove(host, why),
+      (host) => this.leaseOver(host),
+    );
+  }
+
+  get epoch(): Epoch {
+    return this.ctx.epoch;
+  }
+
+  end(why: string): void {
+    if (this.over) return;
+    this.over = true;
+    this.stopTick?.();
+    this.ctx.log.info({ epoch: this.ctx.epoch, why }, 'leadership ended');
+    this.onOver(why);
+  }
+
+  /** Reads what the earlier leader left, and begins. */
+  async start(): Promise<void> {
+    let ledger: Stamp | null = null;
+    while (!this.over && ledger === null) {
+      try {
+        const loading = await loadOpenJobs(this.ctx);
+        const fleet = await restoreFleet(this.ctx, this.fleet);
+        ledger = loading.ledger;
+        for (const job of loading.jobs) this.open(job);
+        for (const { machine, address, at } of fleet) this.fleet.adopt(machine, at, address);
+        this.attachHeld();
+        for (const id of loading.cancelled) this.cancel(id);
+      } catch (error) {
+        this.ctx.log.info({ error: reason(error) }, 'takeover waits for the state service');
+        await sleep(this.ctx.clock, 200);
+      }
+    }
+    if (this.over || ledger === null) return;
+    this.ready = true;
+    this.ctx.log.info(
+      { epoch: this.ctx.epoch, jobs: this.jobs.jobs.size, hosts: this.hosts.hosts.size },
+      'leadership begun',
+    );
+    for (const host of this.hosts.hosts.values()) this.dispatcher.wake(host);
+    void this.watch(ledger);
+    this.loop();
+    this.poke();
+  }
+
+  private loop(): void {
+    if (this.over) return;
+    this.stopTick = this.ctx.clock.after(TICK_MS, () => {
+      this.tick();
+      this.loop();
+    });
+  }
+
+  private tick(): void {
+    const now = this.ctx.clock.now();
+    if (this.health.deaf(now)) {
+      this.end('no worker is heard');
+      return;
+    }
+    this.health.tick(now);
+    this.fleet.tick();
+    this.nudge(now);
+    if (this.fleet.takeDirty() || this.fleetDirty) void this.save();
+    this.poke();
+  }
+
+  /** Repeats what has not been carried out yet. */
+  private nudge(now: Steady): void {
+    for (const host of this.hosts.hosts.values()) {
+      for (const task of host.tasks) {
+        // A host that keeps a cancelled task is fenced well before the cancellation's limit.
+        const limit = this.ctx.settings.cancelWithin * 0.4;
+        if (task.kill?.why === 'cancelled' && since(now, task.kill.at) > limit) {
+          this.fleet.remove(host, 'cancelled task not gone');
+        }
+      }
+      if (host.takenAt !== null) this.drainNoticed(host, now);
+      if (!host.known && host.address !== '' && (host.listed || !host.empty)) this.dispatcher.wake(host);
+    }
+  }
+
+  /** The cloud takes this machine: work that can save is stopped in time to do so. */
+  private drainNoticed(host: Host, now: Steady): void {
+    for (const task of host.tasks) {
+      const { checkpointS, saveS } = task.job.spec;
+      if (task.kill || task.phase !== 'placed' || host.takenAt === null) continue;
+      if (checkpointS > 0 && host.takenAt - now < (saveS + 4) * 1000) {
+        task.kill = { graceS: saveS + 1, why: 'drain', at: now };
+        this.dispatcher.wake(host);
+      }
+    }
+  }
+
+  private open(job: OpenJob): void {
+    if (!this.jobs.add(job)) return;
+    if (job.tasks.size === 0) this.fleet.demanded(job);
+  }
+
+  /** Every task that may be on a machine holds its place there, known machine or not. */
+  private attachHeld(): void {
+    for (const job of this.jobs.jobs.values()) {
+      for (const task of job.held()) {
+        const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
+        if (host) {
+          task.zone = host.machine.zone;
+          host.tasks.add(task);
+        } else if (task.host !== null) this.adoptUnknown(task, task.host);
+      }
+    }
+  }
+
+  /** A task's host is in no list yet: it is fenced like a silent one unless it is heard. */
+  private adoptUnknown(task: Task, id: HostId): void {
+    const type = this.ctx.types.values().next().value;
+    if (!type) return;
+    const zone = this.ctx.settings.zone;
+    const host = this.fleet.adopt({ id, type: type.id, zone, spot: true }, this.ctx.startedAt);
+    if (!host) return;
+    host.placeholder = true;
+    host.tasks.add(task);
+  }
+
+  private async watch(from: Stamp): Promise<void> {
+    let after = from;
+    while (!this.over) {
+      try {
+        const read = await this.ctx.store.changes(keys.jobs, after, WATCH_MS);
+        if (this.over) return;
+        if (read === null) {
+          after = await this.resync();
+          continue;
+        }
+        after = read.ledger;
+        await this.lock.runExclusive(() => {
+          for (const change of read.changes) this.jobChanged(change.key, change.value, change.stamp);
+        });
+      } catch (error) {
+        this.ctx.log.debug({ error: reason(error) }, 'watch interrupted');
+        await sleep(this.ctx.clock, 100 + this.ctx.random() * 150);
+      }
+    }
+  }
+
+  private async resync(): Promise<Stamp> {
+    const loading = await loadOpenJobs(this.ctx);
+    for (const job of loading.jobs) this.open(job);
+    for (const id of loading.cancelled) this.cancel(id);
+    this.poke();
+    return loading.ledger;
+  }
+
+  private jobChanged(key: string, value: unknown, stamp: Stamp): void {
+    if (value === undefined) return;
+    const id = key.slice(keys.jobs.length) as JobId;
+    const record = decodeJob(id, value);
+    if (record.state === 'accepted') {
+      this.open(new OpenJob(record.spec, stamp, record.acceptedAt));
+      this.poke();
+    } else if (record.state === 'cancelled') this.cancel(id);
+  }
+
+  private cancel(id: JobId): void {
+    const job = this.jobs.jobs.get(id);
+    if (!job || job.cancelled) return;
+    const now = this.ctx.clock.now();
+    job.cancelled = true;
+    job.cancelledAt = now;
+    const wake = new Set<Host>();
+    for (const task of [...job.held()]) {
+      const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
+      if (task.phase === 'deciding' || (task.sentTenure === null && !task.inherited)) {
+        // No order has left: the task cannot be on the machine.
+        host?.tasks.delete(task);
+        job.release(task, now);
+      } else {
+        task.kill = { graceS: 0, why: 'cancelled', at: now };
+        if (host) wake.add(host);
+      }
+    }
+    for (const host of wake) this.dispatcher.wake(host);
+    this.committer.poke();
+    this.poke();
+  }
+
+  private wake(id: HostId): void {
+    const host = this.hosts.hosts.get(id);
+    if (host) this.dispatcher.wake(host);
+  }
+
+  private poke(): void {
+    if (this.poked || this.over || !this.ready) return;
+    this.poked = true;
+    this.ctx.clock.after(DECIDE_MS, () => {
+      this.poked = false;
+      if (!this.over) void this.lock.runExclusive(() => this.decide());
+    });
+  }
+
+  private decide(): void {
+    const now = this.ctx.clock.now();
+    const views: JobView[] = [];
+    for (const job of this.jobs.jobs.values()) {
+      if (!job.cancelled && !job.complete) views.push(jobView(job, now));
+    }
+    const machines: MachineView[] = [];
+    for (const host of this.hosts.hosts.values()) {
+      if (host.closed || !host.known || host.takenAt !== null) continue;
+      machines.push(machineView(host));
+    }
+    const plan = place(views, machines, this.teams, this.jobs.teamUse());
+    for (const start of plan.starts) {
+      const job = this.jobs.jobs.get(start.job);
+      const host = this.hosts.hosts.get(start.host);
+      if (!job || !host) continue;
+      const task = job.decide(host.id, host.machine.zone, now);
+      host.tasks.add(task);
+      host.idleSince = null;
+    }
+    const needs: Need[] = plan.unmet.map(({ job, tasks }) => ({ spec: job.spec, tasks }));
+    this.fleet.unmet(needs);
+    this.committer.poke();
+  }
+
+  /** Committed: only now may run orders leave. */
+  private placed(tasks: Task[]): void {
+    const now = this.ctx.clock.now();
+    const wake = new Set<Host>();
+    for (const task of tasks) {
+      const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
+      if (!host || host.removing || task.job.cancelled) {
+        host?.tasks.delete(task);
+        task.job.release(task, now);
+        this.poke();
+      } else wake.add(host);
+    }
+    for (const host of wake) this.dispatcher.wake(host);
+  }
+
+  /** A worker's report, straight or through another node. */
+  async beat(report: Report, mayAnswer: boolean, mayOrder: boolean): Promise<Answer> {
+    return this.lock.runExclusive(() => this.takeBeat(report, mayAnswer, mayOrder));
+  }
+
+  private takeBeat(report: Report, mayAnswer: boolean, mayOrder: boolean): Answer {
+    if (this.over || !mayAnswer) return { status: 503 };
+    if (report.epoch > this.ctx.epoch) {
+      this.end('a worker knows a newer epoch');
+      return { status: 503 };
+    }
+    if (this.hosts.isGone(report.host)) return { status: 503 };
+    const now = this.ctx.clock.now();
+    const machine: Machine = { id: report.host, type: report.type, zone: report.zone, spot: report.spot };
+    const known = this.hosts.hosts.get(report.host);
+    const host = known && !known.placeholder ? known : this.replacePlaceholder(machine, known, now);
+    if (!host) return { status: 200, body: ordersBody(this.ctx.epoch, []) };
+    if (host.address === '') host.address = report.address;
+    // Reports of earlier epochs may be minutes old: they prove nothing, not even life.
+    const fresh = report.epoch === this.ctx.epoch && (!host.known || host.newer(report));
+    if (!host.known) this.dispatcher.wake(host);
+    if (fresh) {
+      this.health.heard(host, now);
+      this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
+    }
+    host.answeredAt = now;
+    if (!fresh || !mayOrder || !this.ready) return { status: 200, body: ordersBody(this.ctx.epoch, []) };
+    const orders: Order[] = [...ordersFor(host, now), ...clearsFor(host, now)].slice(0, MOST_ORDERS);
+    for (const { task } of runsAmong(host, orders)) {
+      task.sentTenure ??= host.tenure;
+      task.answeredAt = now;
+    }
+    return { status: 200, body: ordersBody(this.ctx.epoch, orders) };
+  }
+
+  private replacePlaceholder(machine: Machine, old: Host | undefined, now: Steady): Host | null {
+    if (old) this.hosts.hosts.delete(old.id);
+    const host = this.fleet.adopt(machine, now);
+    if (!host) return null;
+    if (old) {
+      for (const task of old.tasks) {
+        task.zone = machine.zone;
+        host.tasks.add(task);
+      }
+      host.removing = old.removing;
+      host.closed = old.closed;
+    }
+    return host;
+  }
+
+  private async directReport(host: Host, report: Report): Promise<void> {
+    await this.lock.runExclusive(() => {
+      if (this.over || report.host !== host.id) return;
+      if (report.epoch > this.ctx.epoch) {
+        this.end('a worker knows a newer epoch');
+        return;
+      }
+      const now = this.ctx.clock.now();
+      if (report.epoch === this.ctx.epoch && host.newer(report)) this.health.heard(host, now);
+      this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
+      if (host.known && ordersFor(host, now).length > 0) this.dispatcher.wake(host);
+    });
+  }
+
+  private told(host: Host, told: Told): void {
+    const { log, clock, ops } = this.ctx;
+    const now = clock.now();
+    for (const { task, ranMs } of told.finished) {
+      if (ranMs !== null) this.fleet.ran(task.job.spec.jobClass, ranMs);
+    }
+    for (const { task, cause } of told.failed) {
+      if (cause !== 'stopped')
+        log.info({ host: host.id, task: task.id, cause }, 'task ended without success');
+      if (cause === 'error') this.failed(host, task.job, now);
+    }
+    for (const task of told.lost) log.info({ host: host.id, task: task.id }, 'task lost with its session');
+    if (host.closed === null && host.failures >= ops.workers.sick_errors && host.failedJobs.size >= 2) {
+      log.info({ host: host.id, failures: host.failures }, 'machine is sick');
+      host.closed = 'sick';
+      this.fleet.remove(host, 'sick');
+    }
+    if (told.changed) {
+      this.committer.poke();
+      this.poke();
+    }
+  }
+
+  /** Mostly the machine is at fault; a job that fails on several machines is at fault itself and waits. */
+  private failed(host: Host, job: OpenJob, now: Steady): void {
+    job.failures++;
+    job.failedOn.add(host.id);
+    if (job.failedOn.size >= 3) {
+      const backoff = Math.min(60_000, 1000 * 2 ** Math.min(6, job.failures - 2));
+      job.notBefore = plus(now, backoff);
+    } else {
+      host.failures++;
+      host.failedJobs.add(job.spec.id);
+    }
+  }
+
+  private hostGone(host: Host): void {
+    const lost = loseAll(host, this.ctx.clock.now());
+    if (lost.length > 0)
+      this.ctx.log.info({ host: host.id, tasks: lost.length }, 'tasks freed from a machine proven gone');
+    this.committer.poke();
+  }
+
+  private leaseOver(host: Host): void {
+    const lost = loseAll(host, this.ctx.clock.now());
+    if (lost.length === 0) return;
+    this.ctx.log.info({ host: host.id, tasks: lost.length }, 'tasks freed: the lease has run out');
+    this.poke();
+  }
+
+  private async save(): Promise<void> {
+    if (this.saving) return;
+    this.saving = true;
+    this.fleetDirty = false;
+    try {
+      await saveSlot(this.ctx, this.fleet);
+    } catch (error) {
+      this.ctx.log.debug({ error: reason(error) }, 'fleet not saved');
+      this.fleetDirty = true;
+      await sleep(this.ctx.clock, 500);
+    } finally {
+      this.saving = false;
+    }
+  }
+
+  /** For display to users: tasks done and running. */
+  progress(): { id: JobId; done: number; running: number }[] {
+    return [...this.jobs.jobs.values()]
+      .filter((j) => !j.cancelled)
+      .map((j) => ({ id: j.spec.id, done: j.done, running: j.running }));
+  }
+
+  summary(): object {
+    let waiting = 0;
+    let held = 0;
+    let up = 0;
+    let cpus = 0;
+    let usedCpus = 0;
+    for (const job of this.jobs.jobs.values()) {
+      waiting += job.waiting;
+      held += job.heldCount;
+    }
+    for (const host of this.hosts.hosts.values()) {
+      if (!host.up) continue;
+      up++;
+      cpus += host.type.cpus;
+      usedCpus += host.type.cpus - host.free().cpus;
+    }
+    return { jobs: this.jobs.jobs.size, waiting, held, hosts: this.hosts.hosts.size, up, cpus, usedCpus };
+  }
+}
+
+const NO_HOSTS: ReadonlySet<HostId> = new Set();
+
+function jobView(job: OpenJob, now: Steady): JobView {
+  const zones: JobView['zones'] = new Map();
+  if (job.spec.oneZone || job.spec.spread) {
+    for (const task of job.held()) {
+      if (task.zone !== null) zones.set(task.zone, (zones.get(task.zone) ?? 0) + 1);
+    }
+  }
+  return {
+    spec: job.spec,
+    acceptedAt: job.acceptedAt,
+    waiting: job.waiting,
+    done: job.done,
+    zones,
+    avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
+    heldBack: job.notBefore !== null && job.notBefore > now,
+  };
+}
+
+function machineView(host: Host): MachineView {
+  return {
+    id: host.id,
+    type: host.machine.type,
+    zone: host.machine.zone,
+    spot: host.machine.spot,
+    cpus: host.type.cpus,
+    free: host.free(),
+    images: new Set(host.images.keys()),
+    reachable: host.unreachable === 0,
+  };
+}
--- /dev/null
+++ b/src/cluster/node.ts
@@ -0,0 +1,299 @@
+import { Admission } from '../api/admission.js';
+import { type FrontHandler, frontListener } from '../api/front.js';
+import { unavailable, type UserAnswer, UserService } from '../api/users.js';
+import { CloudClient } from '../cloud/client.js';
+import type { Operators } from '../config/operators.js';
+import { type Log, reason } from '../log/logger.js';
+import type { JobId } from '../model/ids.js';
+import { realClock, type Steady, since } from '../model/time.js';
+import { HttpTarget, parseJson } from '../net/http-client.js';
+import { FrontServer } from '../net/server.js';
+import {
+  type AnswerFrame,
+  decodeProgress,
+  decodeUser,
+  encodeProgress,
+  encodeUser,
+  Kind,
+  type Ping,
+  type UserVerb,
+} from '../peer/frames.js';
+import { PeerLink, PeerServer } from '../peer/link.js';
+import { StateClient, StateRefused, StateUnknown } from '../store/client.js';
+import type { Progress } from '../wire/users.js';
+import type { Settings } from '../wire/settings.js';
+import { parseReport } from '../wire/workers.js';
+import { HttpWorkerCaller } from '../workers/caller.js';
+import type { NodeContext } from './context.js';
+import { Election, type Won } from './election.js';
+import { Leader } from './leader.js';
+import { TypeBook } from './type-book.js';
+
+const STATE_MS = 1000;
+const CLOUD_MS = 4000;
+const RELAY_MS = 2500;
+const FORWARD_MS = 1500;
+const PROGRESS_MS = 1000;
+const PROGRESS_LIVES_MS = 5000;
+/** The state service counts as failing for this node after this long without an answer. */
+const STATE_LOST_MS = 800;
+const DEAF_PAUSE_MS = 15_000;
+
+/** One controller: takes users and workers, relays to the leader, and leads when elected. */
+export class Node {
+  private readonly ctx: NodeContext;
+  private readonly election: Election;
+  private readonly users: UserService;
+  private readonly links: PeerLink[];
+  private readonly front: FrontServer;
+  private readonly peers: PeerServer;
+  private readonly admission: Admission;
+  private readonly typeBook: TypeBook;
+  private leader: Leader | null = null;
+  private progress = new Map<JobId, Progress>();
+  private progressAt: Steady | null = null;
+  private stateOkAt: Steady;
+  private stateFailedAt: Steady | null = null;
+  private readonly answerAloneMs: number;
+
+  constructor(
+    private readonly settings: Settings,
+    ops: Operators,
+    private readonly log: Log,
+    random: () => number,
+  ) {
+    const clock = realClock;
+    this.stateOkAt = clock.now();
+    // A worker that an old leader still answers must lose its tasks within a cancellation's limit.
+    const room = settings.cancelWithin - settings.workerLease - 5000;
+    this.answerAloneMs = Math.max(0, Math.min(ops.cluster.answer_alone_s * 1000, room));
+    const store = new StateClient(
+      new HttpTarget(settings.stateAddress, 24),
+      new HttpTarget(settings.stateAddress, 4),
+      STATE_MS,
+      (answered) => this.stateAnswered(answered),
+    );
+    this.ctx = {
+      member: settings.member,
+      clock,
+      log,
+      settings,
+      ops,
+      store,
+      cloud: new CloudClient(new HttpTarget(settings.cloudAddress, 4), CLOUD_MS),
+      workers: new HttpWorkerCaller(),
+      random,
+      types: new Map(),
+    };
+    this.typeBook = new TypeBook(this.ctx);
+    this.users = new UserService(this.ctx, (id) => this.progressOf(id));
+    this.election = new Election(
+      this.ctx,
+      (won) => this.lead(won),
+      (why) => this.leader?.end(why),
+    );
+    this.links = settings.siblings.map(
+      (s) => new PeerLink(s.member, s.address, clock, log, () => this.ping()),
+    );
+    this.admission = new Admission(clock, { submission: 48, query: 96 });
+    const handler: FrontHandler = {
+      up: () => this.ctx.types.size > 0,
+      beat: (body) => this.beat(body),
+      user: (verb, body) => this.user(verb, body, true),
+    };
+    // Room stays for peers, the state service, the cloud and direct calls to workers.
+    const reserve = Math.min(400, Math.floor(settings.sockets * 0.35));
+    this.front = new FrontServer(
+      frontListener(handler),
+      { sockets: settings.sockets - reserve, headersMs: 10_000, requestMs: 15_000, idleMs: 75_000 },
+      log,
+    );
+    this.peers = new PeerServer(
+      {
+        ping: () => this.ping(),
+        progress: (payload) => this.takeProgress(payload),
+        ask: (kind, payload) => this.peerAsks(kind, payload),
+      },
+      32,
+      log,
+    );
+  }
+
+  async run(): Promise<void> {
+    await Promise.all([
+      this.front.listen(this.settings.front),
+      this.peers.listen(this.settings.clusterListen),
+    ]);
+    this.log.info({ front: this.settings.front, answerAloneMs: this.answerAloneMs }, 'listening');
+    for (const link of this.links) link.start();
+    this.election.run();
+    this.typeBook.run();
+    this.tellProgress();
+    this.summarise();
+  }
+
+  private stateAnswered(answered: boolean): void {
+    const now = this.ctx.clock.now();
+    if (answered) {
+      this.stateOkAt = now;
+      this.stateFailedAt = null;
+    } else this.stateFailedAt ??= now;
+  }
+
+  /** Whether this node reaches the state service, as far as its last calls tell. */
+  private stateOk(): boolean {
+    return this.stateFailedAt === null || since(this.ctx.clock.now(), this.stateOkAt) < STATE_LOST_MS;
+  }
+
+  private ping(): Ping {
+    return {
+      member: this.ctx.member,
+      stateOk: this.stateOk(),
+      leading: this.leader?.epoch ?? null,
+    };
+  }
+
+  private lead(won: Won): void {
+    const leader = new Leader(this.ctx, won.epoch, won.epochStamp, this.answerAloneMs, (why) => {
+      if (this.leader === leader) this.leader = null;
+      void this.election.resign(why === 'no worker is heard' ? DEAF_PAUSE_MS : 0);
+    });
+    this.leader = leader;
+    this.log.info({ epoch: won.epoch }, 'elected');
+    void this.typeBook.known().then(() => leader.start());
+  }
+
+  // Workers
+
+  private async beat(body: Buffer): Promise<{ status: number; body: Buffer | null }> {
+    const parsed = parseReport(parseJson(body));
+    if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
+    if (this.leader) {
+      const answer = await this.leaderAnswers(this.leader, parsed.value);
+      if (answer.status === 200) return { status: 200, body: Buffer.from(JSON.stringify(answer.body)) };
+    }
+    const relayed = await this.relayBeat(body);
+    return relayed ?? { status: 503, body: null };
+  }
+
+  private leaderAnswers(leader: Leader, report: Parameters<Leader['beat']>[0]): ReturnType<Leader['beat']> {
+    // Past the grant's sure life a leader only keeps leases alive, and only for a while.
+    const sure = this.election.sure();
+    return leader.beat(report, sure || this.election.unsureFor() < this.answerAloneMs, sure);
+  }
+
+  /** The node that leads, by its own word or by the last record that we saw. */
+  private leaderLink(): PeerLink | undefined {
+    const leading = this.links.filter((l) => l.alive && l.ping?.leading != null);
+    leading.sort((a, b) => (b.ping?.leading ?? 0) - (a.ping?.leading ?? 0));
+    return leading[0] ?? this.links.find((l) => l.alive && l.member === this.election.leader?.member);
+  }
+
+  private async relayBeat(body: Buffer): Promise<{ status: number; body: Buffer | null } | null> {
+    const link = this.leaderLink();
+    if (!link) return null;
+    const answer = await link.ask(Kind.Beat, body, RELAY_MS);
+    if (answer?.status !== 200) return null;
+    return { status: 200, body: Buffer.from(answer.body) };
+  }
+
+  private async peerAsks(kind: Kind.Beat | Kind.User, payload: Buffer): Promise<AnswerFrame> {
+    try {
+      if (kind === Kind.User) {
+        const { verb, body } = decodeUser(payload);
+        const answer = await this.user(verb, Buffer.from(body), false);
+        return { status: answer.status, body: Buffer.from(JSON.stringify(answer)) };
+      }
+      const parsed = parseReport(parseJson(payload));
+      if (!parsed.ok || !this.leader) return { status: 503, body: Buffer.alloc(0) };
+      const answer = await this.leaderAnswers(this.leader, parsed.value);
+      return { status: answer.status, body: Buffer.from(JSON.stringify(answer.body ?? {})) };
+    } catch (error) {
+      this.log.info({ error: reason(error) }, 'a peer asked what cannot be read');
+      return { status: 503, body: Buffer.alloc(0) };
+    }
+  }
+
+  // Users
+
+  private async user(verb: UserVerb, body: Buffer, mayForward: boolean): Promise<UserAnswer> {
+    const rank = verb === 'submit' ? 'submission' : 'query';
+    if (!this.admission.enter(rank)) return unavailable('overloaded', 2);
+    try {
+      if (mayForward && !this.stateOk()) {
+        const forwarded = await this.forward(verb, body);
+        if (forwarded) return forwarded;
+      }
+      return await this.answerUser(verb, body);
+    } catch (error) {
+      if (!(error instanceof StateRefused || error instanceof StateUnknown)) throw error;
+      const forwarded = mayForward ? await this.forward(verb, body) : null;
+      return forwarded ?? unavailable('state service not reached');
+    } finally {
+      this.admission.leave(rank);
+    }
+  }
+
+  private answerUser(verb: UserVerb, body: Buffer): Promise<UserAnswer> {
+    switch (verb) {
+      case 'submit':
+        return this.users.submit(parseJson(body));
+      case 'query':
+        return this.users.query(body.toString('utf8'));
+      case 'cancel':
+        return this.users.cancel(body.toString('utf8'));
+    }
+  }
+
+  /** The state service may refuse this node alone: another one can then answer. */
+  private async forward(verb: UserVerb, body: Buffer): Promise<UserAnswer | null> {
+    const link = this.links.find((l) => l.alive && l.ping?.stateOk);
+    if (!link) return null;
+    const answer = await link.ask(Kind.User, encodeUser(verb, body), FORWARD_MS);
+    if (!answer || answer.status === 503) return null;
+    return parseJson(Buffer.from(answer.body)) as UserAnswer;
+  }
+
+  private progressOf(id: JobId): Progress | null {
+    const now = this.ctx.clock.now();
+    if (this.progressAt === null || since(now, this.progressAt) > PROGRESS_LIVES_MS) return null;
+    return this.progress.get(id) ?? null;
+  }
+
+  private takeProgress(payload: Buffer): void {
+    this.progress = new Map(decodeProgress(payload).map((p) => [p.id, p]));
+    this.progressAt = this.ctx.clock.now();
+  }
+
+  private tellProgress(): void {
+    this.ctx.clock.after(PROGRESS_MS, () => {
+      if (this.leader) {
+        const payload = encodeProgress(this.leader.progress());
+        this.takeProgress(payload);
+        for (const link of this.links) link.send(Kind.Progress, 0, payload);
+      }
+      this.tellProgress();
+    });
+  }
+
+  private summarise(): void {
+    const every = this.ctx.ops.log.summary_s * 1000;
+    this.ctx.clock.after(every, () => {
+      const memory = Math.round(process.memoryUsage.rss() / 1e6);
+      const cpu = process.cpuUsage();
+      this.log.info(
+        {
+          ...this.leader?.summary(),
+          leads: this.leader?.epoch ?? null,
+          stateOk: this.stateOk(),
+          peers: this.links.filter((l) => l.alive).length,
+          lateMs: this.admission.lateMs,
+          rssMb: memory,
+          cpuMs: Math.round((cpu.user + cpu.system) / 1000),
+        },
+        'summary',
+      );
+      this.summarise();
+    });
+  }
+}
--- /dev/null
+++ b/src/cluster/takeover.ts
@@ -0,0 +1,117 @@
+import type { FleetManager } from '../fleet/manager.js';
+import type { HostId, JobId, Stamp, TypeId, ZoneId } from '../model/ids.js';
+import type { Machine } from '../model/machine.js';
+import type { Steady, WallTime } from '../model/time.js';
+import { OpenJob } from '../scheduler/job-book.js';
+import { decodeJob, keys, parseOpenKey } from '../store/records.js';
+import type { Condition, Row, Write } from '../wire/state.js';
+import type { LeaderContext } from './context.js';
+
+async function readAll(ctx: LeaderContext, prefix: string): Promise<{ rows: Row[]; ledger: Stamp }> {
+  const rows: Row[] = [];
+  let ledger: Stamp | null = null;
+  let after: string | undefined;
+  for (;;) {
+    const page = await ctx.store.range(prefix, after);
+    // Changes that come between two pages are seen again by a watch from the first page on.
+    ledger ??= page.ledger;
+    rows.push(...page.rows);
+    const last = page.rows[page.rows.length - 1];
+    if (!page.more || !last) return { rows, ledger };
+    after = last.key;
+  }
+}
+
+/** All unfinished work, and which of it was cancelled meanwhile. */
+export async function loadOpenJobs(
+  ctx: LeaderContext,
+): Promise<{ jobs: OpenJob[]; cancelled: JobId[]; ledger: Stamp }> {
+  const { rows, ledger } = await readAll(ctx, keys.open);
+  const jobs = new Map<JobId, OpenJob>();
+  const orphans: string[] = [];
+  for (const row of rows) {
+    const at = parseOpenKey(row.key);
+    if (!at) continue;
+    if (at.chunk === null) {
+      const record = decodeJob(at.job, row.value);
+      // The head is written once, together with the job's record: their stamps are the same.
+      jobs.set(at.job, new OpenJob(record.spec, row.stamp, record.acceptedAt));
+    } else {
+      const job = jobs.get(at.job);
+      if (job) job.restore(at.chunk, row.value, row.stamp);
+      else orphans.push(row.key);
+    }
+  }
+  for (const job of jobs.values()) job.settle();
+  for (let i = 0; i < orphans.length; i += ctx.settings.txnOps) {
+    const drops: Write[] = orphans.slice(i, i + ctx.settings.txnOps).map((key) => ({ drop: key }));
+    await ctx.store.commit([{ key: keys.epoch, stamp: ctx.epochStamp }], drops);
+  }
+  return { jobs: [...jobs.values()], cancelled: await findChanged(ctx, [...jobs.values()]), ledger };
+}
+
+/** Jobs whose record has changed since they were accepted: they were cancelled. */
+async function findChanged(ctx: LeaderContext, jobs: OpenJob[]): Promise<JobId[]> {
+  const changed: JobId[] = [];
+  const most = ctx.settings.txnOps * 4;
+  for (let i = 0; i < jobs.length; i += most) {
+    const conditions: Condition[] = jobs
+      .slice(i, i + most)
+      .map((job) => ({ key: keys.job(job.spec.id), stamp: job.stamp }));
+    const result = await ctx.store.commit(conditions, []);
+    if (!result.ok) changed.push(...result.failed.map((key) => key.slice(keys.jobs.length) as JobId));
+  }
+  return changed;
+}
+
+type StoredMachine = [id: string, type: string, zone: string, spot: 0 | 1, address: string, rentedAt: number];
+
+const PER_RECORD = 120;
+
+export async function restoreFleet(
+  ctx: LeaderContext,
+  fleet: FleetManager,
+): Promise<{ machine: Machine; address: string; at: Steady }[]> {
+  const known: { machine: Machine; address: string; at: Steady }[] = [];
+  for (const row of (await readAll(ctx, keys.fleet)).rows) {
+    for (const [id, type, zone, spot, address, rentedAt] of (row.value as { m: StoredMachine[] }).m) {
+      const age = Math.max(0, ctx.clock.wall() - rentedAt);
+      known.push({
+        machine: { id: id as HostId, type: type as TypeId, zone: zone as ZoneId, spot: spot === 1 },
+        address,
+        at: (ctx.clock.now() - age) as Steady,
+      });
+    }
+  }
+  for (const row of (await readAll(ctx, keys.forecast)).rows) {
+    fleet.restoreForecast(row.key.slice(keys.forecast.length), row.value);
+  }
+  return known;
+}
+
+/** The rented machines and the forecast's weights, each slot and after each rental. */
+export async function saveSlot(ctx: LeaderContext, fleet: FleetManager): Promise<void> {
+  const wallNow: WallTime = ctx.clock.wall();
+  const now = ctx.clock.now();
+  const machines: StoredMachine[] = [];
+  for (const host of ctx.hosts.hosts.values()) {
+    const { id, type, zone, spot } = host.machine;
+    machines.push([id, type, zone, spot ? 1 : 0, host.address, Math.round(wallNow - (now - host.since))]);
+  }
+  const writes: Write[] = [];
+  for (let i = 0; i < Math.max(1, machines.length); i += PER_RECORD) {
+    writes.push({ set: keys.fleetChunk(i / PER_RECORD), value: { m: machines.slice(i, i + PER_RECORD) } });
+  }
+  for (const [key, record] of fleet.forecastRecords())
+    writes.push({ set: keys.forecastOf(key), value: record });
+  for (let i = 0; i < writes.length; i += ctx.settings.txnOps) {
+    const result = await ctx.store.commit(
+      [{ key: keys.epoch, stamp: ctx.epochStamp }],
+      writes.slice(i, i + ctx.settings.txnOps),
+    );
+    if (!result.ok) {
+      ctx.deposed('the fleet record found a newer epoch');
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/src/cluster/type-book.ts
@@ -0,0 +1,63 @@
+import { reason } from '../log/logger.js';
+import type { MachineType } from '../model/machine.js';
+import { sleep } from '../model/time.js';
+import { keys } from '../store/records.js';
+import type { NodeContext } from './context.js';
+
+const REFRESH_MS = 60_000;
+
+/**
+ * The machine types: from the cloud, or, while its interface is down, as they were last written.
+ * Prices move, so they are read again now and then.
+ */
+export class TypeBook {
+  private readonly waiting: (() => void)[] = [];
+
+  constructor(private readonly ctx: NodeContext) {}
+
+  run(): void {
+    void this.fromStore();
+    void this.refresh();
+  }
+
+  known(): Promise<void> {
+    if (this.ctx.types.size > 0) return Promise.resolve();
+    return new Promise((resolve) => this.waiting.push(resolve));
+  }
+
+  private learn(types: readonly MachineType[]): void {
+    for (const type of types) this.ctx.types.set(type.id, type);
+    if (types.length > 0) for (const go of this.waiting.splice(0)) go();
+  }
+
+  private async fromStore(): Promise<void> {
+    while (this.ctx.types.size === 0) {
+      try {
+        const row = await this.ctx.store.get(keys.types);
+        if (row) this.learn(row.value as MachineType[]);
+      } catch (error) {
+        this.ctx.log.debug({ error: reason(error) }, 'types not read from the state service');
+      }
+      await sleep(this.ctx.clock, 500);
+    }
+  }
+
+  private async refresh(): Promise<void> {
+    let written = '';
+    for (;;) {
+      try {
+        const types = await this.ctx.cloud.types();
+        this.learn(types);
+        const shape = JSON.stringify(types.map((t) => [t.id, t.cpus, t.memoryGb, t.zones]));
+        if (shape !== written) {
+          await this.ctx.store.commit([], [{ set: keys.types, value: types }]);
+          written = shape;
+        }
+        await sleep(this.ctx.clock, REFRESH_MS * (0.8 + 0.4 * this.ctx.random()));
+      } catch (error) {
+        this.ctx.log.debug({ error: reason(error) }, 'types not read from the cloud');
+        await sleep(this.ctx.clock, 600 + this.ctx.random() * 600);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/manager.ts
@@ -0,0 +1,401 @@
+import type { LeaderContext } from '../cluster/context.js';
+import { CloudRefused, type Rented } from '../cloud/client.js';
+import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
+import { Lifetimes } from '../forecast/lifetimes.js';
+import { autoregression, movingAverage } from '../forecast/predictors.js';
+import { reason } from '../log/logger.js';
+import type { HostId, RentalName, TypeId, ZoneId } from '../model/ids.js';
+import type { ListedMachine, Machine } from '../model/machine.js';
+import { type Steady, plus, since, sleep } from '../model/time.js';
+import type { Budget } from '../net/budget.js';
+import type { OpenJob } from '../scheduler/job-book.js';
+import type { Rental } from '../wire/cloud.js';
+import { Host } from '../workers/host-book.js';
+import {
+  allPools,
+  cheapestPool,
+  type Coming,
+  type Need,
+  perMachine,
+  type Pool,
+  poolKey,
+  price,
+  rentFor,
+  seriesKey,
+  type Wish,
+} from './plan.js';
+
+/** A refused pool is asked again after this. */
+const REFUSED_MS = 15_000;
+const MOST_PER_RENTAL = 50;
+const MOST_PER_DELETE = 100;
+const RENT_TRIES = 4;
+
+interface PendingRental {
+  readonly pool: Pool;
+  readonly count: number;
+}
+
+/** Rents, keeps and returns machines: the paper's forecast, reserves and on-the-fly misses. */
+export class FleetManager {
+  private readonly ensembles = new Map<string, Ensemble>();
+  private readonly lifetimes = new Lifetimes();
+  /** New need of the running slot, in machines, by series. */
+  private readonly slotNeed = new Map<string, number>();
+  private readonly refusedUntil = new Map<string, Steady>();
+  private readonly refusedInSlot = new Set<string>();
+  private readonly pending = new Map<string, PendingRental>();
+  private readonly removing = new Set<HostId>();
+  private slotEnds: Steady;
+  private rentals = 0;
+  private needs: readonly Need[] = [];
+  private listing = false;
+  private lastList: Steady | null = null;
+  private dirty = false;
+
+  constructor(
+    private readonly ctx: LeaderContext,
+    private readonly budget: Budget,
+    private readonly onGone: (host: Host) => void,
+    private readonly saveFleet: () => void,
+  ) {
+    this.slotEnds = plus(ctx.startedAt, ctx.ops.forecast.slot_s * 1000);
+  }
+
+  private ensemble(key: string): Ensemble {
+    let e = this.ensembles.get(key);
+    if (!e) {
+      const f = this.ctx.ops.forecast;
+      const spot = key.endsWith('~spot');
+      const type = this.ctx.types.get((spot ? key.slice(0, -5) : key) as TypeId);
+      const cost: PredictionCost = {
+        beta: f.beta,
+        hit: f.hit_s,
+        miss: type ? type.boot / 1000 : f.slot_s,
+        idle: f.idle_cost,
+      };
+      e = new Ensemble([movingAverage(f.average_slots), autoregression(7)], cost);
+      this.ensembles.set(key, e);
+    }
+    return e;
+  }
+
+  restoreForecast(key: string, stored: unknown): void {
+    this.ensemble(key).restore(stored);
+  }
+
+  forecastRecords(): Map<string, unknown> {
+    return new Map([...this.ensembles].map(([k, e]) => [k, e.record()]));
+  }
+
+  /** New demand: counted once for the type that would serve it best, refused or not. */
+  demanded(job: OpenJob): void {
+    const { spec } = job;
+    const pool = cheapestPool(spec, spec.tasks, allPools(this.ctx.types.values()));
+    if (!pool) return;
+    const team = this.ctx.settings.teams.find((t) => t.id === spec.team);
+    const limit = team?.cpusMax != null && spec.cpus > 0 ? Math.floor(team.cpusMax / spec.cpus) : Infinity;
+    const machines = Math.min(spec.tasks, limit) / perMachine(spec, pool.type);
+    const key = seriesKey(pool.type.id, pool.spot);
+    this.slotNeed.set(key, (this.slotNeed.get(key) ?? 0) + machines);
+  }
+
+  ran(jobClass: string, ms: number): void {
+    this.lifetimes.add(jobClass, ms);
+  }
+
+  /** The queue's unmet demand, as the last decision round left it. */
+  unmet(needs: readonly Need[]): void {
+    this.needs = needs;
+    this.rentUnmet();
+  }
+
+  private refused(pool: { type: TypeId; zone: ZoneId; spot: boolean }, now: Steady): boolean {
+    const until = this.refusedUntil.get(poolKey(pool));
+    return until !== undefined && until > now;
+  }
+
+  private openPools(): Pool[] {
+    const now = this.ctx.clock.now();
+    return allPools(this.ctx.types.values()).filter(
+      (p) => !this.refused({ type: p.type.id, zone: p.zone, spot: p.spot }, now),
+    );
+  }
+
+  private bootLimit(host: Host): Steady {
+    return plus(host.since, host.type.boot * this.ctx.ops.fleet.boot_patience + 10_000);
+  }
+
+  /** Machines rented and not yet up, unless they are so late that they may never come. */
+  private coming(): Coming[] {
+    const now = this.ctx.clock.now();
+    const list: Coming[] = [];
+    for (const host of this.ctx.hosts.hosts.values()) {
+      if (host.up || host.closed) continue;
+      if (since(now, host.since) > host.type.boot * 1.7 + 3000) continue;
+      list.push({ ...host.machine, free: host.free() });
+    }
+    for (const p of this.pending.values()) {
+      const { cpus, gpus, memoryGb } = p.pool.type;
+      for (let i = 0; i < p.count; i++) {
+        list.push({
+          type: p.pool.type.id,
+          zone: p.pool.zone,
+          spot: p.pool.spot,
+          free: { cpus, gpus, memoryGb },
+        });
+      }
+    }
+    return list;
+  }
+
+  private rentUnmet(): void {
+    if (this.needs.length === 0) return;
+    const most = this.ctx.ops.fleet.max_machines - this.ctx.hosts.hosts.size - this.pending.size;
+    for (const wish of rentFor(this.needs, this.coming(), this.openPools(), most)) this.rent(wish, 'queue');
+  }
+
+  private rent(wish: Wish, why: string): void {
+    let left = wish.count;
+    while (left > 0) {
+      const count = Math.min(left, MOST_PER_RENTAL);
+      left -= count;
+      const name = `p${this.ctx.epoch}-${++this.rentals}` as RentalName;
+      this.pending.set(name, { pool: wish.pool, count });
+      void this.doRent(name, wish.pool, count, why);
+    }
+  }
+
+  private async doRent(name: RentalName, pool: Pool, count: number, why: string): Promise<void> {
+    const rental: Rental = { name, type: pool.type.id, zone: pool.zone, spot: pool.spot, count };
+    const { clock, log } = this.ctx;
+    try {
+      const result = await this.tryRent(rental);
+      if (result === null || this.ctx.ended()) return;
+      const got = result === 'no capacity' ? [] : result.hosts;
+      log.info({ name, pool: poolKey(rental), asked: count, got: got.length, why }, 'rented');
+      const now = clock.now();
+      for (const id of got) this.adopt({ id, type: rental.type, zone: rental.zone, spot: rental.spot }, now);
+      if (got.length < count) {
+        // A stockout is remembered: other zones and types are asked meanwhile.
+        this.refusedUntil.set(poolKey(rental), plus(now, REFUSED_MS));
+        this.refusedInSlot.add(seriesKey(rental.type, rental.spot));
+      }
+      if (got.length > 0) this.saveFleet();
+    } catch (error) {
+      log.info({ name, pool: poolKey(rental), error: reason(error) }, 'rental failed');
+    } finally {
+      this.pending.delete(name);
+      if (!this.ctx.ended()) this.rentUnmet();
+    }
+  }
+
+  /** The same name is tried again: a rental without an answer may have been carried out. */
+  private async tryRent(rental: Rental): Promise<Rented | null> {
+    for (let tries = 1; ; tries++) {
+      if (this.ctx.ended()) return null;
+      await this.turn();
+      try {
+        return await this.ctx.cloud.rent(rental);
+      } catch (error) {
+        if (tries >= RENT_TRIES) throw error;
+        const wait = (error instanceof CloudRefused ? 700 : 200) * tries;
+        await sleep(this.ctx.clock, wait + this.ctx.random() * 300);
+      }
+    }
+  }
+
+  private async turn(): Promise<void> {
+    const wait = this.budget.wait();
+    this.budget.force();
+    if (wait > 0) await sleep(this.ctx.clock, wait);
+  }
+
+  adopt(machine: Machine, since: Steady, address = ''): Host | null {
+    if (this.ctx.hosts.isGone(machine.id)) return null;
+    let host = this.ctx.hosts.hosts.get(machine.id);
+    if (!host) {
+      const type = this.ctx.types.get(machine.type);
+      if (!type) return null;
+      host = new Host(machine, type, since);
+      this.ctx.hosts.add(host);
+    }
+    if (address !== '' && host.address === '') host.address = address;
+    return host;
+  }
+
+  /** The fast fence: once the cloud has answered, the machine and everything on it are gone. */
+  remove(host: Host, why: string): void {
+    if (host.removing) return;
+    host.removing = true;
+    host.closed ??= 'returning';
+    this.ctx.log.info({ host: host.id, why, tasks: host.tasks.size }, 'deleting machine');
+    this.removing.add(host.id);
+    if (this.removing.size === 1) this.ctx.clock.after(20, () => void this.flushRemovals());
+  }
+
+  private async flushRemovals(): Promise<void> {
+    while (this.removing.size > 0 && !this.ctx.ended()) {
+      const batch = [...this.removing].slice(0, MOST_PER_DELETE);
+      await this.turn();
+      try {
+        await this.ctx.cloud.remove(batch);
+        for (const id of batch) {
+          this.removing.delete(id);
+          const host = this.ctx.hosts.hosts.get(id);
+          this.ctx.hosts.remove(id);
+          if (host) this.onGone(host);
+        }
+        this.saveFleet();
+        this.ctx.poke();
+      } catch (error) {
+        this.ctx.log.info({ count: batch.length, error: reason(error) }, 'deletion not confirmed');
+        await sleep(this.ctx.clock, 700 + this.ctx.random() * 300);
+      }
+    }
+  }
+
+  tick(): void {
+    const now = this.ctx.clock.now();
+    if (!this.listing && (this.lastList === null || since(now, this.lastList) > 4000)) void this.list();
+    this.dropLate(now);
+    this.rentUnmet();
+    if (now >= this.slotEnds) this.endSlot(now);
+    this.giveBack(now);
+  }
+
+  private dropLate(now: Steady): void {
+    for (const host of this.ctx.hosts.hosts.values()) {
+      if (!host.up && !host.removing && now > this.bootLimit(host)) this.remove(host, 'never came up');
+    }
+  }
+
+  private async list(): Promise<void> {
+    this.listing = true;
+    try {
+      let after = '';
+      for (;;) {
+        await this.turn();
+        const page = await this.ctx.cloud.list(after);
+        const now = this.ctx.clock.now();
+        for (const m of page.machines) this.listed(m, now);
+        const last = page.machines[page.machines.length - 1];
+        if (!page.more || !last) break;
+        after = last.id;
+      }
+    } catch (error) {
+      this.ctx.log.debug({ error: reason(error) }, 'list failed');
+    } finally {
+      this.listing = false;
+      this.lastList = this.ctx.clock.now();
+    }
+  }
+
+  private listed(m: ListedMachine, now: Steady): void {
+    const known = this.ctx.hosts.hosts.has(m.id);
+    const host = this.adopt(m, (now - m.age) as Steady, m.address);
+    if (!host) return;
+    host.listed = true;
+    if (!known)
+      this.ctx.log.info({ host: m.id, type: m.type, status: m.status }, 'machine found in the list');
+    if (m.status === 'failed') this.remove(host, 'failed');
+    else if (m.status === 'running' && !host.known) this.ctx.dispatch(host.id);
+  }
+
+  /** Expected frees of a slot, in machines, by series. */
+  private frees(slotMs: number, now: Steady): Map<string, number> {
+    const frees = new Map<string, number>();
+    for (const host of this.ctx.hosts.hosts.values()) {
+      let sum = 0;
+      for (const task of host.tasks) {
+        const { spec } = task.job;
+        const age = task.runningAt === null ? 0 : now - task.runningAt;
+        const p = this.lifetimes.endsWithin(spec.jobClass, age, slotMs, spec.estimateS * 1000);
+        sum += p / Math.max(1, perMachine(spec, host.type));
+      }
+      const key = seriesKey(host.machine.type, host.machine.spot);
+      frees.set(key, (frees.get(key) ?? 0) + sum);
+    }
+    return frees;
+  }
+
+  /** Idle room, up or coming, in machines, by series. */
+  private reserves(): Map<string, number> {
+    const reserves = new Map<string, number>();
+    const add = (key: string, n: number): void => {
+      reserves.set(key, (reserves.get(key) ?? 0) + n);
+    };
+    for (const host of this.ctx.hosts.hosts.values()) {
+      if (host.closed) continue;
+      add(seriesKey(host.machine.type, host.machine.spot), Math.max(0, host.free().cpus) / host.type.cpus);
+    }
+    for (const p of this.pending.values()) add(seriesKey(p.pool.type.id, p.pool.spot), p.count);
+    return reserves;
+  }
+
+  private endSlot(now: Steady): void {
+    const slotMs = this.ctx.ops.forecast.slot_s * 1000;
+    this.slotEnds = plus(now, slotMs);
+    const frees = this.frees(slotMs, now);
+    const reserves = this.reserves();
+    for (const key of this.slotNeed.keys()) this.ensemble(key);
+    const told: Record<string, unknown> = {};
+    for (const [key, ensemble] of this.ensembles) {
+      const need = this.slotNeed.get(key) ?? 0;
+      ensemble.observe(need, !this.refusedInSlot.has(key));
+      const forecast = ensemble.forecast();
+      const net = forecast - (frees.get(key) ?? 0) - (reserves.get(key) ?? 0);
+      told[key] = [need, forecast, frees.get(key) ?? 0, reserves.get(key) ?? 0].map(
+        (n) => Math.round(n * 100) / 100,
+      );
+      const count = Math.round(net);
+      if (count > 0) this.rentAhead(key, count);
+    }
+    this.ctx.log.info({ needForecastFreesReserve: told }, 'slot');
+    this.slotNeed.clear();
+    this.refusedInSlot.clear();
+    this.dirty = true;
+  }
+
+  /** Whether a slot has ended since the last call: weights and machines are then written. */
+  takeDirty(): boolean {
+    const was = this.dirty;
+    this.dirty = false;
+    return was;
+  }
+
+  private rentAhead(key: string, count: number): void {
+    const spot = key.endsWith('~spot');
+    const id = spot ? key.slice(0, -5) : key;
+    const pools = this.openPools().filter((p) => p.type.id === id && p.spot === spot);
+    const pool = pools[Math.floor(this.ctx.random() * pools.length)];
+    if (pool) this.rent({ pool, count: Math.min(count, 10) }, 'forecast');
+  }
+
+  /** Idle machines beyond what the forecast still wants go back after the wait. */
+  private giveBack(now: Steady): void {
+    const slotMs = this.ctx.ops.forecast.slot_s * 1000;
+    const idle = new Map<string, Host[]>();
+    for (const host of this.ctx.hosts.hosts.values()) {
+      if (!host.up || host.removing || !host.empty || host.idleSince === null) continue;
+      if (host.closed === 'sick') {
+        this.remove(host, 'sick');
+        continue;
+      }
+      const wait = host.machine.spot ? this.ctx.ops.fleet.spot_give_back_s : this.ctx.ops.fleet.give_back_s;
+      if (since(now, host.idleSince) < wait * 1000) continue;
+      const key = seriesKey(host.machine.type, host.machine.spot);
+      idle.set(key, [...(idle.get(key) ?? []), host]);
+    }
+    if (idle.size === 0) return;
+    const frees = this.frees(slotMs, now);
+    for (const [key, hosts] of idle) {
+      const keep = Math.round(Math.max(0, this.ensemble(key).forecast() - (frees.get(key) ?? 0)));
+      hosts.sort(
+        (a, b) =>
+          price({ type: b.type, spot: b.machine.spot }) - price({ type: a.type, spot: a.machine.spot }),
+      );
+      for (const host of hosts.slice(keep)) this.remove(host, 'surplus');
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/plan.ts
@@ -0,0 +1,118 @@
+import type { TypeId, ZoneId } from '../model/ids.js';
+import { fits, type JobSpec, type Resources } from '../model/job.js';
+import type { MachineType } from '../model/machine.js';
+import { allowed } from '../scheduler/place.js';
+
+/** One kind of machine that can be asked for: a type in a zone, spot or ordinary. */
+export interface Pool {
+  readonly type: MachineType;
+  readonly zone: ZoneId;
+  readonly spot: boolean;
+}
+
+export const poolKey = (p: { type: TypeId; zone: ZoneId; spot: boolean }): string =>
+  `${p.type}|${p.zone}|${p.spot ? 'spot' : 'ordinary'}`;
+
+/** The series that a forecast is made for: a machine type, its spot and ordinary need apart. */
+export const seriesKey = (type: TypeId, spot: boolean): string => (spot ? `${type}~spot` : type);
+
+export interface Coming {
+  readonly type: TypeId;
+  readonly zone: ZoneId;
+  readonly spot: boolean;
+  readonly free: { cpus: number; gpus: number; memoryGb: number };
+}
+
+export interface Need {
+  readonly spec: JobSpec;
+  readonly tasks: number;
+}
+
+export interface Wish {
+  readonly pool: Pool;
+  count: number;
+}
+
+export function allPools(types: Iterable<MachineType>): Pool[] {
+  const pools: Pool[] = [];
+  for (const type of types) {
+    for (const zone of type.zones) {
+      pools.push({ type, zone, spot: false });
+      pools.push({ type, zone, spot: true });
+    }
+  }
+  return pools;
+}
+
+export const price = (pool: { type: MachineType; spot: boolean }): number =>
+  pool.spot ? pool.type.spotPrice : pool.type.price;
+
+/** How many of the tasks one empty machine takes. */
+export function perMachine(spec: JobSpec, total: Resources): number {
+  let n = Infinity;
+  if (spec.cpus > 0) n = Math.min(n, Math.floor(total.cpus / spec.cpus + 1e-9));
+  if (spec.gpus > 0) n = Math.min(n, Math.floor(total.gpus / spec.gpus + 1e-9));
+  if (spec.memoryGb > 0) n = Math.min(n, Math.floor(total.memoryGb / spec.memoryGb + 1e-9));
+  return n === Infinity ? 1000 : n;
+}
+
+/** The pool where these tasks cost least: the machine's price shared by as many of them as it takes. */
+export function cheapestPool(spec: JobSpec, tasks: number, pools: readonly Pool[]): Pool | null {
+  let best: Pool | null = null;
+  let bestCost = Infinity;
+  for (const pool of pools) {
+    if (!allowed(spec, { type: pool.type.id, zone: pool.zone, spot: pool.spot })) continue;
+    const n = Math.min(tasks, perMachine(spec, pool.type));
+    if (n === 0) continue;
+    const cost = price(pool) / n;
+    if (cost < bestCost - 1e-12) {
+      best = pool;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+/** What to rent at once for queued tasks that neither free nor coming machines will take. */
+export function rentFor(
+  needs: readonly Need[],
+  coming: readonly Coming[],
+  pools: readonly Pool[],
+  most: number,
+): Wish[] {
+  const bins: Coming[] = coming.map((c) => ({ ...c, free: { ...c.free } }));
+  const wishes = new Map<string, Wish>();
+  let room = most;
+  for (const { spec, tasks } of needs) {
+    let left = tasks;
+    const fill = (bin: Coming): void => {
+      if (!allowed(spec, bin)) return;
+      while (left > 0 && fits(spec, bin.free)) {
+        bin.free.cpus -= spec.cpus;
+        bin.free.gpus -= spec.gpus;
+        bin.free.memoryGb -= spec.memoryGb;
+        left--;
+      }
+    };
+    for (const bin of bins) fill(bin);
+    while (left > 0 && room > 0) {
+      const pool = cheapestPool(spec, left, pools);
+      if (!pool) break;
+      const { cpus, gpus, memoryGb } = pool.type;
+      const bin: Coming = {
+        type: pool.type.id,
+        zone: pool.zone,
+        spot: pool.spot,
+        free: { cpus, gpus, memoryGb },
+      };
+      bins.push(bin);
+      fill(bin);
+      room--;
+      const key = poolKey(bin);
+      const wish = wishes.get(key);
+      if (wish) wish.count++;
+      else wishes.set(key, { pool, count: 1 });
+    }
+  }
+  return [...wishes.values()];
+}
--- /dev/null
+++ b/src/forecast/ensemble.ts
@@ -0,0 +1,88 @@
+import type { Predictor } from './predictors.js';
+
+/** The asymmetric Cloud Prediction Cost (the paper's equations 2 to 5). */
+export interface PredictionCost {
+  readonly beta: number;
+  /** Wait when a machine is there (T_avail), s. */
+  readonly hit: number;
+  /** Wait when one has to be rented (T_delay), s. */
+  readonly miss: number;
+  /** Cost of one machine that idles for a slot (R_vm), in the same seconds. */
+  readonly idle: number;
+}
+
+export function predictionCost(c: PredictionCost, actual: number, forecast: number): number {
+  const late = Math.min(actual, forecast) * c.hit + Math.max(0, actual - forecast) * c.miss;
+  const waste = Math.max(0, forecast - actual) * c.idle;
+  return c.beta * late + (1 - c.beta) * waste;
+}
+
+export interface EnsembleRecord {
+  readonly series: number[];
+  readonly weights: Record<string, number>;
+}
+
+/** Slots kept: enough for the longest predictor, and old bursts fall out. */
+const KEEP = 40;
+/** How much of the old weight stays at each update: one odd slot does not turn it over. */
+const MEMORY = 0.5;
+
+/** A cost-weighted linear combination of predictors for one machine type (the paper's equation 6). */
+export class Ensemble {
+  readonly series: number[] = [];
+  private readonly weights = new Map<string, number>();
+
+  constructor(
+    private readonly predictors: readonly Predictor[],
+    private readonly cost: PredictionCost,
+  ) {
+    for (const p of predictors) this.weights.set(p.name, 1 / predictors.length);
+  }
+
+  weight(name: string): number {
+    return this.weights.get(name) ?? 0;
+  }
+
+  forecast(): number {
+    let sum = 0;
+    for (const p of this.predictors) sum += this.weight(p.name) * p.predict(this.series);
+    return sum;
+  }
+
+  /**
+   * Scores the predictors on the slot that ended and weights them by inverse cost: the printed
+   * update (equations 7 and 8) would favour the costliest. A slot that a stockout spoiled is
+   * not scored: refused rentals are not a predictor's fault.
+   */
+  observe(actual: number, scored = true): void {
+    if (scored && this.series.length > 0) {
+      const inverse = this.predictors.map(
+        (p) => 1 / (predictionCost(this.cost, actual, p.predict(this.series)) + 1e-3),
+      );
+      const total = inverse.reduce((a, b) => a + b, 0);
+      this.predictors.forEach((p, i) => {
+        const fresh = (inverse[i] ?? 0) / total;
+        this.weights.set(p.name, MEMORY * this.weight(p.name) + (1 - MEMORY) * fresh);
+      });
+    }
+    this.series.push(actual);
+    if (this.series.length > KEEP) this.series.shift();
+  }
+
+  record(): EnsembleRecord {
+    return {
+      series: this.series.map((v) => Math.round(v * 1000) / 1000),
+      weights: Object.fromEntries(this.weights),
+    };
+  }
+
+  restore(stored: unknown): void {
+    const v = stored as Partial<EnsembleRecord> | null | undefined;
+    if (!v || !Array.isArray(v.series)) return;
+    this.series.splice(0, this.series.length, ...v.series.filter((n) => typeof n === 'number'));
+    const weights = this.predictors.map((p) => v.weights?.[p.name]);
+    if (weights.every((w) => typeof w === 'number')) {
+      this.predictors.forEach((p, i) => this.weights.set(p.name, weights[i] as number));
+    }
+  }
+}
--- /dev/null
+++ b/src/forecast/lifetimes.ts
@@ -0,0 +1,60 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+
+const UNIT_MS = 100;
+
+/** Run times seen per class of jobs: the empirical F of the paper's equation 9. */
+export class Lifetimes {
+  private readonly seen = new Map<string, Histogram>();
+
+  add(jobClass: string, ms: number): void {
+    let h = this.seen.get(jobClass);
+    if (!h) {
+      h = build({
+        bitBucketSize: 32,
+        useWebAssembly: false,
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: 864_000,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.seen.set(jobClass, h);
+    }
+    h.recordValue(Math.min(864_000, Math.max(1, Math.round(ms / UNIT_MS))));
+  }
+
+  count(jobClass: string): number {
+    return this.seen.get(jobClass)?.totalCount ?? 0;
+  }
+
+  /** Share of run times up to `ms`. */
+  within(jobClass: string, ms: number): number {
+    const h = this.seen.get(jobClass);
+    if (!h || h.totalCount === 0) return 0;
+    return shareUpTo(h, ms / UNIT_MS);
+  }
+
+  /**
+   * Chance that a task of age `age` ends within `slot`: (F(a+s) − F(a)) / (1 − F(a)). Before
+   * anything has been seen, the owner's estimate stands in for the median of an exponential.
+   */
+  endsWithin(jobClass: string, age: number, slot: number, estimateMs: number): number {
+    if (this.count(jobClass) < 8) {
+      return estimateMs > 0 ? 1 - Math.exp((-Math.LN2 * slot) / estimateMs) : 0;
+    }
+    const before = this.within(jobClass, age);
+    if (before >= 1) return 1;
+    return (this.within(jobClass, age + slot) - before) / (1 - before);
+  }
+}
+
+function shareUpTo(h: Histogram, value: number): number {
+  if (value >= h.maxValue) return 1;
+  if (value < h.minNonZeroValue) return 0;
+  let low = 0;
+  let high = 100;
+  for (let i = 0; i < 12; i++) {
+    const mid = (low + high) / 2;
+    if (h.getValueAtPercentile(mid) <= value) low = mid;
+    else high = mid;
+  }
+  return low / 100;
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,3 @@
+import { program } from './cli/program.js';
+
+void program().parseAsync();
--- /dev/null
+++ b/src/model/job.ts
@@ -0,0 +1,53 @@
+import type { ImageId, JobId, TeamId, TypeId, ZoneId } from './ids.js';
+import type { WallTime } from './time.js';
+
+export type JobKind = 'array' | 'service';
+
+/** Higher goes first and may preempt lower. */
+export enum Priority {
+  Low = 0,
+  Normal = 1,
+  High = 2,
+  Production = 3,
+}
+
+export interface Resources {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+}
+
+export interface JobSpec extends Resources {
+  readonly id: JobId;
+  readonly jobClass: string;
+  readonly team: TeamId;
+  readonly kind: JobKind;
+  readonly priority: Priority;
+  readonly tasks: number;
+  readonly image: ImageId;
+  readonly imageGb: number;
+  /** Allowed machine types; null: any. */
+  readonly types: readonly TypeId[] | null;
+  readonly zone: ZoneId | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly estimateS: number;
+  readonly checkpointS: number;
+  readonly saveS: number;
+  readonly deadlineS: number | null;
+}
+
+export type FinalState = 'done' | 'cancelled';
+export type JobState = 'accepted' | FinalState;
+
+export interface JobRecord {
+  readonly spec: JobSpec;
+  readonly state: JobState;
+  readonly acceptedAt: WallTime;
+}
+
+export function fits(need: Resources, free: Resources): boolean {
+  const eps = 1e-9;
+  return need.cpus <= free.cpus + eps && need.gpus <= free.gpus + eps && need.memoryGb <= free.memoryGb + eps;
+}
--- /dev/null
+++ b/src/model/report.ts
@@ -0,0 +1,30 @@
+import type { Counter, Epoch, HostId, TaskId, Tenure, TryNo, TypeId, ZoneId } from './ids.js';
+import type { Millis } from './time.js';
+
+export type AttemptState = 'fetching' | 'running' | 'saving' | 'exited';
+
+export interface Attempt {
+  readonly task: TaskId;
+  readonly tryNo: TryNo;
+  readonly state: AttemptState;
+  /** Why it exited: `done`, `stopped`, `error`, `no_room`, `busy`, `no_such`, or a new word. */
+  readonly cause: string | null;
+}
+
+export interface Report {
+  readonly host: HostId;
+  readonly address: string;
+  readonly type: TypeId;
+  readonly zone: ZoneId;
+  readonly spot: boolean;
+  readonly tenure: Tenure;
+  readonly counter: Counter;
+  readonly epoch: Epoch;
+  readonly notice: Millis | null;
+  readonly attempts: readonly Attempt[];
+}
+
+export type Order =
+  | { readonly verb: 'run'; readonly task: TaskId; readonly tryNo: TryNo }
+  | { readonly verb: 'kill'; readonly task: TaskId; readonly tryNo: TryNo; readonly graceS: number }
+  | { readonly verb: 'clear'; readonly task: TaskId; readonly tryNo: TryNo };
--- /dev/null
+++ b/src/model/time.ts
@@ -0,0 +1,43 @@
+import type { Branded } from './ids.js';
+
+/** Milliseconds on this node's steady clock. Never compared with another node's. */
+export type Steady = Branded<number, 'Steady'>;
+/** Milliseconds since 1970 by the time of day, within the settings' bound. */
+export type WallTime = Branded<number, 'WallTime'>;
+export type Millis = Branded<number, 'Millis'>;
+
+/** Two steady clocks drift apart by at most this share (PROTOCOL). */
+export const CLOCK_DRIFT = 0.0005;
+
+export const ms = (n: number): Millis => n as Millis;
+export const seconds = (n: number): Millis => (n * 1000) as Millis;
+export const plus = (t: Steady, d: number): Steady => (t + d) as Steady;
+export const since = (now: Steady, then: Steady): Millis => (now - then) as Millis;
+/** The longest that `d` on another machine's clock can last on ours. */
+export const atMost = (d: number): Millis => (d * (1 + 2 * CLOCK_DRIFT)) as Millis;
+/** The shortest that `d` on another machine's clock can last on ours. */
+export const atLeast = (d: number): Millis => (d * (1 - 2 * CLOCK_DRIFT)) as Millis;
+
+export type Cancel = () => void;
+
+/** Everything that reads time or waits is handed one of these. */
+export interface Clock {
+  now(): Steady;
+  wall(): WallTime;
+  after(d: number, run: () => void): Cancel;
+}
+
+export function sleep(clock: Clock, d: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(d, resolve);
+  });
+}
+
+export const realClock: Clock = {
+  now: () => performance.now() as Steady,
+  wall: () => Date.now() as WallTime,
+  after(d, run) {
+    const timer = setTimeout(run, Math.max(0, d));
+    return () => clearTimeout(timer);
+  },
+};
--- /dev/null
+++ b/src/net/budget.ts
@@ -0,0 +1,50 @@
+import { type Clock, type Steady, since } from '../model/time.js';
+
+/**
+ * A token bucket. `share` of the published rate is ours: the other nodes draw on
+ * the same limit, and submissions and cancels must find room.
+ */
+export class Budget {
+  private tokens: number;
+  private last: Steady;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly perSecond: number,
+    private readonly burst: number,
+  ) {
+    this.tokens = burst;
+    this.last = clock.now();
+  }
+
+  private refill(): void {
+    const now = this.clock.now();
+    this.tokens = Math.min(this.burst, this.tokens + (since(now, this.last) * this.perSecond) / 1000);
+    this.last = now;
+  }
+
+  /** Takes `n` if they are there. */
+  take(n = 1): boolean {
+    this.refill();
+    if (this.tokens < n) return false;
+    this.tokens -= n;
+    return true;
+  }
+
+  available(): number {
+    this.refill();
+    return this.tokens;
+  }
+
+  /** Takes `n` even into debt: for what must not wait. */
+  force(n = 1): void {
+    this.refill();
+    this.tokens -= n;
+  }
+
+  /** Milliseconds until `n` tokens are there. */
+  wait(n = 1): number {
+    this.refill();
+    return Math.max(0, ((n - this.tokens) / this.perSecond) * 1000);
+  }
+}
--- /dev/null
+++ b/src/net/server.ts
@@ -0,0 +1,68 @@
+import { createServer as createHttp, type RequestListener, type Server as HttpServer } from 'node:http';
+import { createServer, type Server, type Socket } from 'node:net';
+import type { Log } from '../log/logger.js';
+
+export interface ServerLimits {
+  /** Sockets accepted at once; one more is closed at once. */
+  readonly sockets: number;
+  readonly headersMs: number;
+  readonly requestMs: number;
+  readonly idleMs: number;
+}
+
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** One listening address: `net` accepts and limits, node:http's parser reads, the listener answers. */
+export class FrontServer {
+  private readonly net: Server;
+  private readonly http: HttpServer;
+
+  constructor(
+    listener: RequestListener,
+    limits: ServerLimits,
+    private readonly log: Log,
+  ) {
+    this.http = createHttp(
+      {
+        headersTimeout: limits.headersMs,
+        requestTimeout: limits.requestMs,
+        keepAliveTimeout: limits.idleMs,
+        connectionsCheckingInterval: 5000,
+        maxHeaderSize: 16 * 1024,
+      },
+      listener,
+    );
+    this.http.on('clientError', (_error, socket) => {
+      if (socket.writable)
+        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+      else socket.destroy();
+    });
+    this.net = createServer({ noDelay: true }, (socket) => this.accept(socket));
+    this.net.maxConnections = limits.sockets;
+    this.net.on('error', (error) => this.log.error({ error: error.message }, 'front server failed'));
+  }
+
+  private accept(socket: Socket): void {
+    socket.on('error', () => socket.destroy());
+    this.http.emit('connection', socket);
+  }
+
+  listen(address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.net.once('error', reject);
+      this.net.listen({ host, port, backlog: 511 }, () => {
+        this.net.removeListener('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  close(): void {
+    this.net.close();
+    this.http.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/src/peer/frames.ts
@@ -0,0 +1,151 @@
+import { type Epoch, isJobId, type JobId } from '../model/ids.js';
+
+/** The binary frames that our own processes exchange: u32 length, u8 kind, u32 request, payload. */
+export enum Kind {
+  Ping = 1,
+  Beat = 2,
+  Answer = 3,
+  Progress = 4,
+  User = 5,
+}
+
+export interface Frame {
+  readonly kind: Kind;
+  /** Ties an answer to what was asked; 0 where nothing is. */
+  readonly request: number;
+  readonly payload: Buffer;
+}
+
+const HEADER = 9;
+export const MAX_PAYLOAD = 1 << 20;
+
+export class BadFrame extends Error {}
+
+export function encodeFrame(kind: Kind, request: number, payload: Buffer): Buffer {
+  const frame = Buffer.allocUnsafe(HEADER + payload.length);
+  frame.writeUInt32BE(payload.length, 0);
+  frame.writeUInt8(kind, 4);
+  frame.writeUInt32BE(request, 5);
+  payload.copy(frame, HEADER);
+  return frame;
+}
+
+/** Cuts a byte stream into frames. Throws on what cannot be one: the connection is then closed. */
+export class FrameReader {
+  private rest: Buffer = Buffer.alloc(0);
+
+  push(bytes: Buffer): Frame[] {
+    this.rest = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    const frames: Frame[] = [];
+    while (this.rest.length >= HEADER) {
+      const length = this.rest.readUInt32BE(0);
+      const kind = this.rest.readUInt8(4);
+      if (length > MAX_PAYLOAD) throw new BadFrame(`a frame of ${length} bytes`);
+      if (!(kind in Kind)) throw new BadFrame(`a frame of kind ${kind}`);
+      if (this.rest.length < HEADER + length) break;
+      const payload = this.rest.subarray(HEADER, HEADER + length);
+      frames.push({ kind, request: this.rest.readUInt32BE(5), payload });
+      this.rest = this.rest.subarray(HEADER + length);
+    }
+    return frames;
+  }
+}
+
+export interface Ping {
+  readonly member: string;
+  readonly stateOk: boolean;
+  readonly leading: Epoch | null;
+}
+
+export function encodePing(ping: Ping): Buffer {
+  const name = Buffer.from(ping.member, 'utf8');
+  const out = Buffer.allocUnsafe(10 + name.length);
+  out.writeUInt8(ping.stateOk ? 1 : 0, 0);
+  out.writeBigUInt64BE(BigInt(ping.leading ?? 0), 1);
+  out.writeUInt8(name.length, 9);
+  name.copy(out, 10);
+  return out;
+}
+
+export function decodePing(payload: Buffer): Ping {
+  if (payload.length < 10) throw new BadFrame('a short ping');
+  const length = payload.readUInt8(9);
+  if (payload.length < 10 + length) throw new BadFrame('a short ping');
+  const epoch = Number(payload.readBigUInt64BE(1));
+  return {
+    stateOk: payload.readUInt8(0) === 1,
+    leading: epoch === 0 ? null : (epoch as Epoch),
+    member: payload.toString('utf8', 10, 10 + length),
+  };
+}
+
+export interface AnswerFrame {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+export function encodeAnswer(status: number, body: Buffer): Buffer {
+  const out = Buffer.allocUnsafe(2 + body.length);
+  out.writeUInt16BE(status, 0);
+  body.copy(out, 2);
+  return out;
+}
+
+export function decodeAnswer(payload: Buffer): AnswerFrame {
+  if (payload.length < 2) throw new BadFrame('a short answer');
+  return { status: payload.readUInt16BE(0), body: payload.subarray(2) };
+}
+
+export type UserVerb = 'submit' | 'query' | 'cancel';
+const VERBS: readonly UserVerb[] = ['submit', 'query', 'cancel'];
+
+export function encodeUser(verb: UserVerb, body: Buffer): Buffer {
+  return Buffer.concat([Buffer.from([VERBS.indexOf(verb)]), body]);
+}
+
+export function decodeUser(payload: Buffer): { verb: UserVerb; body: Buffer } {
+  const verb = VERBS[payload.length > 0 ? payload.readUInt8(0) : 255];
+  if (!verb) throw new BadFrame('an unknown request');
+  return { verb, body: payload.subarray(1) };
+}
+
+export interface JobProgress {
+  readonly id: JobId;
+  readonly done: number;
+  readonly running: number;
+}
+
+/** Per job: u8 name length, name, u32 done, u32 running. */
+export function encodeProgress(jobs: readonly JobProgress[]): Buffer {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for (const job of jobs) {
+    const name = Buffer.from(job.id, 'ascii');
+    const part = Buffer.allocUnsafe(9 + name.length);
+    part.writeUInt8(name.length, 0);
+    name.copy(part, 1);
+    part.writeUInt32BE(job.done, 1 + name.length);
+    part.writeUInt32BE(job.running, 5 + name.length);
+    size += part.length;
+    if (size > MAX_PAYLOAD) break;
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
+}
+
+export function decodeProgress(payload: Buffer): JobProgress[] {
+  const jobs: JobProgress[] = [];
+  for (let at = 0; at < payload.length;) {
+    const length = payload.readUInt8(at);
+    if (at + 9 + length > payload.length) throw new BadFrame('a short progress list');
+    const id = payload.toString('ascii', at + 1, at + 1 + length);
+    if (!isJobId(id)) throw new BadFrame('a progress list with a bad name');
+    jobs.push({
+      id,
+      done: payload.readUInt32BE(at + 1 + length),
+      running: payload.readUInt32BE(at + 5 + length),
+    });
+    at += 9 + length;
+  }
+  return jobs;
+}
--- /dev/null
+++ b/src/peer/link.ts
@@ -0,0 +1,188 @@
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import type { Log } from '../log/logger.js';
+import { type Cancel, type Clock, type Steady, since } from '../model/time.js';
+import { splitAddress } from '../net/server.js';
+import {
+  type AnswerFrame,
+  decodeAnswer,
+  decodePing,
+  encodeAnswer,
+  encodeFrame,
+  encodePing,
+  type Frame,
+  FrameReader,
+  Kind,
+  type Ping,
+} from './frames.js';
+
+const PING_MS = 500;
+const SILENT_MS = 2500;
+const REDIAL_MS = 400;
+const DIAL_MS = 1500;
+const MOST_UNSENT = 4 << 20;
+
+function readFrames(socket: Socket, log: Log, take: (frame: Frame) => void): void {
+  const reader = new FrameReader();
+  socket.on('data', (bytes) => {
+    try {
+      for (const frame of reader.push(bytes)) take(frame);
+    } catch (error) {
+      log.info({ error: (error as Error).message }, 'peer connection closed');
+      socket.destroy();
+    }
+  });
+  socket.on('error', () => socket.destroy());
+}
+
+/** Our side of the connection to one other controller: we ask, it answers. */
+export class PeerLink {
+  private socket: Socket | null = null;
+  private open = false;
+  private next = 1;
+  private readonly waiting = new Map<number, (answer: AnswerFrame | null) => void>();
+  private lastHeard: Steady | null = null;
+  /** What the other side last said of itself. */
+  ping: Ping | null = null;
+
+  constructor(
+    readonly member: string,
+    private readonly address: string,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly myPing: () => Ping,
+  ) {}
+
+  start(): void {
+    this.dial();
+    this.beat();
+  }
+
+  private beat(): void {
+    this.clock.after(PING_MS, () => {
+      if (this.open && this.lastHeard !== null && since(this.clock.now(), this.lastHeard) > SILENT_MS) {
+        this.socket?.destroy();
+      } else if (this.open) this.send(Kind.Ping, 0, encodePing(this.myPing()));
+      this.beat();
+    });
+  }
+
+  private dial(): void {
+    const { host, port } = splitAddress(this.address);
+    const socket = connect({ host, port, noDelay: true });
+    this.socket = socket;
+    const late: Cancel = this.clock.after(DIAL_MS, () => {
+      if (socket.connecting) socket.destroy();
+    });
+    socket.on('connect', () => {
+      late();
+      this.open = true;
+      this.lastHeard = this.clock.now();
+      this.send(Kind.Ping, 0, encodePing(this.myPing()));
+    });
+    readFrames(socket, this.log, (frame) => this.take(frame));
+    socket.on('close', () => {
+      late();
+      this.open = false;
+      this.ping = null;
+      for (const done of this.waiting.values()) done(null);
+      this.waiting.clear();
+      this.clock.after(REDIAL_MS, () => this.dial());
+    });
+  }
+
+  private take(frame: Frame): void {
+    this.lastHeard = this.clock.now();
+    if (frame.kind === Kind.Ping) this.ping = decodePing(frame.payload);
+    else if (frame.kind === Kind.Answer) {
+      const done = this.waiting.get(frame.request);
+      this.waiting.delete(frame.request);
+      done?.(decodeAnswer(frame.payload));
+    }
+  }
+
+  send(kind: Kind, request: number, payload: Buffer): boolean {
+    if (!this.open || !this.socket || this.socket.writableLength > MOST_UNSENT) return false;
+    this.socket.write(encodeFrame(kind, request, payload));
+    return true;
+  }
+
+  /** Heard within the last moments. */
+  get alive(): boolean {
+    return this.open && this.ping !== null;
+  }
+
+  /** Null: the other side cannot be reached or did not answer in time. */
+  ask(kind: Kind, payload: Buffer, deadlineMs: number): Promise<AnswerFrame | null> {
+    const request = this.next;
+    this.next = this.next >= 0xffff_fffe ? 1 : this.next + 1;
+    return new Promise((resolve) => {
+      if (!this.send(kind, request, payload)) {
+        resolve(null);
+        return;
+      }
+      const late = this.clock.after(deadlineMs, () => {
+        this.waiting.delete(request);
+        resolve(null);
+      });
+      this.waiting.set(request, (answer) => {
+        late();
+        resolve(answer);
+      });
+    });
+  }
+}
+
+export interface PeerHandler {
+  ping(): Ping;
+  progress(payload: Buffer): void;
+  ask(kind: Kind.Beat | Kind.User, payload: Buffer): Promise<AnswerFrame>;
+}
+
+/** Listens for the other controllers and answers what they ask. */
+export class PeerServer {
+  private readonly server: Server;
+
+  constructor(
+    private readonly handler: PeerHandler,
+    maxSockets: number,
+    private readonly log: Log,
+  ) {
+    this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
+    this.server.maxConnections = maxSockets;
+    this.server.on('error', (error) => log.error({ error: error.message }, 'peer server failed'));
+  }
+
+  private accept(socket: Socket): void {
+    socket.setTimeout(15_000, () => socket.destroy());
+    readFrames(socket, this.log, (frame) => this.take(socket, frame));
+  }
+
+  private take(socket: Socket, frame: Frame): void {
+    const { kind, request } = frame;
+    if (kind === Kind.Ping) {
+      decodePing(frame.payload);
+      socket.write(encodeFrame(Kind.Ping, 0, encodePing(this.handler.ping())));
+    } else if (kind === Kind.Progress) this.handler.progress(frame.payload);
+    else if (kind === Kind.Beat || kind === Kind.User) {
+      void this.handler.ask(kind, frame.payload).then((answer) => {
+        if (!socket.writable) return;
+        socket.write(encodeFrame(Kind.Answer, request, encodeAnswer(answer.status, answer.body)));
+      });
+    }
+  }
+
+  listen(address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port }, () => {
+        this.server.removeListener('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  close(): void {
+    this.server.close();
+  }
+}
--- /dev/null
+++ b/src/scheduler/job-book.ts
@@ -0,0 +1,269 @@
+import type { HostId, JobId, Stamp, TaskId, TaskIndex, TeamId, Tenure, TryNo, ZoneId } from '../model/ids.js';
+import { NO_STAMP, taskId } from '../model/ids.js';
+import type { JobSpec } from '../model/job.js';
+import type { AttemptState } from '../model/report.js';
+import type { Steady, WallTime } from '../model/time.js';
+import { CHUNK_TASKS, type ChunkProgress, decodeChunk, keys, type Placement } from '../store/records.js';
+
+/**
+ * `deciding`: chosen, not yet committed: no order has left. `placed`: committed; it may be on its
+ * host until proven gone. Both count for quota, placement and room.
+ */
+export type TaskPhase = 'waiting' | 'deciding' | 'placed' | 'done';
+
+export interface Kill {
+  readonly graceS: number;
+  readonly why: 'cancelled' | 'room' | 'drain';
+  readonly at: Steady;
+}
+
+export class Task {
+  phase: TaskPhase = 'waiting';
+  tryNo = 0 as TryNo;
+  host: HostId | null = null;
+  zone: ZoneId | null = null;
+  /** What the host last showed of this attempt. */
+  shown: AttemptState | null = null;
+  runningAt: Steady | null = null;
+  placedAt: Steady | null = null;
+  /** The host's tenure when a run order first left; null: none has left under our epoch. */
+  sentTenure: Tenure | null = null;
+  /** When a run order last left in a report's answer. */
+  answeredAt: Steady | null = null;
+  /** Direct run orders that have not been answered: they may be carried out late. */
+  loose = 0;
+  /** Placed by an earlier epoch: gone once a report under ours lacks it. */
+  inherited = false;
+  kill: Kill | null = null;
+
+  constructor(
+    readonly job: OpenJob,
+    readonly index: TaskIndex,
+  ) {}
+
+  get id(): TaskId {
+    return taskId(this.job.spec.id, this.index);
+  }
+
+  get held(): boolean {
+    return this.phase === 'deciding' || this.phase === 'placed';
+  }
+}
+
+export class Chunk {
+  stamp: Stamp = NO_STAMP;
+  /** Raised by each change; the change is durable once `durable` has caught up. */
+  version = 0;
+  durable = 0;
+  dirtySince: Steady | null = null;
+  readonly tasks = new Map<TaskIndex, Task>();
+
+  constructor(
+    readonly job: OpenJob,
+    readonly index: number,
+  ) {}
+
+  get key(): string {
+    return keys.openChunk(this.job.spec.id, this.index);
+  }
+
+  get dirty(): boolean {
+    return this.version > this.durable;
+  }
+
+  touch(now: Steady): void {
+    this.version++;
+    this.dirtySince ??= now;
+  }
+
+  /** The progress to be written; decisions being made count as placed. */
+  progress(): ChunkProgress {
+    const done = new Set<TaskIndex>();
+    const placed = new Map<TaskIndex, Placement>();
+    const used = new Map<TaskIndex, TryNo>();
+    for (const task of this.tasks.values()) {
+      if (task.phase === 'done') done.add(task.index);
+      else if (task.held && task.host) placed.set(task.index, { tryNo: task.tryNo, host: task.host });
+      else if (task.tryNo > 0) used.set(task.index, task.tryNo);
+    }
+    return { done, placed, used };
+  }
+}
+
+export class OpenJob {
+  readonly tasks = new Map<TaskIndex, Task>();
+  readonly chunks = new Map<number, Chunk>();
+  private fresh = 0;
+  private readonly again: TaskIndex[] = [];
+  cancelled = false;
+  cancelledAt: Steady | null = null;
+  done = 0;
+  heldCount = 0;
+  /** The final transaction is being tried. */
+  closing = false;
+  /** Hosts on which this job's tasks failed, and until when it waits after failing on several. */
+  readonly failedOn = new Set<HostId>();
+  failures = 0;
+  notBefore: Steady | null = null;
+
+  constructor(
+    readonly spec: JobSpec,
+    readonly stamp: Stamp,
+    readonly acceptedAt: WallTime,
+  ) {}
+
+  get waiting(): number {
+    return this.cancelled ? 0 : this.again.length + (this.spec.tasks - this.fresh);
+  }
+
+  get running(): number {
+    let n = 0;
+    for (const task of this.tasks.values()) if (task.phase === 'placed' && task.shown === 'running') n++;
+    return n;
+  }
+
+  get complete(): boolean {
+    return this.spec.kind === 'array' && this.done === this.spec.tasks;
+  }
+
+  private task(index: TaskIndex): Task {
+    let task = this.tasks.get(index);
+    if (!task) {
+      task = new Task(this, index);
+      this.tasks.set(index, task);
+      this.chunkOf(index).tasks.set(index, task);
+    }
+    return task;
+  }
+
+  chunkOf(index: TaskIndex): Chunk {
+    const n = Math.floor(index / CHUNK_TASKS);
+    let chunk = this.chunks.get(n);
+    if (!chunk) {
+      chunk = new Chunk(this, n);
+      this.chunks.set(n, chunk);
+    }
+    return chunk;
+  }
+
+  /** Takes the next waiting task for a host; its try is a new one. */
+  decide(host: HostId, zone: ZoneId, now: Steady): Task {
+    const index = this.again.length > 0 ? (this.again.shift() as TaskIndex) : (this.fresh++ as TaskIndex);
+    const task = this.task(index);
+    task.phase = 'deciding';
+    task.tryNo = (task.tryNo + 1) as TryNo;
+    task.host = host;
+    task.zone = zone;
+    task.placedAt = now;
+    this.resetAttempt(task);
+    this.heldCount++;
+    this.chunkOf(index).touch(now);
+    return task;
+  }
+
+  private resetAttempt(task: Task): void {
+    task.shown = null;
+    task.runningAt = null;
+    task.sentTenure = null;
+    task.answeredAt = null;
+    task.loose = 0;
+    task.inherited = false;
+    task.kill = null;
+  }
+
+  /** The attempt is proven gone without success. */
+  release(task: Task, now: Steady): void {
+    if (!task.held) return;
+    task.phase = 'waiting';
+    task.host = null;
+    task.zone = null;
+    this.resetAttempt(task);
+    this.heldCount--;
+    this.again.push(task.index);
+    this.chunkOf(task.index).touch(now);
+  }
+
+  finish(task: Task, now: Steady): void {
+    if (task.held) this.heldCount--;
+    task.phase = 'done';
+    task.host = null;
+    task.zone = null;
+    this.done++;
+    this.chunkOf(task.index).touch(now);
+  }
+
+  /** Takes over what an earlier leader wrote. */
+  restore(chunkIndex: number, value: unknown, stamp: Stamp): void {
+    const stored = decodeChunk(value);
+    const first = chunkIndex * CHUNK_TASKS;
+    const chunk = this.chunkOf(first as TaskIndex);
+    chunk.stamp = stamp;
+    for (const index of stored.done) {
+      this.task(index).phase = 'done';
+      this.done++;
+    }
+    for (const [index, placement] of stored.placed) {
+      const task = this.task(index);
+      task.phase = 'placed';
+      task.tryNo = placement.tryNo;
+      task.host = placement.host;
+      task.inherited = true;
+      this.heldCount++;
+    }
+    for (const [index, tryNo] of stored.used) this.task(index).tryNo = tryNo;
+  }
+
+  /** After all chunks were restored: finds what waits. */
+  settle(): void {
+    let top = 0;
+    for (const index of this.tasks.keys()) top = Math.max(top, index + 1);
+    for (let i = 0; i < top; i++) {
+      const task = this.tasks.get(i as TaskIndex);
+      if (!task || task.phase === 'waiting') this.again.push(i as TaskIndex);
+    }
+    this.fresh = top;
+  }
+
+  *held(): Generator<Task> {
+    for (const task of this.tasks.values()) if (task.held) yield task;
+  }
+}
+
+export interface TeamUse {
+  cpus: number;
+  gpus: number;
+}
+
+/** All unfinished jobs, as the leader knows them. */
+export class JobBook {
+  readonly jobs = new Map<JobId, OpenJob>();
+  /** Jobs that ended while we led: an old event must not open them again. */
+  private readonly ended = new Set<JobId>();
+
+  add(job: OpenJob): boolean {
+    if (this.jobs.has(job.spec.id) || this.ended.has(job.spec.id)) return false;
+    this.jobs.set(job.spec.id, job);
+    return true;
+  }
+
+  end(id: JobId): void {
+    this.jobs.delete(id);
+    this.ended.add(id);
+    if (this.ended.size > 20_000) {
+      const oldest = this.ended.values().next().value;
+      if (oldest !== undefined) this.ended.delete(oldest);
+    }
+  }
+
+  teamUse(): Map<TeamId, TeamUse> {
+    const use = new Map<TeamId, TeamUse>();
+    for (const job of this.jobs.values()) {
+      if (job.heldCount === 0) continue;
+      const team = use.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+      team.cpus += job.heldCount * job.spec.cpus;
+      team.gpus += job.heldCount * job.spec.gpus;
+      use.set(job.spec.team, team);
+    }
+    return use;
+  }
+}
--- /dev/null
+++ b/src/scheduler/place.ts
@@ -0,0 +1,144 @@
+import type { HostId, ImageId, JobId, TeamId, TypeId, ZoneId } from '../model/ids.js';
+import { fits, type JobSpec, Priority } from '../model/job.js';
+import type { Team } from '../model/team.js';
+import type { WallTime } from '../model/time.js';
+import type { TeamUse } from './job-book.js';
+
+/** Pure: a snapshot in, decisions out. */
+export interface MachineView {
+  readonly id: HostId;
+  readonly type: TypeId;
+  readonly zone: ZoneId;
+  readonly spot: boolean;
+  readonly cpus: number;
+  readonly free: { cpus: number; gpus: number; memoryGb: number };
+  readonly images: ReadonlySet<ImageId>;
+  /** Orders reach it directly. */
+  readonly reachable: boolean;
+}
+
+export interface JobView {
+  readonly spec: JobSpec;
+  readonly acceptedAt: WallTime;
+  waiting: number;
+  /** Tasks done: a guarantee covers what is unfinished. */
+  readonly done: number;
+  /** Tasks that may be on a machine, by zone. */
+  readonly zones: Map<ZoneId, number>;
+  readonly avoid: ReadonlySet<HostId>;
+  readonly heldBack: boolean;
+}
+
+export interface Start {
+  readonly job: JobId;
+  readonly host: HostId;
+}
+
+export interface Plan {
+  readonly starts: Start[];
+  /** Waiting jobs that found no room, with how many tasks each, in queue order. */
+  readonly unmet: { job: JobView; tasks: number }[];
+  readonly guaranteed: ReadonlySet<JobId>;
+}
+
+/** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+export function guaranteedJobs(jobs: readonly JobView[], teams: ReadonlyMap<TeamId, Team>): Set<JobId> {
+  const sums = new Map<TeamId, TeamUse>();
+  const inside = new Set<JobId>();
+  for (const job of [...jobs].sort((a, b) => a.acceptedAt - b.acceptedAt)) {
+    const team = teams.get(job.spec.team);
+    if (!team) continue;
+    const sum = sums.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+    const tasks = job.spec.tasks;
+    sum.cpus += tasks * job.spec.cpus;
+    sum.gpus += tasks * job.spec.gpus;
+    sums.set(job.spec.team, sum);
+    if (sum.cpus <= team.cpus + 1e-9 && sum.gpus <= team.gpus + 1e-9) inside.add(job.spec.id);
+  }
+  return inside;
+}
+
+export function queueOrder(jobs: readonly JobView[], guaranteed: ReadonlySet<JobId>): JobView[] {
+  const rank = (j: JobView): number =>
+    j.spec.priority === Priority.Production ? 10 : j.spec.priority * 2 + (guaranteed.has(j.spec.id) ? 1 : 0);
+  return [...jobs].sort((a, b) => rank(b) - rank(a) || a.acceptedAt - b.acceptedAt);
+}
+
+export function allowed(spec: JobSpec, m: { type: TypeId; zone: ZoneId; spot: boolean }): boolean {
+  if (m.spot && !spec.spot) return false;
+  if (spec.zone !== null && spec.zone !== m.zone) return false;
+  return spec.types === null || spec.types.includes(m.type);
+}
+
+/** Whether one more task of the job may go to the zone, given its tasks that may be on machines. */
+export function zoneAllows(job: Pick<JobView, 'spec' | 'zones'>, zone: ZoneId): boolean {
+  const { spec, zones } = job;
+  if (spec.oneZone) for (const [z, n] of zones) if (n > 0 && z !== zone) return false;
+  if (spec.spread && (zones.get(zone) ?? 0) + 1 > Math.ceil(spec.tasks / 2)) return false;
+  return true;
+}
+
+export function teamRoom(team: Team, use: TeamUse, spec: JobSpec): number {
+  const eps = 1e-9;
+  let room = Infinity;
+  if (team.cpusMax !== null && spec.cpus > 0) room = Math.floor((team.cpusMax - use.cpus + eps) / spec.cpus);
+  if (team.gpusMax !== null && spec.gpus > 0) {
+    room = Math.min(room, Math.floor((team.gpusMax - use.gpus + eps) / spec.gpus));
+  }
+  return Math.max(0, room);
+}
+
+/**
+ * The order in which first-fit looks at machines for a job (ours): reachable ones first; spot ones
+ * for work that may use them; the image already there; then the fuller ones, so that whole
+ * machines become idle and can be given back.
+ */
+function machineOrder(spec: JobSpec, machines: readonly MachineView[]): MachineView[] {
+  const score = (m: MachineView): number =>
+    (m.reachable ? 0 : 8) +
+    (spec.spot && !m.spot ? 2 : 0) +
+    (m.images.has(spec.image) ? 0 : spec.spot ? 1 : 4);
+  const scored = machines.filter((m) => allowed(spec, m)).map((m) => ({ m, s: score(m) }));
+  scored.sort((a, b) => a.s - b.s || a.m.free.cpus - b.m.free.cpus || (a.m.id < b.m.id ? -1 : 1));
+  return scored.map((x) => x.m);
+}
+
+export function place(
+  jobs: readonly JobView[],
+  machines: readonly MachineView[],
+  teams: ReadonlyMap<TeamId, Team>,
+  use: ReadonlyMap<TeamId, TeamUse>,
+): Plan {
+  const guaranteed = guaranteedJobs(jobs, teams);
+  const starts: Start[] = [];
+  const unmet: { job: JobView; tasks: number }[] = [];
+  const used = new Map<TeamId, TeamUse>();
+  for (const [team, u] of use) used.set(team, { ...u });
+
+  for (const job of queueOrder(jobs, guaranteed)) {
+    if (job.waiting === 0 || job.heldBack) continue;
+    const { spec } = job;
+    const team = teams.get(spec.team);
+    if (!team) continue;
+    const mine = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    used.set(spec.team, mine);
+    let left = Math.min(job.waiting, teamRoom(team, mine, spec));
+    for (const m of machineOrder(spec, machines)) {
+      if (left === 0) break;
+      if (job.avoid.has(m.id)) continue;
+      while (left > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) {
+        starts.push({ job: spec.id, host: m.id });
+        m.free.cpus -= spec.cpus;
+        m.free.gpus -= spec.gpus;
+        m.free.memoryGb -= spec.memoryGb;
+        mine.cpus += spec.cpus;
+        mine.gpus += spec.gpus;
+        job.zones.set(m.zone, (job.zones.get(m.zone) ?? 0) + 1);
+        job.waiting--;
+        left--;
+      }
+    }
+    if (left > 0) unmet.push({ job, tasks: left });
+  }
+  return { starts, unmet, guaranteed };
+}
--- /dev/null
+++ b/src/store/committer.ts
@@ -0,0 +1,209 @@
+import type { LeaderContext } from '../cluster/context.js';
+import { reason } from '../log/logger.js';
+import type { JobId } from '../model/ids.js';
+import { encodeJob, decodeJob, encodeChunk, keys } from './records.js';
+import { type Committed, StateRefused } from './client.js';
+import type { Budget } from '../net/budget.js';
+import type { Chunk, OpenJob, Task } from '../scheduler/job-book.js';
+import type { Condition, Write } from '../wire/state.js';
+import { sleep } from '../model/time.js';
+
+/** Progress without a new start may wait this long for company: it only saves repeated work. */
+const LAZY_MS = 400;
+const MAX_BYTES = 48 * 1024;
+
+interface Batch {
+  readonly conditions: Condition[];
+  readonly writes: Write[];
+  readonly chunks: { chunk: Chunk; version: number; decided: Task[] }[];
+  readonly closing: OpenJob[];
+  bytes: number;
+}
+
+/**
+ * Writes decisions and progress, many in one transaction, one transaction at a time.
+ *
+ * Every transaction is conditioned on the epoch, so one that is applied late by the state service
+ * after a takeover fails; and on the stamps of the chunks it replaces, so a late one of our own
+ * cannot undo a newer one. A start is also conditioned on its job's record: cancelling changes it.
+ */
+export class Committer {
+  private running = false;
+  private timer: (() => void) | null = null;
+
+  constructor(
+    private readonly ctx: LeaderContext,
+    private readonly budget: Budget,
+    private readonly onPlaced: (tasks: Task[]) => void,
+    private readonly onEnded: (job: OpenJob) => void,
+  ) {}
+
+  poke(): void {
+    if (this.running || this.ctx.ended()) return;
+    this.running = true;
+    void this.run();
+  }
+
+  private later(ms: number): void {
+    if (this.timer) return;
+    this.timer = this.ctx.clock.after(ms, () => {
+      this.timer = null;
+      this.poke();
+    });
+  }
+
+  private async run(): Promise<void> {
+    try {
+      while (!this.ctx.ended()) {
+        const batch = this.pick();
+        if (batch.writes.length === 0) break;
+        await this.write(batch);
+      }
+    } catch (error) {
+      this.ctx.log.error({ error: reason(error) }, 'commit loop failed');
+      this.later(200);
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private pick(): Batch {
+    const batch: Batch = { conditions: [], writes: [], chunks: [], closing: [], bytes: 0 };
+    batch.conditions.push({ key: keys.epoch, stamp: this.ctx.epochStamp });
+    const now = this.ctx.clock.now();
+    const max = Math.min(this.ctx.settings.txnOps, Math.max(1, Math.floor(this.budget.available())));
+    const starts: Chunk[] = [];
+    const idle: Chunk[] = [];
+    let wait = Infinity;
+    for (const job of this.ctx.jobs.jobs.values()) {
+      if (this.canClose(job)) {
+        this.addClosing(batch, job, max);
+        continue;
+      }
+      for (const chunk of job.chunks.values()) {
+        if (!chunk.dirty) continue;
+        if (!job.cancelled && hasDecided(chunk)) starts.push(chunk);
+        else {
+          const age = now - (chunk.dirtySince ?? now);
+          if (age >= LAZY_MS) idle.push(chunk);
+          else wait = Math.min(wait, LAZY_MS - age);
+        }
+      }
+    }
+    starts.sort((a, b) => b.job.spec.priority - a.job.spec.priority);
+    for (const chunk of [...starts, ...idle]) {
+      if (batch.writes.length >= max || batch.bytes > MAX_BYTES) break;
+      this.addChunk(batch, chunk);
+    }
+    if (batch.writes.length === 0 && wait < Infinity) this.later(wait + 1);
+    return batch;
+  }
+
+  private canClose(job: OpenJob): boolean {
+    if (job.cancelled) return job.heldCount === 0;
+    return job.complete;
+  }
+
+  private addClosing(batch: Batch, job: OpenJob, max: number): void {
+    const need = 2 + job.chunks.size;
+    if (batch.writes.length > 0 && batch.writes.length + need > max) return;
+    const id = job.spec.id;
+    if (!job.cancelled) {
+      batch.conditions.push({ key: keys.job(id), stamp: job.stamp });
+      batch.writes.push({
+        set: keys.job(id),
+        value: encodeJob({ spec: job.spec, state: 'done', acceptedAt: job.acceptedAt }),
+      });
+      batch.bytes += 500;
+    }
+    batch.writes.push({ drop: keys.openHead(id) });
+    // Chunks that do not fit stay behind without a head; a takeover drops them.
+    for (const chunk of job.chunks.values()) {
+      if (batch.writes.length >= this.ctx.settings.txnOps) break;
+      if (chunk.stamp > 0) batch.writes.push({ drop: chunk.key });
+    }
+    batch.closing.push(job);
+  }
+
+  private addChunk(batch: Batch, chunk: Chunk): void {
+    const decided = [...chunk.tasks.values()].filter((t) => t.phase === 'deciding');
+    const value = encodeChunk(chunk.progress());
+    batch.conditions.push({ key: chunk.key, stamp: chunk.stamp });
+    if (decided.length > 0) {
+      batch.conditions.push({ key: keys.job(chunk.job.spec.id), stamp: chunk.job.stamp });
+    }
+    batch.writes.push({ set: chunk.key, value });
+    batch.chunks.push({ chunk, version: chunk.version, decided });
+    batch.bytes += JSON.stringify(value).length + 200;
+  }
+
+  private async write(batch: Batch): Promise<void> {
+    this.budget.force(batch.writes.length);
+    const tries = batch.chunks.map((c) => c.decided.map((t) => t.tryNo));
+    let result: Committed;
+    try {
+      result = await this.ctx.store.commit(batch.conditions, batch.writes);
+    } catch (error) {
+      this.ctx.log.debug({ error: reason(error), writes: batch.writes.length }, 'commit not answered');
+      // Nothing has left on the strength of this batch; it is tried again as things then stand.
+      await sleep(this.ctx.clock, (error instanceof StateRefused ? 100 : 30) + this.ctx.random() * 100);
+      return;
+    }
+    if (this.ctx.ended()) return;
+    if (!result.ok) {
+      await this.resolve(result.failed, batch);
+      return;
+    }
+    const placed: Task[] = [];
+    batch.chunks.forEach(({ chunk, version, decided }, c) => {
+      chunk.stamp = result.stamp;
+      chunk.durable = Math.max(chunk.durable, version);
+      chunk.dirtySince = chunk.dirty ? this.ctx.clock.now() : null;
+      decided.forEach((task, t) => {
+        if (task.phase !== 'deciding' || task.tryNo !== tries[c]?.[t]) return;
+        task.phase = 'placed';
+        placed.push(task);
+      });
+    });
+    for (const job of batch.closing) this.end(job);
+    if (placed.length > 0) this.onPlaced(placed);
+  }
+
+  private end(job: OpenJob): void {
+    for (const chunk of job.chunks.values()) chunk.durable = chunk.version;
+    this.ctx.jobs.end(job.spec.id);
+    this.onEnded(job);
+  }
+
+  private async resolve(failed: readonly string[], batch: Batch): Promise<void> {
+    if (failed.includes(keys.epoch)) {
+      this.ctx.deposed('a commit found a newer epoch');
+      return;
+    }
+    for (const key of failed) {
+      const chunk = batch.chunks.find((c) => c.chunk.key === key)?.chunk;
+      try {
+        // An earlier commit without an answer was carried out after all.
+        if (chunk) chunk.stamp = ((await this.ctx.store.get(key))?.stamp ?? 0) as Chunk['stamp'];
+        else await this.refresh(key.slice(keys.jobs.length) as JobId);
+      } catch (error) {
+        this.ctx.log.debug({ key, error: reason(error) }, 'conflict not resolved yet');
+        await sleep(this.ctx.clock, 100);
+      }
+    }
+  }
+
+  private async refresh(id: JobId): Promise<void> {
+    const row = await this.ctx.store.get(keys.job(id));
+    const job = this.ctx.jobs.jobs.get(id);
+    if (!job || !row) return;
+    const state = decodeJob(id, row.value).state;
+    if (state === 'cancelled') this.ctx.cancelled(id);
+    else if (state === 'done') this.end(job);
+  }
+}
+
+function hasDecided(chunk: Chunk): boolean {
+  for (const task of chunk.tasks.values()) if (task.phase === 'deciding') return true;
+  return false;
+}
--- /dev/null
+++ b/src/wire/workers.ts
@@ -0,0 +1,72 @@
+import * as z from 'zod/mini';
+import type { Counter, Epoch, HostId, TaskId, Tenure, TryNo, TypeId, ZoneId } from '../model/ids.js';
+import type { Attempt, AttemptState, Order, Report } from '../model/report.js';
+import { seconds } from '../model/time.js';
+import { amount, count, firstIssue, word } from './common.js';
+import type { Parsed } from './users.js';
+
+const STATES: Record<string, AttemptState> = {
+  pulling: 'fetching',
+  running: 'running',
+  flushing: 'saving',
+  ended: 'exited',
+};
+
+const report = z.object({
+  host: word,
+  address: word,
+  flavour: word,
+  hall: word,
+  reclaimable: z.boolean(),
+  tenure: count,
+  counter: count,
+  epoch: count,
+  warningS: z.nullish(amount),
+  shards: z.nullish(
+    z.array(z.object({ shard: word, try: count, status: word, cause: z.nullish(z.string()) })),
+  ),
+});
+
+export function parseReport(body: unknown): Parsed<Report> {
+  const read = report.safeParse(body);
+  if (!read.success) return { ok: false, error: firstIssue(read.error) };
+  const w = read.data;
+  const attempts: Attempt[] = [];
+  for (const s of w.shards ?? []) {
+    attempts.push({
+      task: s.shard as TaskId,
+      tryNo: s.try as TryNo,
+      // A state that we do not know still holds the machine: the task counts as being there.
+      state: STATES[s.status] ?? 'running',
+      cause: s.cause ?? null,
+    });
+  }
+  return {
+    ok: true,
+    value: {
+      host: w.host as HostId,
+      address: w.address,
+      type: w.flavour as TypeId,
+      zone: w.hall as ZoneId,
+      spot: w.reclaimable,
+      tenure: w.tenure as Tenure,
+      counter: w.counter as Counter,
+      epoch: w.epoch as Epoch,
+      notice: w.warningS == null ? null : seconds(w.warningS),
+      attempts,
+    },
+  };
+}
+
+function order(o: Order): object {
+  const base = { verb: o.verb, shard: o.task, try: o.tryNo };
+  return o.verb === 'kill' ? { ...base, drainS: o.graceS } : base;
+}
+
+export function ordersBody(epoch: Epoch, orders: readonly Order[]): object {
+  return { epoch, orders: orders.map(order) };
+}
+
+export function commandBody(epoch: Epoch, tenure: Tenure, orders: readonly Order[]): object {
+  return { epoch, tenure, orders: orders.map(order) };
+}
--- /dev/null
+++ b/src/workers/host-book.ts
@@ -0,0 +1,127 @@
+import type { Counter, HostId, ImageId, JobId, TaskId, Tenure, TryNo } from '../model/ids.js';
+import type { Resources } from '../model/job.js';
+import type { Machine, MachineType } from '../model/machine.js';
+import type { Attempt, Report } from '../model/report.js';
+import { type Steady, plus } from '../model/time.js';
+import type { Chunk, Task } from '../scheduler/job-book.js';
+
+/** An attempt that has ended and that the host still shows. */
+export interface EndedAttempt {
+  readonly task: TaskId;
+  readonly tryNo: TryNo;
+  /** The outcome is durable once this chunk has reached `version`; null: nothing waits to be written. */
+  readonly chunk: Chunk | null;
+  readonly version: number;
+  /** A direct run order may still arrive: clearing would let it start the attempt again. */
+  readonly loose: boolean;
+  /** No run order in a report's answer can be on its way after this. */
+  readonly quietAt: Steady;
+}
+
+export class Host {
+  address = '';
+  /** Heard under our epoch. */
+  known = false;
+  up = false;
+  tenure = 0 as Tenure;
+  counter = 0 as Counter;
+  heardAt: Steady | null = null;
+  /** When we last answered a report of this host: its lease may run from then. */
+  answeredAt: Steady | null = null;
+  /** When the cloud takes the machine, by its notice. */
+  takenAt: Steady | null = null;
+  /** Nothing more is placed here. */
+  closed: 'sick' | 'returning' | 'silent' | null = null;
+  readonly tasks = new Set<Task>();
+  readonly ended = new Map<string, EndedAttempt>();
+  /** Attempts shown that nobody wants: killed at every chance. */
+  strays: Attempt[] = [];
+  /** Cached images, oldest use first. */
+  readonly images = new Map<ImageId, number>();
+  idleSince: Steady | null = null;
+  /** Jobs whose tasks failed here since the last success. */
+  readonly failedJobs = new Set<JobId>();
+  failures = 0;
+  probes = 0;
+  probing = false;
+  removing = false;
+  /** Known only by a task that a predecessor placed here; type and zone are guesses. */
+  placeholder = false;
+  listed = false;
+  commandInFlight = false;
+  commandWanted = false;
+  /** Direct calls that brought no answer in a row: orders then wait for reports. */
+  unreachable = 0;
+
+  constructor(
+    readonly machine: Machine,
+    readonly type: MachineType,
+    readonly since: Steady,
+  ) {}
+
+  get id(): HostId {
+    return this.machine.id;
+  }
+
+  free(): { cpus: number; gpus: number; memoryGb: number } {
+    const free = { cpus: this.type.cpus, gpus: this.type.gpus, memoryGb: this.type.memoryGb };
+    for (const task of this.tasks) take(free, task.job.spec);
+    return free;
+  }
+
+  newer(report: Report): boolean {
+    return report.tenure > this.tenure || (report.tenure === this.tenure && report.counter > this.counter);
+  }
+
+  keepImage(image: ImageId, gb: number): void {
+    this.images.delete(image);
+    this.images.set(image, gb);
+    let total = 0;
+    for (const size of this.images.values()) total += size;
+    for (const [old, size] of this.images) {
+      if (total <= this.type.cacheGb || old === image) break;
+      this.images.delete(old);
+      total -= size;
+    }
+  }
+
+  /** Whether the machine may hold a task that has not been proven gone. */
+  get empty(): boolean {
+    return this.tasks.size === 0;
+  }
+
+  leaseEnd(start: Steady, lease: number): Steady {
+    const from = this.answeredAt !== null && this.answeredAt > start ? this.answeredAt : start;
+    return plus(from, lease);
+  }
+}
+
+export function take(free: { cpus: number; gpus: number; memoryGb: number }, need: Resources): void {
+  free.cpus -= need.cpus;
+  free.gpus -= need.gpus;
+  free.memoryGb -= need.memoryGb;
+}
+
+/** All machines that may exist, as the leader knows them. */
+export class HostBook {
+  readonly hosts = new Map<HostId, Host>();
+  /** Machines proven gone: a late report or list must not bring them back. */
+  private readonly gone = new Set<HostId>();
+
+  isGone(id: HostId): boolean {
+    return this.gone.has(id);
+  }
+
+  add(host: Host): void {
+    if (!this.gone.has(host.id)) this.hosts.set(host.id, host);
+  }
+
+  remove(id: HostId): void {
+    this.hosts.delete(id);
+    this.gone.add(id);
+    if (this.gone.size > 5000) {
+      const oldest = this.gone.values().next().value;
+      if (oldest !== undefined) this.gone.delete(oldest);
+    }
+  }
+}
--- /dev/null
+++ b/src/workers/reports.ts
@@ -0,0 +1,155 @@
+import type { Epoch } from '../model/ids.js';
+import { splitTaskId } from '../model/ids.js';
+import type { Attempt, Report } from '../model/report.js';
+import type { Steady } from '../model/time.js';
+import type { JobBook, Task } from '../scheduler/job-book.js';
+import { type EndedAttempt, type Host } from './host-book.js';
+import { answerQuietAt } from './orders.js';
+
+/** What a report told that others want to know. */
+export interface Told {
+  /** Something now waits, or room was made. */
+  changed: boolean;
+  finished: { task: Task; ranMs: number | null }[];
+  failed: { task: Task; cause: string | null }[];
+  lost: Task[];
+  started: Task[];
+}
+
+const attemptKey = (a: { task: string; tryNo: number }): string => `${a.task}#${a.tryNo}`;
+
+/**
+ * Takes in a report that was made under our epoch and is newer than the last one.
+ *
+ * Only such a report proves a task gone: an older one may have been held back by the network
+ * while the task started.
+ */
+export function applyReport(host: Host, report: Report, epoch: Epoch, jobs: JobBook, now: Steady): Told {
+  const told: Told = { changed: false, finished: [], failed: [], lost: [], started: [] };
+  if (report.epoch !== epoch || !host.newer(report)) return told;
+
+  const newTenure = host.known && report.tenure > host.tenure;
+  if (!host.known || !host.up || newTenure) told.changed = true;
+  host.known = true;
+  host.up = true;
+  host.tenure = report.tenure;
+  host.counter = report.counter;
+  host.address = report.address;
+  if (report.notice !== null) {
+    const takenAt = (now + report.notice) as Steady;
+    if (host.takenAt === null) told.changed = true;
+    host.takenAt = host.takenAt === null || takenAt < host.takenAt ? takenAt : host.takenAt;
+  }
+  if (newTenure) host.ended.clear();
+
+  const current = new Map<string, Task>();
+  for (const task of host.tasks) current.set(attemptKey({ task: task.id, tryNo: task.tryNo }), task);
+
+  const shown = new Set<string>();
+  const strays: Attempt[] = [];
+  for (const attempt of report.attempts) {
+    const key = attemptKey(attempt);
+    shown.add(key);
+    const task = current.get(key);
+    if (task) show(host, task, attempt, now, told);
+    else if (attempt.state !== 'exited') strays.push(attempt);
+    else if (!host.ended.has(key)) host.ended.set(key, endedStray(attempt, jobs, now));
+  }
+  host.strays = strays;
+  for (const key of host.ended.keys()) if (!shown.has(key)) host.ended.delete(key);
+
+  for (const [key, task] of current) {
+    if (shown.has(key) || task.phase !== 'placed') continue;
+    if (provenGone(task, report)) lose(host, task, now, told);
+  }
+  host.idleSince = host.empty ? (host.idleSince ?? now) : null;
+  return told;
+}
+
+function provenGone(task: Task, report: Report): boolean {
+  // Orders of earlier epochs are refused by a worker that has seen ours.
+  if (task.inherited) return true;
+  // No order has left yet; it will, unless it is to be killed.
+  if (task.sentTenure === null) return task.kill !== null;
+  // Orders of an earlier session are refused, and the session's tasks were killed.
+  if (report.tenure > task.sentTenure) return true;
+  // It was there and is not any more. A late run order could still start it again.
+  return task.shown !== null && task.loose === 0;
+}
+
+function show(host: Host, task: Task, attempt: Attempt, now: Steady, told: Told): void {
+  task.inherited = false;
+  task.sentTenure ??= host.tenure;
+  if (attempt.state === 'exited') {
+    exit(host, task, attempt, now, told);
+    return;
+  }
+  if (attempt.state === 'running' && task.shown !== 'running') {
+    task.runningAt ??= now;
+    told.started.push(task);
+    host.keepImage(task.job.spec.image, task.job.spec.imageGb);
+  }
+  task.shown = attempt.state;
+}
+
+function exit(host: Host, task: Task, attempt: Attempt, now: Steady, told: Told): void {
+  const ranMs = task.runningAt === null ? null : now - task.runningAt;
+  const loose = task.loose > 0;
+  const quietAt = answerQuietAt(task.answeredAt, now);
+  host.tasks.delete(task);
+  told.changed = true;
+  if (attempt.cause === 'done') {
+    host.keepImage(task.job.spec.image, task.job.spec.imageGb);
+    host.failures = 0;
+    host.failedJobs.clear();
+    task.job.finish(task, now);
+    told.finished.push({ task, ranMs });
+  } else {
+    task.job.release(task, now);
+    told.failed.push({ task, cause: attempt.cause });
+  }
+  const chunk = task.job.chunkOf(task.index);
+  const ended: EndedAttempt = {
+    task: attempt.task,
+    tryNo: attempt.tryNo,
+    chunk,
+    version: chunk.version,
+    loose,
+    quietAt,
+  };
+  host.ended.set(attemptKey(attempt), ended);
+}
+
+/** An ended attempt that is not the current one of its task: nothing of it is still wanted. */
+function endedStray(attempt: Attempt, jobs: JobBook, now: Steady): EndedAttempt {
+  const id = splitTaskId(attempt.task);
+  const job = id ? jobs.jobs.get(id.job) : undefined;
+  const chunk = job && id ? job.chunkOf(id.index) : null;
+  return {
+    task: attempt.task,
+    tryNo: attempt.tryNo,
+    chunk,
+    version: chunk?.version ?? 0,
+    loose: false,
+    quietAt: answerQuietAt(now, now),
+  };
+}
+
+function lose(host: Host, task: Task, now: Steady, told: Told): void {
+  host.tasks.delete(task);
+  task.job.release(task, now);
+  told.lost.push(task);
+  told.changed = true;
+}
+
+/** The host and everything on it is proven gone. */
+export function loseAll(host: Host, now: Steady): Task[] {
+  const lost: Task[] = [];
+  for (const task of [...host.tasks]) {
+    host.tasks.delete(task);
+    if (task.phase !== 'placed') continue;
+    task.job.release(task, now);
+    lost.push(task);
+  }
+  return lost;
+}
--- /dev/null
+++ b/test/unit/forecast.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest';
+import { Ensemble, predictionCost } from '../../src/forecast/ensemble.js';
+import { Lifetimes } from '../../src/forecast/lifetimes.js';
+import { autoregression, movingAverage } from '../../src/forecast/predictors.js';
+
+const cost = { beta: 0.5, hit: 10, miss: 1200, idle: 500 };
+
+describe('the Cloud Prediction Cost, with the paper’s own figures', () => {
+  it('charges waste when the forecast was too high', () => {
+    // P = min(2, 5)·10 = 20, R = 3·500 = 1500, half of each
+    expect(predictionCost(cost, 2, 5)).toBe(760);
+  });
+
+  it('charges the wait when the forecast was too low', () => {
+    // P = 2·10 + 3·1200 = 3620, R = 0
+    expect(predictionCost(cost, 5, 2)).toBe(1810);
+  });
+});
+
+describe('predictors', () => {
+  it('average the last slots', () => {
+    expect(movingAverage(2).predict([9, 1, 3])).toBe(2);
+    expect(movingAverage(4).predict([])).toBe(0);
+  });
+
+  it('regress on an alternating series', () => {
+    const series = Array.from({ length: 24 }, (_, i) => (i % 2 === 0 ? 4 : 0));
+    const next = autoregression(7).predict(series);
+    expect(next).toBeGreaterThan(3);
+    expect(next).toBeLessThan(4.5);
+  });
+
+  it('fall back to the mean while the series is short', () => {
+    expect(autoregression(7).predict([3, 5])).toBe(4);
+  });
+});
+
+describe('the ensemble', () => {
+  const low = { name: 'low', predict: () => 0 };
+  const right = { name: 'right', predict: () => 4 };
+
+  it('begins with equal weights and moves them to the cheaper predictor', () => {
+    const e = new Ensemble([low, right], cost);
+    e.observe(4);
+    expect(e.forecast()).toBe(2);
+    // inverse costs: low 1/(0.5·4·1200) = 1/2400, right 1/(0.5·4·10) = 1/20; half the old weight stays
+    e.observe(4);
+    expect(e.weight('right')).toBeCloseTo(0.5 * 0.5 + 0.5 * (2400 / 2420), 3);
+  });
+
+  // Guards against refused rentals teaching the ensemble to over-predict after a stockout.
+  it('does not score a slot that a stockout spoiled', () => {
+    const e = new Ensemble([low, right], cost);
+    e.observe(4);
+    e.observe(4, false);
+    expect(e.weight('right')).toBe(0.5);
+  });
+
+  it('comes back from its record', () => {
+    const e = new Ensemble([low, right], cost);
+    for (const v of [4, 4, 3]) e.observe(v);
+    const again = new Ensemble([low, right], cost);
+    again.restore(JSON.parse(JSON.stringify(e.record())));
+    expect(again.forecast()).toBe(e.forecast());
+  });
+});
+
+describe('expected frees', () => {
+  it('are conditional on the age that was reached', () => {
+    const f = new Lifetimes();
+    for (const s of [10, 10, 10, 10, 10, 30, 30, 30, 30, 30]) f.add('scan', s * 1000);
+    expect(f.endsWithin('scan', 0, 15_000, 0)).toBeCloseTo(0.5, 1);
+    expect(f.endsWithin('scan', 20_000, 15_000, 0)).toBe(1);
+    expect(f.endsWithin('scan', 12_000, 5_000, 0)).toBeCloseTo(0, 1);
+  });
+
+  it('use the owner’s estimate before anything was seen', () => {
+    expect(new Lifetimes().endsWithin('new', 0, 30_000, 30_000)).toBeCloseTo(0.5);
+  });
+});
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,5 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: { include: ['test/**/*.test.ts'], testTimeout: 60_000 },
+});
