--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -9,7 +9,7 @@
 import { type Cancel, type Steady, plus, since, sleep } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
-import { type JobView, type MachineView, place } from '../scheduler/place.js';
+import { type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
 import { Committer } from '../store/committer.js';
 import { decodeJob, keys } from '../store/records.js';
 import { ordersBody } from '../wire/workers.js';
@@ -122,7 +122,10 @@
         const fleet = await restoreFleet(this.ctx, this.fleet);
         ledger = loading.ledger;
         for (const job of loading.jobs) this.open(job);
-        for (const { machine, address, at } of fleet) this.fleet.adopt(machine, at, address);
+        for (const { machine, address, at, up } of fleet) {
+          const host = this.fleet.adopt(machine, at, address);
+          if (host && up) host.up = true;
+        }
         this.attachHeld();
         for (const id of loading.cancelled) this.cancel(id);
       } catch (error) {
@@ -212,11 +215,9 @@
   private adoptUnknown(task: Task, id: HostId): void {
     const type = this.ctx.types.values().next().value;
     if (!type) return;
-    const zone = this.ctx.settings.zone;
-    const host = this.fleet.adopt({ id, type: type.id, zone, spot: true }, this.ctx.startedAt);
-    if (!host) return;
-    host.placeholder = true;
-    host.tasks.add(task);
+    const machine: Machine = { id, type: type.id, zone: this.ctx.settings.zone, spot: true };
+    const host = this.fleet.adopt(machine, this.ctx.startedAt, '', true);
+    host?.tasks.add(task);
   }
 
   private async watch(from: Stamp): Promise<void> {
@@ -304,9 +305,19 @@
     const machines: MachineView[] = [];
     for (const host of this.hosts.hosts.values()) {
       if (host.closed || !host.known || host.takenAt !== null) continue;
-      machines.push(machineView(host));
+      machines.push(machineView(host, now));
     }
     const plan = place(views, machines, this.teams, this.jobs.teamUse());
+    const making = new Set<Host>();
+    for (const stop of plan.stops) {
+      const host = this.hosts.hosts.get(stop.host);
+      for (const task of host?.tasks ?? []) {
+        if (task.id !== stop.task || task.phase !== 'placed' || task.kill) continue;
+        task.kill = { graceS: 0, why: 'room', at: now };
+        if (host) making.add(host);
+      }
+    }
+    if (plan.stops.length > 0) this.ctx.log.info({ stops: plan.stops.length }, 'making room');
     for (const start of plan.starts) {
       const job = this.jobs.jobs.get(start.job);
       const host = this.hosts.hosts.get(start.host);
@@ -314,7 +325,10 @@
       const task = job.decide(host.id, host.machine.zone, now);
       host.tasks.add(task);
       host.idleSince = null;
+      // The stop and the start leave together, once the start is committed.
+      making.delete(host);
     }
+    for (const host of making) this.dispatcher.wake(host);
     const needs: Need[] = plan.unmet.map(({ job, tasks }) => ({ spec: job.spec, tasks }));
     this.fleet.unmet(needs);
     this.committer.poke();
@@ -349,8 +363,7 @@
     if (this.hosts.isGone(report.host)) return { status: 503 };
     const now = this.ctx.clock.now();
     const machine: Machine = { id: report.host, type: report.type, zone: report.zone, spot: report.spot };
-    const known = this.hosts.hosts.get(report.host);
-    const host = known && !known.placeholder ? known : this.replacePlaceholder(machine, known, now);
+    const host = this.fleet.adopt(machine, now);
     if (!host) return { status: 200, body: ordersBody(this.ctx.epoch, []) };
     if (host.address === '') host.address = report.address;
     // Reports of earlier epochs may be minutes old: they prove nothing, not even life.
@@ -370,21 +383,6 @@
     return { status: 200, body: ordersBody(this.ctx.epoch, orders) };
   }
 
-  private replacePlaceholder(machine: Machine, old: Host | undefined, now: Steady): Host | null {
-    if (old) this.hosts.hosts.delete(old.id);
-    const host = this.fleet.adopt(machine, now);
-    if (!host) return null;
-    if (old) {
-      for (const task of old.tasks) {
-        task.zone = machine.zone;
-        host.tasks.add(task);
-      }
-      host.removing = old.removing;
-      host.closed = old.closed;
-    }
-    return host;
-  }
-
   private async directReport(host: Host, report: Report): Promise<void> {
     await this.lock.runExclusive(() => {
       if (this.over || report.host !== host.id) return;
@@ -495,9 +493,12 @@
 
 function jobView(job: OpenJob, now: Steady): JobView {
   const zones: JobView['zones'] = new Map();
+  // A task on a machine that only its record knows may be in any zone: the job waits.
+  let unknownZone = false;
   if (job.spec.oneZone || job.spec.spread) {
     for (const task of job.held()) {
-      if (task.zone !== null) zones.set(task.zone, (zones.get(task.zone) ?? 0) + 1);
+      if (task.zone === null) unknownZone = true;
+      else zones.set(task.zone, (zones.get(task.zone) ?? 0) + 1);
     }
   }
   return {
@@ -507,11 +508,23 @@
     done: job.done,
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
-    heldBack: job.notBefore !== null && job.notBefore > now,
+    heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
   };
 }
 
-function machineView(host: Host): MachineView {
+function victims(host: Host, now: Steady): Victim[] {
+  const list: Victim[] = [];
+  for (const task of host.tasks) {
+    if (task.phase !== 'placed' || task.kill || task.shown === 'saving') continue;
+    const { cpus, gpus, memoryGb, priority, team, checkpointS } = task.job.spec;
+    const ran = task.runningAt === null ? 0 : now - task.runningAt;
+    const lostMs = checkpointS > 0 ? Math.min(ran, checkpointS * 1000) : ran;
+    list.push({ task: task.id, job: task.job.spec.id, team, priority, cpus, gpus, memoryGb, lostMs });
+  }
+  return list.sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
+}
+
+function machineView(host: Host, now: Steady): MachineView {
   return {
     id: host.id,
     type: host.machine.type,
@@ -520,6 +533,7 @@
     cpus: host.type.cpus,
     free: host.free(),
     images: new Set(host.images.keys()),
+    victims: victims(host, now),
     reachable: host.unreachable === 0,
   };
 }
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -64,22 +64,36 @@
   return changed;
 }
 
-type StoredMachine = [id: string, type: string, zone: string, spot: 0 | 1, address: string, rentedAt: number];
+type StoredMachine = [
+  id: string,
+  type: string,
+  zone: string,
+  spot: 0 | 1,
+  address: string,
+  rentedAt: number,
+  up: 0 | 1,
+];
 
 const PER_RECORD = 120;
 
-export async function restoreFleet(
-  ctx: LeaderContext,
-  fleet: FleetManager,
-): Promise<{ machine: Machine; address: string; at: Steady }[]> {
-  const known: { machine: Machine; address: string; at: Steady }[] = [];
+export interface RestoredMachine {
+  readonly machine: Machine;
+  readonly address: string;
+  readonly at: Steady;
+  /** It was up when the record was written. */
+  readonly up: boolean;
+}
+
+export async function restoreFleet(ctx: LeaderContext, fleet: FleetManager): Promise<RestoredMachine[]> {
+  const known: RestoredMachine[] = [];
   for (const row of (await readAll(ctx, keys.fleet)).rows) {
-    for (const [id, type, zone, spot, address, rentedAt] of (row.value as { m: StoredMachine[] }).m) {
+    for (const [id, type, zone, spot, address, rentedAt, up] of (row.value as { m: StoredMachine[] }).m) {
       const age = Math.max(0, ctx.clock.wall() - rentedAt);
       known.push({
         machine: { id: id as HostId, type: type as TypeId, zone: zone as ZoneId, spot: spot === 1 },
         address,
         at: (ctx.clock.now() - age) as Steady,
+        up: up === 1,
       });
     }
   }
@@ -96,7 +110,15 @@
   const machines: StoredMachine[] = [];
   for (const host of ctx.hosts.hosts.values()) {
     const { id, type, zone, spot } = host.machine;
-    machines.push([id, type, zone, spot ? 1 : 0, host.address, Math.round(wallNow - (now - host.since))]);
+    machines.push([
+      id,
+      type,
+      zone,
+      spot ? 1 : 0,
+      host.address,
+      Math.round(wallNow - (now - host.since)),
+      host.up ? 1 : 0,
+    ]);
   }
   const writes: Write[] = [];
   for (let i = 0; i < Math.max(1, machines.length); i += PER_RECORD) {
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -30,6 +30,10 @@
 const MOST_PER_RENTAL = 50;
 const MOST_PER_DELETE = 100;
 const RENT_TRIES = 4;
+/** By then a machine that is up has been heard by a new leader. */
+const HEARING_MS = 15_000;
+/** Unmet demand is turned into this many rentals at a time, so that each knows the last one's refusal. */
+const MOST_PENDING = 2;
 
 interface PendingRental {
   readonly pool: Pool;
@@ -52,6 +56,7 @@
   private listing = false;
   private lastList: Steady | null = null;
   private dirty = false;
+  private rentLater = false;
 
   constructor(
     private readonly ctx: LeaderContext,
@@ -123,7 +128,10 @@
   }
 
   private bootLimit(host: Host): Steady {
-    return plus(host.since, host.type.boot * this.ctx.ops.fleet.boot_patience + 10_000);
+    // A new leader first gives every machine time to be heard: it does not know which ones are up.
+    const booted = plus(host.since, host.type.boot * this.ctx.ops.fleet.boot_patience + 10_000);
+    const heard = plus(this.ctx.startedAt, HEARING_MS);
+    return booted > heard ? booted : heard;
   }
 
   /** Machines rented and not yet up, unless they are so late that they may never come. */
@@ -150,9 +158,21 @@
   }
 
   private rentUnmet(): void {
-    if (this.needs.length === 0) return;
+    if (this.needs.length === 0 || this.pending.size >= MOST_PENDING) return;
+    const wait = this.budget.wait();
+    if (wait > 0) {
+      if (!this.rentLater) {
+        this.rentLater = true;
+        this.ctx.clock.after(wait + 1, () => {
+          this.rentLater = false;
+          if (!this.ctx.ended()) this.rentUnmet();
+        });
+      }
+      return;
+    }
     const most = this.ctx.ops.fleet.max_machines - this.ctx.hosts.hosts.size - this.pending.size;
-    for (const wish of rentFor(this.needs, this.coming(), this.openPools(), most)) this.rent(wish, 'queue');
+    const wishes = rentFor(this.needs, this.coming(), this.openPools(), most);
+    for (const wish of wishes.slice(0, MOST_PENDING - this.pending.size)) this.rent(wish, 'queue');
   }
 
   private rent(wish: Wish, why: string): void {
@@ -211,13 +231,17 @@
     if (wait > 0) await sleep(this.ctx.clock, wait);
   }
 
-  adopt(machine: Machine, since: Steady, address = ''): Host | null {
+  /** `placeholder`: known only by a predecessor's task, until a list or a report tells the rest. */
+  adopt(machine: Machine, since: Steady, address = '', placeholder = false): Host | null {
     if (this.ctx.hosts.isGone(machine.id)) return null;
-    let host = this.ctx.hosts.hosts.get(machine.id);
-    if (!host) {
+    const known = this.ctx.hosts.hosts.get(machine.id);
+    let host = known;
+    if (!host || (host.placeholder && !placeholder)) {
       const type = this.ctx.types.get(machine.type);
       if (!type) return null;
       host = new Host(machine, type, since);
+      host.placeholder = placeholder;
+      if (known) host.inherit(known);
       this.ctx.hosts.add(host);
     }
     if (address !== '' && host.address === '') host.address = address;
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -1,5 +1,5 @@
-import type { HostId, ImageId, JobId, TeamId, TypeId, ZoneId } from '../model/ids.js';
-import { fits, type JobSpec, Priority } from '../model/job.js';
+import type { HostId, ImageId, JobId, TaskId, TeamId, TypeId, ZoneId } from '../model/ids.js';
+import { fits, type JobSpec, Priority, type Resources } from '../model/job.js';
 import type { Team } from '../model/team.js';
 import type { WallTime } from '../model/time.js';
 import type { TeamUse } from './job-book.js';
@@ -13,10 +13,22 @@
   readonly cpus: number;
   readonly free: { cpus: number; gpus: number; memoryGb: number };
   readonly images: ReadonlySet<ImageId>;
+  /** Tasks that could be stopped to make room, cheapest loss first. */
+  readonly victims: Victim[];
   /** Orders reach it directly. */
   readonly reachable: boolean;
 }
 
+/** A task on a machine, as a candidate to be stopped. */
+export interface Victim extends Resources {
+  readonly task: TaskId;
+  readonly job: JobId;
+  readonly team: TeamId;
+  readonly priority: Priority;
+  /** Work that stopping it would lose. */
+  readonly lostMs: number;
+}
+
 export interface JobView {
   readonly spec: JobSpec;
   readonly acceptedAt: WallTime;
@@ -34,8 +46,14 @@
   readonly host: HostId;
 }
 
+export interface Stop {
+  readonly host: HostId;
+  readonly task: TaskId;
+}
+
 export interface Plan {
   readonly starts: Start[];
+  readonly stops: Stop[];
   /** Waiting jobs that found no room, with how many tasks each, in queue order. */
   readonly unmet: { job: JobView; tasks: number }[];
   readonly guaranteed: ReadonlySet<JobId>;
@@ -103,6 +121,47 @@
   return scored.map((x) => x.m);
 }
 
+/** Fewest-loss victims whose stopping lets the task fit; null: not even all of them would do. */
+function victimsFor(spec: JobSpec, m: MachineView, may: (v: Victim) => boolean): Victim[] | null {
+  const free = { ...m.free };
+  const chosen: Victim[] = [];
+  for (const v of m.victims) {
+    if (fits(spec, free)) break;
+    if (!may(v)) continue;
+    give(free, v);
+    chosen.push(v);
+  }
+  return fits(spec, free) ? chosen : null;
+}
+
+type Free = MachineView['free'];
+
+function give(free: Free, r: Resources): void {
+  free.cpus += r.cpus;
+  free.gpus += r.gpus;
+  free.memoryGb += r.memoryGb;
+}
+
+function take(free: Free, r: Resources): void {
+  free.cpus -= r.cpus;
+  free.gpus -= r.gpus;
+  free.memoryGb -= r.memoryGb;
+}
+
+/**
+ * Who may be stopped for a job (PROTOCOL, "Preemption"): lower priorities for production work;
+ * for a team's guarantee, what other teams run beyond theirs.
+ */
+function mayStop(job: JobView, guaranteed: ReadonlySet<JobId>): ((v: Victim) => boolean) | null {
+  const { spec } = job;
+  const production = spec.priority === Priority.Production;
+  const within = guaranteed.has(spec.id);
+  if (!production && !within) return null;
+  return (v) =>
+    (production && v.priority < spec.priority) ||
+    (within && v.team !== spec.team && v.priority < Priority.Production && !guaranteed.has(v.job));
+}
+
 export function place(
   jobs: readonly JobView[],
   machines: readonly MachineView[],
@@ -110,8 +169,7 @@
   use: ReadonlyMap<TeamId, TeamUse>,
 ): Plan {
   const guaranteed = guaranteedJobs(jobs, teams);
-  const starts: Start[] = [];
-  const unmet: { job: JobView; tasks: number }[] = [];
+  const plan: Plan = { starts: [], stops: [], unmet: [], guaranteed };
   const used = new Map<TeamId, TeamUse>();
   for (const [team, u] of use) used.set(team, { ...u });
 
@@ -123,22 +181,58 @@
     const mine = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
     used.set(spec.team, mine);
     let left = Math.min(job.waiting, teamRoom(team, mine, spec));
-    for (const m of machineOrder(spec, machines)) {
-      if (left === 0) break;
-      if (job.avoid.has(m.id)) continue;
-      while (left > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) {
-        starts.push({ job: spec.id, host: m.id });
-        m.free.cpus -= spec.cpus;
-        m.free.gpus -= spec.gpus;
-        m.free.memoryGb -= spec.memoryGb;
-        mine.cpus += spec.cpus;
-        mine.gpus += spec.gpus;
-        job.zones.set(m.zone, (job.zones.get(m.zone) ?? 0) + 1);
-        job.waiting--;
-        left--;
+    const order = machineOrder(spec, machines).filter((m) => !job.avoid.has(m.id));
+    const start = (m: MachineView): void => {
+      plan.starts.push({ job: spec.id, host: m.id });
+      take(m.free, spec);
+      mine.cpus += spec.cpus;
+      mine.gpus += spec.gpus;
+      job.zones.set(m.zone, (job.zones.get(m.zone) ?? 0) + 1);
+      job.waiting--;
+      left--;
+    };
+    const firstFit = (among: readonly MachineView[]): void => {
+      for (const m of among) {
+        while (left > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) start(m);
+      }
+    };
+    const may = mayStop(job, guaranteed);
+    const makeRoom = (among: readonly MachineView[]): void => {
+      while (left > 0 && may) {
+        const cheapest = cheapestRoom(job, among, may);
+        if (!cheapest) return;
+        const { m, victims } = cheapest;
+        for (const v of victims) {
+          plan.stops.push({ host: m.id, task: v.task });
+          m.victims.splice(m.victims.indexOf(v), 1);
+          give(m.free, v);
+        }
+        start(m);
       }
-    }
-    if (left > 0) unmet.push({ job, tasks: left });
+    };
+    // A replica starts at once only where its image is: making room there beats a fetch elsewhere.
+    const warm = spec.priority === Priority.Production ? order.filter((m) => m.images.has(spec.image)) : [];
+    firstFit(warm);
+    makeRoom(warm);
+    firstFit(order);
+    makeRoom(order);
+    if (left > 0) plan.unmet.push({ job, tasks: left });
+  }
+  return plan;
+}
+
+function cheapestRoom(
+  job: JobView,
+  among: readonly MachineView[],
+  may: (v: Victim) => boolean,
+): { m: MachineView; victims: Victim[] } | null {
+  let best: { m: MachineView; victims: Victim[]; lost: number } | null = null;
+  for (const m of among) {
+    if (!m.reachable || !zoneAllows(job, m.zone)) continue;
+    const victims = victimsFor(job.spec, m, may);
+    if (!victims) continue;
+    const lost = victims.reduce((sum, v) => sum + v.lostMs * v.cpus, 0);
+    if (!best || lost < best.lost) best = { m, victims, lost };
   }
-  return { starts, unmet, guaranteed };
+  return best;
 }
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -69,6 +69,16 @@
     return free;
   }
 
+  /** Takes over from the placeholder of the same machine. */
+  inherit(old: Host): void {
+    this.closed = old.closed;
+    this.removing = old.removing;
+    for (const task of old.tasks) {
+      task.zone = this.machine.zone;
+      this.tasks.add(task);
+    }
+  }
+
   newer(report: Report): boolean {
     return report.tenure > this.tenure || (report.tenure === this.tenure && report.counter > this.counter);
   }
