--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -1,8 +1,10 @@
 import { Mutex } from 'async-mutex';
 import { FleetManager } from '../fleet/manager.js';
-import type { Need } from '../fleet/plan.js';
+import type { QueuedWork } from '../fleet/backlog.js';
+import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
 import type { Epoch, HostId, JobId, Stamp, TeamId } from '../model/ids.js';
+import type { JobSpec } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import type { Team } from '../model/team.js';
@@ -10,6 +12,7 @@
 import { Budget } from '../net/budget.js';
 import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
 import { type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
+import { Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
 import { decodeJob, keys } from '../store/records.js';
 import { ordersBody } from '../wire/workers.js';
@@ -43,6 +46,8 @@
   private readonly health: Health;
   private readonly teams: Map<TeamId, Team>;
   private readonly lock = new Mutex();
+  private readonly lifetimes = new Lifetimes();
+  private readonly urgency: Urgency;
   private readonly stateBudget: Budget;
   private over = false;
   private ready = false;
@@ -73,12 +78,14 @@
       cancelled: (id) => this.cancel(id),
       dispatch: (id) => this.wake(id),
     };
+    this.urgency = new Urgency(settings.objectives);
     this.teams = new Map(settings.teams.map((t) => [t.id, t]));
     this.stateBudget = new Budget(clock, settings.stateWriteRps * 0.7, settings.stateWriteRps * 0.7);
     const cloudBudget = new Budget(clock, settings.cloudRps * 0.8, settings.cloudRps);
     this.fleet = new FleetManager(
       this.ctx,
       cloudBudget,
+      this.lifetimes,
       (host) => this.hostGone(host),
       () => {
         this.fleetDirty = true;
@@ -300,7 +307,7 @@
     const now = this.ctx.clock.now();
     const views: JobView[] = [];
     for (const job of this.jobs.jobs.values()) {
-      if (!job.cancelled && !job.complete) views.push(jobView(job, now));
+      if (!job.cancelled && !job.complete) views.push(this.jobView(job, now));
     }
     const machines: MachineView[] = [];
     for (const host of this.hosts.hosts.values()) {
@@ -329,11 +336,25 @@
       making.delete(host);
     }
     for (const host of making) this.dispatcher.wake(host);
-    const needs: Need[] = plan.unmet.map(({ job, tasks }) => ({ spec: job.spec, tasks }));
-    this.fleet.unmet(needs);
+    const queue: QueuedWork[] = plan.unmet.map(({ job, tasks }) => ({
+      spec: job.spec,
+      tasks,
+      runMs: this.runMs(job.spec),
+      slackMs: plan.guaranteed.has(job.spec.id) ? 0 : job.slackMs,
+    }));
+    this.fleet.unmet(queue);
     this.committer.poke();
   }
 
+  private runMs(spec: JobSpec): number {
+    return this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
+  }
+
+  private jobView(job: OpenJob, now: Steady): JobView {
+    const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
+    return jobView(job, now, this.urgency.slack(job.spec, age, this.runMs(job.spec)));
+  }
+
   /** Committed: only now may run orders leave. */
   private placed(tasks: Task[]): void {
     const now = this.ctx.clock.now();
@@ -401,7 +422,8 @@
     const { log, clock, ops } = this.ctx;
     const now = clock.now();
     for (const { task, ranMs } of told.finished) {
-      if (ranMs !== null) this.fleet.ran(task.job.spec.jobClass, ranMs);
+      if (ranMs === null) continue;
+      this.lifetimes.add(task.job.spec.jobClass, ranMs, task.job.spec.estimateS * 1000);
     }
     for (const { task, cause } of told.failed) {
       if (cause !== 'stopped')
@@ -491,7 +513,7 @@
 
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
 
-function jobView(job: OpenJob, now: Steady): JobView {
+function jobView(job: OpenJob, now: Steady, slackMs: number | null): JobView {
   const zones: JobView['zones'] = new Map();
   // A task on a machine that only its record knows may be in any zone: the job waits.
   let unknownZone = false;
@@ -508,6 +530,7 @@
     done: job.done,
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
+    slackMs,
     heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
   };
 }
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -1,7 +1,8 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { CloudRefused, type Rented } from '../cloud/client.js';
+import { lateNeeds, type QueuedWork } from './backlog.js';
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
-import { Lifetimes } from '../forecast/lifetimes.js';
+import type { Lifetimes } from '../forecast/lifetimes.js';
 import { autoregression, movingAverage } from '../forecast/predictors.js';
 import { reason } from '../log/logger.js';
 import type { HostId, RentalName, TypeId, ZoneId } from '../model/ids.js';
@@ -43,7 +44,6 @@
 /** Rents, keeps and returns machines: the paper's forecast, reserves and on-the-fly misses. */
 export class FleetManager {
   private readonly ensembles = new Map<string, Ensemble>();
-  private readonly lifetimes = new Lifetimes();
   /** New need of the running slot, in machines, by series. */
   private readonly slotNeed = new Map<string, number>();
   private readonly refusedUntil = new Map<string, Steady>();
@@ -52,7 +52,7 @@
   private readonly removing = new Set<HostId>();
   private slotEnds: Steady;
   private rentals = 0;
-  private needs: readonly Need[] = [];
+  private queue: readonly QueuedWork[] = [];
   private listing = false;
   private lastList: Steady | null = null;
   private dirty = false;
@@ -61,6 +61,7 @@
   constructor(
     private readonly ctx: LeaderContext,
     private readonly budget: Budget,
+    private readonly lifetimes: Lifetimes,
     private readonly onGone: (host: Host) => void,
     private readonly saveFleet: () => void,
   ) {
@@ -105,13 +106,9 @@
     this.slotNeed.set(key, (this.slotNeed.get(key) ?? 0) + machines);
   }
 
-  ran(jobClass: string, ms: number): void {
-    this.lifetimes.add(jobClass, ms);
-  }
-
   /** The queue's unmet demand, as the last decision round left it. */
-  unmet(needs: readonly Need[]): void {
-    this.needs = needs;
+  unmet(queue: readonly QueuedWork[]): void {
+    this.queue = queue;
     this.rentUnmet();
   }
 
@@ -158,7 +155,7 @@
   }
 
   private rentUnmet(): void {
-    if (this.needs.length === 0 || this.pending.size >= MOST_PENDING) return;
+    if (this.queue.length === 0 || this.pending.size >= MOST_PENDING) return;
     const wait = this.budget.wait();
     if (wait > 0) {
       if (!this.rentLater) {
@@ -171,10 +168,60 @@
       return;
     }
     const most = this.ctx.ops.fleet.max_machines - this.ctx.hosts.hosts.size - this.pending.size;
-    const wishes = rentFor(this.needs, this.coming(), this.openPools(), most);
+    const wishes = this.wishes(most);
     for (const wish of wishes.slice(0, MOST_PENDING - this.pending.size)) this.rent(wish, 'queue');
   }
 
+  /**
+   * Spot machines for all that waits; ordinary ones, which cost several times as much, for what
+   * must run on them and for what the fleet would start too late.
+   */
+  private wishes(most: number): Wish[] {
+    const coming = this.coming();
+    const open = this.openPools();
+    const needs = (jobs: readonly QueuedWork[]): Need[] => jobs.map(({ spec, tasks }) => ({ spec, tasks }));
+    const spotWork = this.queue.filter((j) => j.spec.spot);
+    const firm = this.queue.filter((j) => !j.spec.spot);
+    const cheap = rentFor(
+      needs(spotWork),
+      coming,
+      open.filter((p) => p.spot),
+      most,
+    );
+    const must = rentFor(needs(firm), coming, open, most);
+    if (cheap.length > 0) return [...must, ...cheap];
+    const late = lateNeeds(spotWork, this.workingCpus(coming), this.busyCpuMs());
+    const ordinary = open.filter((p) => !p.spot);
+    return [...must, ...rentFor(late, [], ordinary, most)];
+  }
+
+  /** What works off the queue of spot work: machines up and coming, less what others hold there. */
+  private workingCpus(coming: readonly Coming[]): number {
+    let cpus = coming.reduce((sum, c) => sum + c.free.cpus, 0);
+    for (const host of this.ctx.hosts.hosts.values()) {
+      if (!host.up || host.closed) continue;
+      cpus += host.type.cpus;
+      for (const task of host.tasks) if (!task.job.spec.spot) cpus -= task.job.spec.cpus;
+    }
+    return cpus;
+  }
+
+  /** Expected time still to run of the spot work on the machines. */
+  private busyCpuMs(): number {
+    const now = this.ctx.clock.now();
+    let sum = 0;
+    for (const host of this.ctx.hosts.hosts.values()) {
+      for (const task of host.tasks) {
+        const { spec } = task.job;
+        if (!spec.spot) continue;
+        const run = this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
+        const ran = task.runningAt === null ? 0 : now - task.runningAt;
+        sum += Math.max(run * 0.2, run - ran) * spec.cpus;
+      }
+    }
+    return sum;
+  }
+
   private rent(wish: Wish, why: string): void {
     let left = wish.count;
     while (left > 0) {
@@ -351,7 +398,10 @@
     };
     for (const host of this.ctx.hosts.hosts.values()) {
       if (host.closed) continue;
-      add(seriesKey(host.machine.type, host.machine.spot), Math.max(0, host.free().cpus) / host.type.cpus);
+      // Spot work on an ordinary machine makes room when it is needed: the machine counts as idle.
+      let free = host.type.cpus;
+      for (const task of host.tasks) if (host.machine.spot || !task.job.spec.spot) free -= task.job.spec.cpus;
+      add(seriesKey(host.machine.type, host.machine.spot), Math.max(0, free) / host.type.cpus);
     }
     for (const p of this.pending.values()) add(seriesKey(p.pool.type.id, p.pool.spot), p.count);
     return reserves;
--- a/src/forecast/lifetimes.ts
+++ b/src/forecast/lifetimes.ts
@@ -5,8 +5,16 @@
 /** Run times seen per class of jobs: the empirical F of the paper's equation 9. */
 export class Lifetimes {
   private readonly seen = new Map<string, Histogram>();
+  /** Run and estimated time per class: owners are mostly too high on some days, too low on others. */
+  private readonly sums = new Map<string, { ran: number; estimated: number }>();
 
-  add(jobClass: string, ms: number): void {
+  add(jobClass: string, ms: number, estimateMs = 0): void {
+    if (estimateMs > 0) {
+      const sum = this.sums.get(jobClass) ?? { ran: 0, estimated: 0 };
+      sum.ran += ms;
+      sum.estimated += estimateMs;
+      this.sums.set(jobClass, sum);
+    }
     let h = this.seen.get(jobClass);
     if (!h) {
       h = build({
@@ -21,6 +29,13 @@
     h.recordValue(Math.min(864_000, Math.max(1, Math.round(ms / UNIT_MS))));
   }
 
+  /** The owner's estimate, corrected by how far the class's estimates have been off. */
+  expected(jobClass: string, estimateMs: number): number {
+    const sum = this.sums.get(jobClass);
+    if (!sum || this.count(jobClass) < 8) return estimateMs;
+    return estimateMs * Math.min(3, Math.max(0.3, sum.ran / sum.estimated));
+  }
+
   count(jobClass: string): number {
     return this.seen.get(jobClass)?.totalCount ?? 0;
   }
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -39,6 +39,8 @@
   readonly zones: Map<ZoneId, number>;
   readonly avoid: ReadonlySet<HostId>;
   readonly heldBack: boolean;
+  /** How long it may still wait; null: no target is left. */
+  readonly slackMs: number | null;
 }
 
 export interface Start {
@@ -79,7 +81,12 @@
 export function queueOrder(jobs: readonly JobView[], guaranteed: ReadonlySet<JobId>): JobView[] {
   const rank = (j: JobView): number =>
     j.spec.priority === Priority.Production ? 10 : j.spec.priority * 2 + (guaranteed.has(j.spec.id) ? 1 : 0);
-  return [...jobs].sort((a, b) => rank(b) - rank(a) || a.acceptedAt - b.acceptedAt);
+  const slack = (j: JobView): number => j.slackMs ?? Infinity;
+  return [...jobs].sort((a, b) => {
+    if (rank(a) !== rank(b)) return rank(b) - rank(a);
+    if (slack(a) !== slack(b)) return slack(a) - slack(b);
+    return a.acceptedAt - b.acceptedAt;
+  });
 }
 
 export function allowed(spec: JobSpec, m: { type: TypeId; zone: ZoneId; spot: boolean }): boolean {
@@ -113,11 +120,13 @@
  */
 function machineOrder(spec: JobSpec, machines: readonly MachineView[]): MachineView[] {
   const score = (m: MachineView): number =>
-    (m.reachable ? 0 : 8) +
-    (spec.spot && !m.spot ? 2 : 0) +
-    (m.images.has(spec.image) ? 0 : spec.spot ? 1 : 4);
+    (m.reachable ? 0 : 8) + (spec.spot ? (m.spot ? 0 : 2) : m.images.has(spec.image) ? 0 : 4);
+  const image = (m: MachineView): number => (m.images.has(spec.image) ? 0 : 1);
   const scored = machines.filter((m) => allowed(spec, m)).map((m) => ({ m, s: score(m) }));
-  scored.sort((a, b) => a.s - b.s || a.m.free.cpus - b.m.free.cpus || (a.m.id < b.m.id ? -1 : 1));
+  scored.sort(
+    (a, b) =>
+      a.s - b.s || a.m.free.cpus - b.m.free.cpus || image(a.m) - image(b.m) || (a.m.id < b.m.id ? -1 : 1),
+  );
   return scored.map((x) => x.m);
 }
 
