--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -8,6 +8,7 @@
 import type { JobBook } from '../scheduler/job-book.js';
 import type { StateStore } from '../store/client.js';
 import type { Settings } from '../wire/settings.js';
+import type { CommandReply } from '../wire/workers.js';
 import type { HostBook } from '../workers/host-book.js';
 
 /** Direct calls to a worker's own address. */
@@ -18,7 +19,7 @@
     tenure: Tenure,
     orders: readonly Order[],
     deadlineMs: number,
-  ): Promise<{ executed: boolean; report: Report | null }>;
+  ): Promise<CommandReply>;
   show(address: string, deadlineMs: number): Promise<Report | null>;
 }
 
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -10,6 +10,7 @@
 import { FrontServer } from '../net/server.js';
 import {
   type AnswerFrame,
+  decodeCall,
   decodeProgress,
   decodeUser,
   encodeProgress,
@@ -18,12 +19,13 @@
   type Ping,
   type UserVerb,
 } from '../peer/frames.js';
-import { PeerLink, PeerServer } from '../peer/link.js';
+import { type Asked, PeerLink, PeerServer } from '../peer/link.js';
+import { type RawCaller, RoutedCaller } from '../peer/routed-caller.js';
 import { StateClient, StateRefused, StateUnknown } from '../store/client.js';
 import type { Progress } from '../wire/users.js';
 import type { Settings } from '../wire/settings.js';
-import { parseReport } from '../wire/workers.js';
-import { HttpWorkerCaller } from '../workers/caller.js';
+import { parseReport, readCommandReply } from '../wire/workers.js';
+import { WorkerTargets } from '../workers/caller.js';
 import type { NodeContext } from './context.js';
 import { Election, type Won } from './election.js';
 import { Leader } from './leader.js';
@@ -45,6 +47,7 @@
   private readonly election: Election;
   private readonly users: UserService;
   private readonly links: PeerLink[];
+  private readonly targets = new WorkerTargets();
   private readonly front: FrontServer;
   private readonly peers: PeerServer;
   private readonly admission: Admission;
@@ -73,6 +76,16 @@
       STATE_MS,
       (answered) => this.stateAnswered(answered),
     );
+    const links = settings.siblings.map(
+      (s) => new PeerLink(s.member, s.address, clock, log, () => this.ping()),
+    );
+    this.links = links;
+    const direct: RawCaller = {
+      call: async (verb, address, body, deadlineMs) => {
+        const reply = await this.targets.raw(verb, address, body, deadlineMs);
+        return readCommandReply(reply.status, reply.body);
+      },
+    };
     this.ctx = {
       member: settings.member,
       clock,
@@ -81,7 +94,7 @@
       ops,
       store,
       cloud: new CloudClient(new HttpTarget(settings.cloudAddress, 4), CLOUD_MS),
-      workers: new HttpWorkerCaller(),
+      workers: new RoutedCaller(direct, links, clock),
       random,
       types: new Map(),
     };
@@ -92,9 +105,6 @@
       (won) => this.lead(won),
       (why) => this.leader?.end(why),
     );
-    this.links = settings.siblings.map(
-      (s) => new PeerLink(s.member, s.address, clock, log, () => this.ping()),
-    );
     this.admission = new Admission(clock, { submission: 48, query: 96 });
     const handler: FrontHandler = {
       up: () => this.ctx.types.size > 0,
@@ -191,26 +201,48 @@
 
   private async relayBeat(body: Buffer): Promise<{ status: number; body: Buffer | null } | null> {
     const link = this.leaderLink();
-    if (!link) return null;
-    const answer = await link.ask(Kind.Beat, body, RELAY_MS);
-    if (answer?.status !== 200) return null;
-    return { status: 200, body: Buffer.from(answer.body) };
+    if (link) {
+      const answer = await link.ask(Kind.Beat, body, RELAY_MS);
+      return answer?.status === 200 ? { status: 200, body: Buffer.from(answer.body) } : null;
+    }
+    // The leader's zone may be cut off from ours, but not from a third one.
+    if (this.leader || !this.election.leader) return null;
+    for (const other of this.links.filter((l) => l.alive)) {
+      const answer = await other.ask(Kind.PassOn, body, RELAY_MS / 2);
+      if (answer?.status === 200) return { status: 200, body: Buffer.from(answer.body) };
+    }
+    return null;
   }
 
-  private async peerAsks(kind: Kind.Beat | Kind.User, payload: Buffer): Promise<AnswerFrame> {
+  private async peerAsks(kind: Asked, payload: Buffer): Promise<AnswerFrame> {
+    const nothing: AnswerFrame = { status: 503, body: Buffer.alloc(0) };
     try {
-      if (kind === Kind.User) {
-        const { verb, body } = decodeUser(payload);
-        const answer = await this.user(verb, Buffer.from(body), false);
-        return { status: answer.status, body: Buffer.from(JSON.stringify(answer)) };
+      switch (kind) {
+        case Kind.User: {
+          const { verb, body } = decodeUser(payload);
+          const answer = await this.user(verb, Buffer.from(body), false);
+          return { status: answer.status, body: Buffer.from(JSON.stringify(answer)) };
+        }
+        case Kind.Call: {
+          const call = decodeCall(payload);
+          const reply = await this.targets.raw(call.verb, call.address, call.body, call.deadlineMs);
+          return { status: reply.status, body: Buffer.from(JSON.stringify(reply.body ?? null)) };
+        }
+        case Kind.PassOn:
+        case Kind.Beat: {
+          if (!this.leader) {
+            const link = kind === Kind.PassOn ? this.leaderLink() : undefined;
+            return (await link?.ask(Kind.Beat, payload, RELAY_MS / 2)) ?? nothing;
+          }
+          const parsed = parseReport(parseJson(payload));
+          if (!parsed.ok) return nothing;
+          const answer = await this.leaderAnswers(this.leader, parsed.value);
+          return { status: answer.status, body: Buffer.from(JSON.stringify(answer.body ?? {})) };
+        }
       }
-      const parsed = parseReport(parseJson(payload));
-      if (!parsed.ok || !this.leader) return { status: 503, body: Buffer.alloc(0) };
-      const answer = await this.leaderAnswers(this.leader, parsed.value);
-      return { status: answer.status, body: Buffer.from(JSON.stringify(answer.body ?? {})) };
     } catch (error) {
-      this.log.info({ error: reason(error) }, 'a peer asked what cannot be read');
-      return { status: 503, body: Buffer.alloc(0) };
+      this.log.debug({ error: reason(error) }, 'what a peer asked could not be done');
+      return nothing;
     }
   }
 
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -7,6 +7,10 @@
   Answer = 3,
   Progress = 4,
   User = 5,
+  /** A call to a worker, made on another controller's behalf. */
+  Call = 6,
+  /** A worker's report that its taker may pass on to the leader. */
+  PassOn = 7,
 }
 
 export interface Frame {
@@ -149,3 +153,38 @@
   }
   return jobs;
 }
+
+export type CallVerb = 'show' | 'commands';
+
+/** u8 verb, u16 deadline in ms, u8 address length, address, JSON body. */
+export function encodeCall(verb: CallVerb, address: string, deadlineMs: number, body: unknown): Buffer {
+  const to = Buffer.from(address, 'ascii');
+  const json = body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body));
+  const out = Buffer.allocUnsafe(4 + to.length + json.length);
+  out.writeUInt8(verb === 'show' ? 0 : 1, 0);
+  out.writeUInt16BE(Math.min(65_535, Math.round(deadlineMs)), 1);
+  out.writeUInt8(to.length, 3);
+  to.copy(out, 4);
+  json.copy(out, 4 + to.length);
+  return out;
+}
+
+export interface Call {
+  readonly verb: CallVerb;
+  readonly address: string;
+  readonly deadlineMs: number;
+  readonly body: unknown;
+}
+
+export function decodeCall(payload: Buffer): Call {
+  if (payload.length < 4) throw new BadFrame('a short call');
+  const end = 4 + payload.readUInt8(3);
+  if (payload.length < end) throw new BadFrame('a short call');
+  const json = payload.subarray(end);
+  return {
+    verb: payload.readUInt8(0) === 0 ? 'show' : 'commands',
+    deadlineMs: payload.readUInt16BE(1),
+    address: payload.toString('ascii', 4, end),
+    body: json.length === 0 ? undefined : JSON.parse(json.toString('utf8')),
+  };
+}
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -132,10 +132,13 @@
   }
 }
 
+const ASKED = new Set([Kind.Beat, Kind.PassOn, Kind.User, Kind.Call]);
+export type Asked = Kind.Beat | Kind.PassOn | Kind.User | Kind.Call;
+
 export interface PeerHandler {
   ping(): Ping;
   progress(payload: Buffer): void;
-  ask(kind: Kind.Beat | Kind.User, payload: Buffer): Promise<AnswerFrame>;
+  ask(kind: Asked, payload: Buffer): Promise<AnswerFrame>;
 }
 
 /** Listens for the other controllers and answers what they ask. */
@@ -163,8 +166,8 @@
       decodePing(frame.payload);
       socket.write(encodeFrame(Kind.Ping, 0, encodePing(this.handler.ping())));
     } else if (kind === Kind.Progress) this.handler.progress(frame.payload);
-    else if (kind === Kind.Beat || kind === Kind.User) {
-      void this.handler.ask(kind, frame.payload).then((answer) => {
+    else if (ASKED.has(kind)) {
+      void this.handler.ask(kind as Asked, frame.payload).then((answer) => {
         if (!socket.writable) return;
         socket.write(encodeFrame(Kind.Answer, request, encodeAnswer(answer.status, answer.body)));
       });
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -70,3 +70,13 @@
 export function commandBody(epoch: Epoch, tenure: Tenure, orders: readonly Order[]): object {
   return { epoch, tenure, orders: orders.map(order) };
 }
+
+export interface CommandReply {
+  readonly executed: boolean;
+  readonly report: Report | null;
+}
+
+export function readCommandReply(status: number, body: unknown): CommandReply {
+  const parsed = parseReport(body);
+  return { executed: status === 200, report: parsed.ok ? parsed.value : null };
+}
--- a/src/workers/caller.ts
+++ b/src/workers/caller.ts
@@ -1,13 +1,10 @@
+import type { CallVerb } from '../peer/frames.js';
 import { HttpTarget, type Reply } from '../net/http-client.js';
-import type { WorkerCaller } from '../cluster/context.js';
-import type { Epoch, Tenure } from '../model/ids.js';
-import type { Order, Report } from '../model/report.js';
-import { commandBody, parseReport } from '../wire/workers.js';
 
 const MOST_TARGETS = 300;
 
 /** Calls to the workers' own addresses over kept connections. */
-export class HttpWorkerCaller implements WorkerCaller {
+export class WorkerTargets {
   private readonly targets = new Map<string, HttpTarget>();
 
   private target(address: string): HttpTarget {
@@ -25,28 +22,7 @@
     this.targets.delete(address);
   }
 
-  private static report(reply: Reply): Report | null {
-    const parsed = parseReport(reply.body);
-    return parsed.ok ? parsed.value : null;
-  }
-
-  async command(
-    address: string,
-    epoch: Epoch,
-    tenure: Tenure,
-    orders: readonly Order[],
-    deadlineMs: number,
-  ): Promise<{ executed: boolean; report: Report | null }> {
-    const reply = await this.target(address).call(
-      'POST',
-      '/commands',
-      commandBody(epoch, tenure, orders),
-      deadlineMs,
-    );
-    return { executed: reply.status === 200, report: HttpWorkerCaller.report(reply) };
-  }
-
-  async show(address: string, deadlineMs: number): Promise<Report | null> {
-    return HttpWorkerCaller.report(await this.target(address).call('GET', '/show', undefined, deadlineMs));
+  raw(verb: CallVerb, address: string, body: unknown, deadlineMs: number): Promise<Reply> {
+    return this.target(address).call(verb === 'show' ? 'GET' : 'POST', `/${verb}`, body, deadlineMs);
   }
 }
