--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -20,6 +20,7 @@
   forecast: section({
     slot_s: z._default(positive, 30),
     beta: z._default(share, 0.5),
+    firm_beta: z._default(share, 0.85),
     hit_s: z._default(notNegative, 1),
     idle_cost: z._default(positive, 30),
     average_slots: z._default(z.int().check(z.gte(1)), 4),
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -3,7 +3,7 @@
 import { lateNeeds, type QueuedWork } from './backlog.js';
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
-import { autoregression, movingAverage } from '../forecast/predictors.js';
+import { autoregression, highQuantile, movingAverage } from '../forecast/predictors.js';
 import { reason } from '../log/logger.js';
 import type { HostId, RentalName, TypeId, ZoneId } from '../model/ids.js';
 import type { ListedMachine, Machine } from '../model/machine.js';
@@ -20,7 +20,6 @@
   perMachine,
   type Pool,
   poolKey,
-  price,
   rentFor,
   seriesKey,
   type Wish,
@@ -31,6 +30,8 @@
 const MOST_PER_RENTAL = 50;
 const MOST_PER_DELETE = 100;
 const RENT_TRIES = 4;
+/** A need of less than this part of a machine is not rented for. */
+const ROUND_DOWN = 0.3;
 /** By then a machine that is up has been heard by a new leader. */
 const HEARING_MS = 15_000;
 /** Unmet demand is turned into this many rentals at a time, so that each knows the last one's refusal. */
@@ -75,12 +76,13 @@
       const spot = key.endsWith('~spot');
       const type = this.ctx.types.get((spot ? key.slice(0, -5) : key) as TypeId);
       const cost: PredictionCost = {
-        beta: f.beta,
+        // Ordinary machines are forecast for work that must not wait for a boot.
+        beta: spot ? f.beta : f.firm_beta,
         hit: f.hit_s,
         miss: type ? type.boot / 1000 : f.slot_s,
         idle: f.idle_cost,
       };
-      e = new Ensemble([movingAverage(f.average_slots), autoregression(7)], cost);
+      e = new Ensemble([movingAverage(f.average_slots), autoregression(7), highQuantile(8, 0.15)], cost);
       this.ensembles.set(key, e);
     }
     return e;
@@ -422,7 +424,7 @@
       told[key] = [need, forecast, frees.get(key) ?? 0, reserves.get(key) ?? 0].map(
         (n) => Math.round(n * 100) / 100,
       );
-      const count = Math.round(net);
+      const count = Math.ceil(net - ROUND_DOWN);
       if (count > 0) this.rentAhead(key, count);
     }
     this.ctx.log.info({ needForecastFreesReserve: told }, 'slot');
@@ -463,13 +465,11 @@
     }
     if (idle.size === 0) return;
     const frees = this.frees(slotMs, now);
+    const reserves = this.reserves();
     for (const [key, hosts] of idle) {
-      const keep = Math.round(Math.max(0, this.ensemble(key).forecast() - (frees.get(key) ?? 0)));
-      hosts.sort(
-        (a, b) =>
-          price({ type: b.type, spot: b.machine.spot }) - price({ type: a.type, spot: a.machine.spot }),
-      );
-      for (const host of hosts.slice(keep)) this.remove(host, 'surplus');
+      const need = this.ensemble(key).forecast() - (frees.get(key) ?? 0);
+      const surplus = Math.floor((reserves.get(key) ?? 0) - Math.max(0, need) + ROUND_DOWN);
+      for (const host of hosts.slice(0, Math.max(0, surplus))) this.remove(host, 'surplus');
     }
   }
 }
--- a/src/forecast/predictors.ts
+++ b/src/forecast/predictors.ts
@@ -76,3 +76,18 @@
     },
   };
 }
+
+/**
+ * The value that only the given share of the last slots exceeded. Few arrivals a slot are not
+ * foretold by any mean; what their delay costs decides, through the weights, how much this counts.
+ */
+export function highQuantile(window: number, share: number): Predictor {
+  return {
+    name: `high-${window}`,
+    predict(series) {
+      const last = series.slice(-window).sort((a, b) => a - b);
+      if (last.length === 0) return 0;
+      return last[Math.min(last.length - 1, Math.floor(last.length * (1 - share)))] ?? 0;
+    },
+  };
+}
