--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -366,6 +366,9 @@
         task.job.release(task, now);
         this.poke();
       } else wake.add(host);
+      if (host && task.job.spec.kind === 'service') {
+        this.ctx.log.info({ task: task.id, tryNo: task.tryNo, host: host.id }, 'replica placed');
+      }
     }
     for (const host of wake) this.dispatcher.wake(host);
   }
@@ -431,10 +434,10 @@
       if (cause === 'error') this.failed(host, task.job, now);
     }
     for (const task of told.lost) log.info({ host: host.id, task: task.id }, 'task lost with its session');
-    if (host.closed === null && host.failures >= ops.workers.sick_errors && host.failedJobs.size >= 2) {
+    if (host.closed === null && host.failures >= ops.workers.sick_errors) {
+      // Replicas that still run here are left alone: the machine goes back when they have ended.
       log.info({ host: host.id, failures: host.failures }, 'machine is sick');
       host.closed = 'sick';
-      this.fleet.remove(host, 'sick');
     }
     if (told.changed) {
       this.committer.poke();
@@ -442,23 +445,29 @@
     }
   }
 
-  /** Mostly the machine is at fault; a job that fails on several machines is at fault itself and waits. */
+  /**
+   * Mostly the machine is at fault. A job that fails on a second machine is more likely at fault
+   * itself: it counts against no further machine, and after a third it waits.
+   */
   private failed(host: Host, job: OpenJob, now: Steady): void {
     job.failures++;
     job.failedOn.add(host.id);
-    if (job.failedOn.size >= 3) {
-      const backoff = Math.min(60_000, 1000 * 2 ** Math.min(6, job.failures - 2));
-      job.notBefore = plus(now, backoff);
-    } else {
+    if (job.failedOn.size <= 1 || host.failedJobs.size > 0) {
       host.failures++;
       host.failedJobs.add(job.spec.id);
     }
+    if (job.failedOn.size < 3) return;
+    const backoff = Math.min(60_000, 1000 * 2 ** Math.min(6, job.failures - 2));
+    job.notBefore = plus(now, backoff);
   }
 
   private hostGone(host: Host): void {
     const lost = loseAll(host, this.ctx.clock.now());
     if (lost.length > 0)
-      this.ctx.log.info({ host: host.id, tasks: lost.length }, 'tasks freed from a machine proven gone');
+      this.ctx.log.info(
+        { host: host.id, tasks: lost.length, some: lost.slice(0, 4).map((t) => t.id) },
+        'tasks freed from a machine proven gone',
+      );
     this.committer.poke();
   }
 
--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -11,6 +11,8 @@
 
 /** Work without a target left is still worked off within this. */
 const NO_TARGET_MS = 90_000;
+/** Tasks of odd sizes leave gaps, and some work is lost and done again. */
+const PACKED = 0.8;
 /** Renting cannot help sooner. */
 const LEAST_MS = 5000;
 
@@ -19,15 +21,21 @@
  * one job after the other, behind `busyCpuMs` of work that is already running: the expected frees
  * of the design, counted until each job's own limit instead of one slot.
  */
-export function lateNeeds(queue: readonly QueuedWork[], cpus: number, busyCpuMs: number): Need[] {
+export function lateNeeds(
+  queue: readonly QueuedWork[],
+  cpus: number,
+  busyCpuMs: number,
+  bootMs: number,
+): Need[] {
   const needs: Need[] = [];
   let ahead = busyCpuMs;
-  let rate = cpus;
+  let rate = cpus * PACKED;
   for (const job of queue) {
     const size = Math.max(0.01, job.spec.cpus);
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
-    const patience = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
+    // A machine rented for it helps only after its boot.
+    const patience = Math.max(LEAST_MS, (job.slackMs ?? NO_TARGET_MS) - bootMs) + job.runMs;
     const deficit = ahead / patience - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -192,11 +192,17 @@
     );
     const must = rentFor(needs(firm), coming, open, most);
     if (cheap.length > 0) return [...must, ...cheap];
-    const late = lateNeeds(spotWork, this.workingCpus(coming), this.busyCpuMs());
+    const late = lateNeeds(spotWork, this.workingCpus(coming), this.busyCpuMs(), this.slowestBoot());
     const ordinary = open.filter((p) => !p.spot);
     return [...must, ...rentFor(late, [], ordinary, most)];
   }
 
+  private slowestBoot(): number {
+    let boot = 0;
+    for (const type of this.ctx.types.values()) boot = Math.max(boot, type.boot);
+    return boot;
+  }
+
   /** What works off the queue of spot work: machines up and coming, less what others hold there. */
   private workingCpus(coming: readonly Coming[]): number {
     let cpus = coming.reduce((sum, c) => sum + c.free.cpus, 0);
@@ -406,9 +412,24 @@
       add(seriesKey(host.machine.type, host.machine.spot), Math.max(0, free) / host.type.cpus);
     }
     for (const p of this.pending.values()) add(seriesKey(p.pool.type.id, p.pool.spot), p.count);
+    // What is queued already has its place on the machines that are coming.
+    for (const { spec, tasks } of this.queue) {
+      const pool = spec.spot ? null : cheapestPool(spec, tasks, allPools(this.ctx.types.values()));
+      if (pool) add(seriesKey(pool.type.id, false), -tasks / perMachine(spec, pool.type));
+    }
     return reserves;
   }
 
+  /**
+   * New need less expected frees. What is rented now serves only after its boot: ordinary machines
+   * are wanted for a slot and a boot, since their work must not wait for either.
+   */
+  private wanted(key: string, frees: ReadonlyMap<string, number>): number {
+    const perSlot = this.ensemble(key).forecast() - (frees.get(key) ?? 0);
+    const type = this.ctx.types.get(key as TypeId);
+    return type ? perSlot * (1 + type.boot / (this.ctx.ops.forecast.slot_s * 1000)) : perSlot;
+  }
+
   private endSlot(now: Steady): void {
     const slotMs = this.ctx.ops.forecast.slot_s * 1000;
     this.slotEnds = plus(now, slotMs);
@@ -420,7 +441,7 @@
       const need = this.slotNeed.get(key) ?? 0;
       ensemble.observe(need, !this.refusedInSlot.has(key));
       const forecast = ensemble.forecast();
-      const net = forecast - (frees.get(key) ?? 0) - (reserves.get(key) ?? 0);
+      const net = this.wanted(key, frees) - (reserves.get(key) ?? 0);
       told[key] = [need, forecast, frees.get(key) ?? 0, reserves.get(key) ?? 0].map(
         (n) => Math.round(n * 100) / 100,
       );
@@ -467,8 +488,8 @@
     const frees = this.frees(slotMs, now);
     const reserves = this.reserves();
     for (const [key, hosts] of idle) {
-      const need = this.ensemble(key).forecast() - (frees.get(key) ?? 0);
-      const surplus = Math.floor((reserves.get(key) ?? 0) - Math.max(0, need) + ROUND_DOWN);
+      const need = Math.max(0, this.wanted(key, frees));
+      const surplus = Math.floor((reserves.get(key) ?? 0) - need + ROUND_DOWN);
       for (const host of hosts.slice(0, Math.max(0, surplus))) this.remove(host, 'surplus');
     }
   }
