--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -26,8 +26,8 @@
     average_slots: z._default(z.int().check(z.gte(1)), 4),
   }),
   fleet: section({
-    give_back_s: z._default(positive, 30),
-    spot_give_back_s: z._default(positive, 30),
+    give_back_s: z._default(positive, 10),
+    spot_give_back_s: z._default(positive, 20),
     boot_patience: z._default(positive, 4),
     max_machines: z._default(z.int().check(z.gte(1)), 200),
   }),
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -58,6 +58,7 @@
   private lastList: Steady | null = null;
   private dirty = false;
   private rentLater = false;
+  private firstSlot = true;
 
   constructor(
     private readonly ctx: LeaderContext,
@@ -431,6 +432,8 @@
   }
 
   private endSlot(now: Steady): void {
+    const first = this.firstSlot;
+    this.firstSlot = false;
     const slotMs = this.ctx.ops.forecast.slot_s * 1000;
     this.slotEnds = plus(now, slotMs);
     const frees = this.frees(slotMs, now);
@@ -439,6 +442,8 @@
     const told: Record<string, unknown> = {};
     for (const [key, ensemble] of this.ensembles) {
       const need = this.slotNeed.get(key) ?? 0;
+      // The first slot of a site holds a stock of old work, not a slot's arrivals.
+      if (first && ensemble.series.length === 0) continue;
       ensemble.observe(need, !this.refusedInSlot.has(key));
       const forecast = ensemble.forecast();
       const net = this.wanted(key, frees) - (reserves.get(key) ?? 0);
--- a/src/forecast/ensemble.ts
+++ b/src/forecast/ensemble.ts
@@ -65,10 +65,21 @@
         this.weights.set(p.name, MEMORY * this.weight(p.name) + (1 - MEMORY) * fresh);
       });
     }
-    this.series.push(actual);
+    this.series.push(Math.min(actual, this.burstLimit()));
     if (this.series.length > KEEP) this.series.shift();
   }
 
+  /**
+   * A burst of a few slots would lift every average long after its end: what lies far above the
+   * usual spread enters the series clipped.
+   */
+  private burstLimit(): number {
+    if (this.series.length < 4) return Infinity;
+    const sorted = [...this.series].sort((a, b) => a - b);
+    const at = (share: number): number => sorted[Math.floor((sorted.length - 1) * share)] ?? 0;
+    return Math.max(1, at(0.5) + 3 * Math.max(at(0.75) - at(0.25), 0.25 * at(0.5)));
+  }
+
   record(): EnsembleRecord {
     return {
       series: this.series.map((v) => Math.round(v * 1000) / 1000),
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -123,9 +123,15 @@
     (m.reachable ? 0 : 8) + (spec.spot ? (m.spot ? 0 : 2) : m.images.has(spec.image) ? 0 : 4);
   const image = (m: MachineView): number => (m.images.has(spec.image) ? 0 : 1);
   const scored = machines.filter((m) => allowed(spec, m)).map((m) => ({ m, s: score(m) }));
+  // Replicas stay long: on small machines they do not keep a big one from going back.
+  const size = (m: MachineView): number => (spec.spot ? 0 : m.cpus);
   scored.sort(
     (a, b) =>
-      a.s - b.s || a.m.free.cpus - b.m.free.cpus || image(a.m) - image(b.m) || (a.m.id < b.m.id ? -1 : 1),
+      a.s - b.s ||
+      size(a.m) - size(b.m) ||
+      a.m.free.cpus - b.m.free.cpus ||
+      image(a.m) - image(b.m) ||
+      (a.m.id < b.m.id ? -1 : 1),
   );
   return scored.map((x) => x.m);
 }
