--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -184,7 +184,9 @@
         }
       }
       if (host.takenAt !== null) this.drainNoticed(host, now);
-      if (!host.known && host.address !== '' && (host.listed || !host.empty)) this.dispatcher.wake(host);
+      if (!host.known && host.address !== '' && (host.listed || host.up || !host.empty)) {
+        this.dispatcher.wake(host);
+      }
     }
   }
 
@@ -392,8 +394,10 @@
     if (host.address === '') host.address = report.address;
     // Reports of earlier epochs may be minutes old: they prove nothing, not even life.
     const fresh = report.epoch === this.ctx.epoch && (!host.known || host.newer(report));
-    if (!host.known) this.dispatcher.wake(host);
-    if (fresh) {
+    if (!fresh) {
+      host.learnTenure(report);
+      if (!host.known) this.dispatcher.wake(host);
+    } else {
       this.health.heard(host, now);
       this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
     }
@@ -417,7 +421,8 @@
       const now = this.ctx.clock.now();
       if (report.epoch === this.ctx.epoch && host.newer(report)) this.health.heard(host, now);
       this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
-      if (host.known && ordersFor(host, now).length > 0) this.dispatcher.wake(host);
+      const another = host.learnTenure(report);
+      if (another || (host.known && ordersFor(host, now).length > 0)) this.dispatcher.wake(host);
     });
   }
 
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -27,8 +27,7 @@
 import { parseReport, readCommandReply } from '../wire/workers.js';
 import { WorkerTargets } from '../workers/caller.js';
 import type { NodeContext } from './context.js';
-import { Election, type Won } from './election.js';
-import { Leader } from './leader.js';
+import { Seat } from './seat.js';
 import { TypeBook } from './type-book.js';
 
 const STATE_MS = 1000;
@@ -39,12 +38,11 @@
 const PROGRESS_LIVES_MS = 5000;
 /** The state service counts as failing for this node after this long without an answer. */
 const STATE_LOST_MS = 800;
-const DEAF_PAUSE_MS = 15_000;
 
 /** One controller: takes users and workers, relays to the leader, and leads when elected. */
 export class Node {
   private readonly ctx: NodeContext;
-  private readonly election: Election;
+  private readonly seat: Seat;
   private readonly users: UserService;
   private readonly links: PeerLink[];
   private readonly targets = new WorkerTargets();
@@ -52,12 +50,10 @@
   private readonly peers: PeerServer;
   private readonly admission: Admission;
   private readonly typeBook: TypeBook;
-  private leader: Leader | null = null;
   private progress = new Map<JobId, Progress>();
   private progressAt: Steady | null = null;
   private stateOkAt: Steady;
   private stateFailedAt: Steady | null = null;
-  private readonly answerAloneMs: number;
 
   constructor(
     private readonly settings: Settings,
@@ -67,9 +63,6 @@
   ) {
     const clock = realClock;
     this.stateOkAt = clock.now();
-    // A worker that an old leader still answers must lose its tasks within a cancellation's limit.
-    const room = settings.cancelWithin - settings.workerLease - 5000;
-    this.answerAloneMs = Math.max(0, Math.min(ops.cluster.answer_alone_s * 1000, room));
     const store = new StateClient(
       new HttpTarget(settings.stateAddress, 24),
       new HttpTarget(settings.stateAddress, 4),
@@ -77,7 +70,17 @@
       (answered) => this.stateAnswered(answered),
     );
     const links = settings.siblings.map(
-      (s) => new PeerLink(s.member, s.address, clock, log, () => this.ping()),
+      (s) =>
+        new PeerLink(
+          s.member,
+          s.address,
+          clock,
+          log,
+          () => this.ping(),
+          (ping) => {
+            if (ping.leading !== null) this.seat.heardOf(ping.leading);
+          },
+        ),
     );
     this.links = links;
     const direct: RawCaller = {
@@ -100,11 +103,7 @@
     };
     this.typeBook = new TypeBook(this.ctx);
     this.users = new UserService(this.ctx, (id) => this.progressOf(id));
-    this.election = new Election(
-      this.ctx,
-      (won) => this.lead(won),
-      (why) => this.leader?.end(why),
-    );
+    this.seat = new Seat(this.ctx, () => this.typeBook.known());
     this.admission = new Admission(clock, { submission: 48, query: 96 });
     const handler: FrontHandler = {
       up: () => this.ctx.types.size > 0,
@@ -134,9 +133,9 @@
       this.front.listen(this.settings.front),
       this.peers.listen(this.settings.clusterListen),
     ]);
-    this.log.info({ front: this.settings.front, answerAloneMs: this.answerAloneMs }, 'listening');
+    this.log.info({ front: this.settings.front, answerAloneMs: this.seat.answerAloneMs }, 'listening');
     for (const link of this.links) link.start();
-    this.election.run();
+    this.seat.run();
     this.typeBook.run();
     this.tellProgress();
     this.summarise();
@@ -159,44 +158,26 @@
     return {
       member: this.ctx.member,
       stateOk: this.stateOk(),
-      leading: this.leader?.epoch ?? null,
+      leading: this.seat.leader?.epoch ?? null,
     };
   }
 
-  private lead(won: Won): void {
-    const leader = new Leader(this.ctx, won.epoch, won.epochStamp, this.answerAloneMs, (why) => {
-      if (this.leader === leader) this.leader = null;
-      void this.election.resign(why === 'no worker is heard' ? DEAF_PAUSE_MS : 0);
-    });
-    this.leader = leader;
-    this.log.info({ epoch: won.epoch }, 'elected');
-    void this.typeBook.known().then(() => leader.start());
-  }
-
   // Workers
 
   private async beat(body: Buffer): Promise<{ status: number; body: Buffer | null }> {
     const parsed = parseReport(parseJson(body));
     if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
-    if (this.leader) {
-      const answer = await this.leaderAnswers(this.leader, parsed.value);
-      if (answer.status === 200) return { status: 200, body: Buffer.from(JSON.stringify(answer.body)) };
-    }
+    const own = await this.seat.beat(parsed.value);
+    if (own?.status === 200) return { status: 200, body: Buffer.from(JSON.stringify(own.body)) };
     const relayed = await this.relayBeat(body);
     return relayed ?? { status: 503, body: null };
   }
 
-  private leaderAnswers(leader: Leader, report: Parameters<Leader['beat']>[0]): ReturnType<Leader['beat']> {
-    // Past the grant's sure life a leader only keeps leases alive, and only for a while.
-    const sure = this.election.sure();
-    return leader.beat(report, sure || this.election.unsureFor() < this.answerAloneMs, sure);
-  }
-
   /** The node that leads, by its own word or by the last record that we saw. */
   private leaderLink(): PeerLink | undefined {
     const leading = this.links.filter((l) => l.alive && l.ping?.leading != null);
     leading.sort((a, b) => (b.ping?.leading ?? 0) - (a.ping?.leading ?? 0));
-    return leading[0] ?? this.links.find((l) => l.alive && l.member === this.election.leader?.member);
+    return leading[0] ?? this.links.find((l) => l.alive && l.member === this.seat.election.leader?.member);
   }
 
   private async relayBeat(body: Buffer): Promise<{ status: number; body: Buffer | null } | null> {
@@ -206,7 +187,7 @@
       return answer?.status === 200 ? { status: 200, body: Buffer.from(answer.body) } : null;
     }
     // The leader's zone may be cut off from ours, but not from a third one.
-    if (this.leader || !this.election.leader) return null;
+    if (this.seat.leader || !this.seat.election.leader) return null;
     for (const other of this.links.filter((l) => l.alive)) {
       const answer = await other.ask(Kind.PassOn, body, RELAY_MS / 2);
       if (answer?.status === 200) return { status: 200, body: Buffer.from(answer.body) };
@@ -230,13 +211,14 @@
         }
         case Kind.PassOn:
         case Kind.Beat: {
-          if (!this.leader) {
+          if (!this.seat.leader) {
             const link = kind === Kind.PassOn ? this.leaderLink() : undefined;
             return (await link?.ask(Kind.Beat, payload, RELAY_MS / 2)) ?? nothing;
           }
           const parsed = parseReport(parseJson(payload));
           if (!parsed.ok) return nothing;
-          const answer = await this.leaderAnswers(this.leader, parsed.value);
+          const answer = await this.seat.beat(parsed.value);
+          if (!answer) return nothing;
           return { status: answer.status, body: Buffer.from(JSON.stringify(answer.body ?? {})) };
         }
       }
@@ -299,8 +281,8 @@
 
   private tellProgress(): void {
     this.ctx.clock.after(PROGRESS_MS, () => {
-      if (this.leader) {
-        const payload = encodeProgress(this.leader.progress());
+      if (this.seat.leader) {
+        const payload = encodeProgress(this.seat.leader.progress());
         this.takeProgress(payload);
         for (const link of this.links) link.send(Kind.Progress, 0, payload);
       }
@@ -315,8 +297,8 @@
       const cpu = process.cpuUsage();
       this.log.info(
         {
-          ...this.leader?.summary(),
-          leads: this.leader?.epoch ?? null,
+          ...this.seat.leader?.summary(),
+          leads: this.seat.leader?.epoch ?? null,
           stateOk: this.stateOk(),
           peers: this.links.filter((l) => l.alive).length,
           lateMs: this.admission.lateMs,
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -375,7 +375,7 @@
     const known = this.ctx.hosts.hosts.has(m.id);
     const host = this.adopt(m, (now - m.age) as Steady, m.address);
     if (!host) return;
-    host.listed = true;
+    host.listed = m.status === 'running';
     if (!known)
       this.ctx.log.info({ host: m.id, type: m.type, status: m.status }, 'machine found in the list');
     if (m.status === 'failed') this.remove(host, 'failed');
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -50,6 +50,7 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly myPing: () => Ping,
+    private readonly onPing: (ping: Ping) => void,
   ) {}
 
   start(): void {
@@ -92,8 +93,10 @@
 
   private take(frame: Frame): void {
     this.lastHeard = this.clock.now();
-    if (frame.kind === Kind.Ping) this.ping = decodePing(frame.payload);
-    else if (frame.kind === Kind.Answer) {
+    if (frame.kind === Kind.Ping) {
+      this.ping = decodePing(frame.payload);
+      this.onPing(this.ping);
+    } else if (frame.kind === Kind.Answer) {
       const done = this.waiting.get(frame.request);
       this.waiting.delete(frame.request);
       done?.(decodeAnswer(frame.payload));
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -23,7 +23,8 @@
   /** Heard under our epoch. */
   known = false;
   up = false;
-  tenure = 0 as Tenure;
+  /** Most machines are in their first session: the first direct call then hits. */
+  tenure = 1 as Tenure;
   counter = 0 as Counter;
   heardAt: Steady | null = null;
   /** When we last answered a report of this host: its lease may run from then. */
@@ -47,6 +48,7 @@
   removing = false;
   /** Known only by a task that a predecessor placed here; type and zone are guesses. */
   placeholder = false;
+  /** The cloud's list shows it as running. */
   listed = false;
   commandInFlight = false;
   commandWanted = false;
@@ -79,6 +81,16 @@
     }
   }
 
+  /**
+   * A report that proves nothing yet, being of an earlier epoch, still tells the session to address.
+   * True: it is another one than we thought.
+   */
+  learnTenure(report: Report): boolean {
+    if (this.known || report.tenure <= this.tenure) return false;
+    this.tenure = report.tenure;
+    return true;
+  }
+
   newer(report: Report): boolean {
     return report.tenure > this.tenure || (report.tenure === this.tenure && report.counter > this.counter);
   }
--- /dev/null
+++ b/test/standins/cloud.ts
@@ -0,0 +1,98 @@
+import { type Cloud, CloudRefused, type Rented } from '../../src/cloud/client.js';
+import type { HostId, TypeId, ZoneId } from '../../src/model/ids.js';
+import type { ListedMachine, Machine, MachineType } from '../../src/model/machine.js';
+import { type Clock, ms } from '../../src/model/time.js';
+import { poolKey } from '../../src/fleet/plan.js';
+
+const LATENCY_MS = 80;
+
+interface Rented1 extends Machine {
+  readonly at: number;
+  up: boolean;
+}
+
+/** A cloud in memory, by the published protocol. */
+export class StandInCloud {
+  readonly machines = new Map<HostId, Rented1>();
+  private readonly answers = new Map<string, HostId[]>();
+  private next = 0;
+  outage = false;
+  /** The next so many machines never come up. */
+  deadBoots = 0;
+  /** Machines left to give, by pool; a pool not named here has enough. */
+  readonly room = new Map<string, number>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly types: readonly MachineType[],
+    private readonly onUp: (machine: Machine) => void,
+    private readonly onGone: (id: HostId) => void,
+    private readonly trace: (text: string) => void,
+  ) {}
+
+  private create(type: TypeId, zone: ZoneId, spot: boolean): HostId {
+    const id = `host-${String(this.next++).padStart(6, '0')}` as HostId;
+    const machine: Rented1 = { id, type, zone, spot, at: this.clock.now(), up: false };
+    this.machines.set(id, machine);
+    if (this.deadBoots > 0) {
+      this.deadBoots--;
+      return id;
+    }
+    const boot = this.types.find((t) => t.id === type)?.boot ?? 0;
+    this.clock.after(boot, () => {
+      if (!this.machines.has(id)) return;
+      machine.up = true;
+      this.onUp(machine);
+    });
+    return id;
+  }
+
+  for(clock: Clock): Cloud {
+    const ask = <T>(act: () => T): Promise<T> =>
+      new Promise((resolve, reject) => {
+        clock.after(LATENCY_MS, () => {
+          if (this.outage) reject(new CloudRefused('cloud answered 503'));
+          else resolve(act());
+        });
+      });
+    return {
+      types: () => ask(() => [...this.types]),
+      rent: (r) =>
+        ask((): Rented => {
+          const known = this.answers.get(r.name);
+          if (known) return { hosts: known };
+          const key = poolKey(r);
+          const room = this.room.get(key) ?? Infinity;
+          const count = Math.min(r.count, room);
+          if (count === 0) return 'no capacity';
+          if (room !== Infinity) this.room.set(key, room - count);
+          const hosts = Array.from({ length: count }, () => this.create(r.type, r.zone, r.spot));
+          this.answers.set(r.name, hosts);
+          this.trace(`cloud      rents ${count} ${key}`);
+          return { hosts };
+        }),
+      remove: (hosts) =>
+        ask(() => {
+          for (const id of hosts) {
+            if (!this.machines.delete(id)) continue;
+            this.trace(`cloud      deletes ${id}`);
+            this.onGone(id);
+          }
+        }),
+      list: (after) =>
+        ask(() => ({
+          more: false,
+          machines: [...this.machines.values()]
+            .filter((m) => m.id > after)
+            .map((m): ListedMachine => ({
+              ...m,
+              address: address(m.id),
+              status: m.up ? 'running' : 'starting',
+              age: ms(this.clock.now() - m.at),
+            })),
+        })),
+    };
+  }
+}
+
+export const address = (id: HostId): string => `${id}:9000`;
--- /dev/null
+++ b/test/standins/rules.ts
@@ -0,0 +1,107 @@
+import { type HostId, type JobId, splitTaskId, type TaskId } from '../../src/model/ids.js';
+import type { Machine } from '../../src/model/machine.js';
+
+interface Accepted {
+  readonly owner: string;
+  readonly cpus: number;
+  readonly shards: number;
+  readonly hall: string | null;
+  readonly samePlace: boolean;
+  readonly apart: boolean;
+  readonly reclaimable: boolean;
+  readonly limit: number | null;
+}
+
+/** PROTOCOL's rules, checked on the stand-ins alone: it knows nothing of the controllers. */
+export class RuleChecker {
+  private readonly jobs = new Map<JobId, Accepted>();
+  private readonly known = new Set<JobId>();
+  private readonly on = new Map<TaskId, Machine>();
+  private readonly done = new Set<TaskId>();
+  private readonly cancelledBy = new Map<JobId, number>();
+  private readonly told_ = new Map<JobId, string>();
+  readonly broken: string[] = [];
+
+  constructor(private readonly trace: (text: string) => void) {}
+
+  private breach(text: string): void {
+    this.broken.push(text);
+    this.trace(text);
+  }
+
+  /** From the first attempt on a job may be accepted, and its tasks may start. */
+  submitted(id: JobId, body: Omit<Accepted, 'limit'>, limit: number | null): void {
+    if (!this.jobs.has(id)) this.jobs.set(id, { ...body, limit });
+  }
+
+  accepted(id: JobId): void {
+    this.known.add(id);
+  }
+
+  where(task: TaskId): HostId | undefined {
+    return this.on.get(task)?.id;
+  }
+
+  count(which: (task: TaskId) => boolean): number {
+    return [...this.on.keys()].filter(which).length;
+  }
+
+  started(task: TaskId, machine: Machine, now: number): void {
+    const id = splitTaskId(task)?.job as JobId;
+    const job = this.jobs.get(id);
+    if (!job) return this.breach(`invented: ${task} was never submitted`);
+    if (this.on.has(task)) this.breach(`ran_twice: ${task} on ${machine.id} and ${this.on.get(task)?.id}`);
+    this.on.set(task, machine);
+    if (job.hall !== null && job.hall !== machine.zone)
+      this.breach(`wrong_place: ${task} in ${machine.zone}`);
+    if (machine.spot && !job.reclaimable) this.breach(`wrong_place: ${task} on a spot machine`);
+    const mates = [...this.on].filter(([t]) => splitTaskId(t)?.job === id).map(([, m]) => m.zone);
+    if (job.samePlace && new Set(mates).size > 1) this.breach(`wrong_place: ${id} in several zones`);
+    if (job.apart) {
+      const here = mates.filter((z) => z === machine.zone).length;
+      if (here > Math.ceil(job.shards / 2))
+        this.breach(`wrong_place: ${here} tasks of ${id} in ${machine.zone}`);
+    }
+    let used = 0;
+    for (const t of this.on.keys()) {
+      const other = this.jobs.get(splitTaskId(t)?.job as JobId);
+      if (other?.owner === job.owner) used += other.cpus;
+    }
+    if (job.limit !== null && used > job.limit)
+      this.breach(`quota: ${job.owner} uses ${used} of ${job.limit}`);
+    const limit = this.cancelledBy.get(id);
+    if (limit !== undefined && now > limit) this.breach(`ran_cancelled: ${task} starts`);
+  }
+
+  left(task: TaskId, host: HostId, done: boolean): void {
+    if (this.on.get(task)?.id === host) this.on.delete(task);
+    if (done) this.done.add(task);
+  }
+
+  cancelled(id: JobId, limit: number): void {
+    if (!this.cancelledBy.has(id)) this.cancelledBy.set(id, limit);
+  }
+
+  checkCancelled(now: number): void {
+    for (const [id, limit] of this.cancelledBy) {
+      if (now > limit && this.count((t) => splitTaskId(t)?.job === id) > 0) {
+        this.breach(`ran_cancelled: ${id} is still on a machine`);
+      }
+    }
+  }
+
+  told(id: JobId, state: string): void {
+    const before = this.told_.get(id);
+    if (this.known.has(id) && state === '404') this.breach(`forgotten: ${id}`);
+    if (!this.jobs.has(id) && state !== '404') this.breach(`invented: ${id}`);
+    if ((before === 'done' || before === 'cancelled') && state !== before) {
+      this.breach(`went_back: ${id} from ${before} to ${state}`);
+    }
+    if (state === 'done') {
+      const job = this.jobs.get(id);
+      const finished = [...this.done].filter((t) => splitTaskId(t)?.job === id).length;
+      if (job && finished < job.shards) this.breach(`not_done: ${id}, ${finished} of ${job.shards}`);
+    }
+    this.told_.set(id, state);
+  }
+}
--- /dev/null
+++ b/test/standins/site.ts
@@ -0,0 +1,376 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { UserService } from '../../src/api/users.js';
+import type { NodeContext, WorkerCaller } from '../../src/cluster/context.js';
+import { Seat } from '../../src/cluster/seat.js';
+import { defaultOperators } from '../../src/config/operators.js';
+import { silentLog } from '../../src/log/logger.js';
+import type {
+  HostId,
+  ImageId,
+  JobId,
+  MemberId,
+  TaskId,
+  TeamId,
+  TryNo,
+  TypeId,
+  ZoneId,
+} from '../../src/model/ids.js';
+import { splitTaskId } from '../../src/model/ids.js';
+import type { Machine, MachineType } from '../../src/model/machine.js';
+import type { Report } from '../../src/model/report.js';
+import { seconds } from '../../src/model/time.js';
+import { NoAnswer } from '../../src/net/http-client.js';
+import { readSettings, type Settings } from '../../src/wire/settings.js';
+import { ProcessClock, VirtualClock } from './clock.js';
+import { address, StandInCloud } from './cloud.js';
+import { RuleChecker } from './rules.js';
+import { StandInState } from './state.js';
+import { type BeatAnswer, type JobFacts, StandInWorker, type WorkerWorld } from './worker.js';
+
+export interface JobWish {
+  ref: string;
+  team?: string;
+  kind?: 'array' | 'service';
+  rank?: string;
+  tasks?: number;
+  cpus?: number;
+  spot?: boolean;
+  zone?: string;
+  samePlace?: boolean;
+  apart?: boolean;
+  runS?: number;
+  broken?: boolean;
+}
+
+export const TYPES: MachineType[] = [
+  {
+    id: 'small' as TypeId,
+    cpus: 8,
+    gpus: 0,
+    memoryGb: 32,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: 0.4,
+    spotPrice: 0.1,
+    boot: seconds(20),
+    zones: ['north' as ZoneId, 'south' as ZoneId],
+  },
+];
+
+const NODES = ['node-0', 'node-1', 'node-2'];
+const LEASE_S = 20;
+
+function settingsOf(member: string): Settings {
+  return readSettings({
+    member,
+    site: 'north',
+    front: '127.0.0.1:1',
+    cluster_listen: '127.0.0.1:2',
+    endpoints: { cloud: '127.0.0.1:3', state: '127.0.0.1:4' },
+    facts: {
+      teams: [
+        { name: 'red', cpus: 8, cpus_max: 24 },
+        { name: 'blue', cpus: 8, cpus_max: 40 },
+      ],
+      objectives: [{ kind: 'finished', class: 'batch', within_s: 60 }],
+      workers: { report_s: 3, lease_s: LEASE_S, cancel_s: 40 },
+      state: { rps: 200, write_rps: 60, value_kb: 16, txn_ops: 16 },
+      cloud: { rps: 4, list_lag_s: 4 },
+    },
+  });
+}
+
+interface Running {
+  readonly clock: ProcessClock;
+  readonly seat: Seat;
+  readonly users: UserService;
+}
+
+/** A whole site on a virtual clock: three nodes, state service, cloud, workers, users, rule checker. */
+export class Site implements WorkerWorld {
+  readonly clock = new VirtualClock();
+  readonly state = new StandInState(this.clock);
+  readonly cloud: StandInCloud;
+  readonly nodes = NODES;
+  readonly workers = new Map<HostId, StandInWorker>();
+  readonly rules = new RuleChecker((text) => this.trace(`BROKEN     ${text}`));
+  private readonly running = new Map<string, Running>();
+  private readonly jobs = new Map<JobId, JobFacts>();
+  private readonly lines: string[] = [];
+  private readonly random: () => number;
+  /** `node host`: nothing passes between them. */
+  readonly cuts = new Set<string>();
+  /** `node host`: orders sent straight are held back until released. */
+  readonly holding = new Set<string>();
+  private readonly heldOrders: { pair: string; run: () => void }[] = [];
+
+  constructor() {
+    const generator = xoroshiro128plus(7);
+    this.random = () => uniformFloat64(generator);
+    this.cloud = new StandInCloud(
+      this.clock,
+      TYPES,
+      (machine) => this.machineUp(machine),
+      (id) => this.machineGone(id),
+      (text) => this.trace(text),
+    );
+  }
+
+  trace(text: string): void {
+    this.lines.push(`${(this.clock.now() / 1000).toFixed(2).padStart(7)}  ${text}`);
+  }
+
+  get text(): string {
+    return `${this.lines.join('\n')}\n`;
+  }
+
+  async run(s: number): Promise<void> {
+    await this.clock.advance(s * 1000);
+  }
+
+  // Nodes
+
+  start(name: string): void {
+    const clock = new ProcessClock(this.clock);
+    const ctx: NodeContext = {
+      member: name as MemberId,
+      clock,
+      log: silentLog,
+      settings: settingsOf(name),
+      ops: defaultOperators(),
+      store: this.state.for(name, clock),
+      cloud: this.cloud.for(clock),
+      workers: this.callerFor(name, clock),
+      random: this.random,
+      types: new Map(TYPES.map((t) => [t.id, t])),
+    };
+    const seat = new Seat(ctx, () => Promise.resolve());
+    this.running.set(name, { clock, seat, users: new UserService(ctx, () => null) });
+    this.trace(`${name}     starts`);
+    seat.run();
+  }
+
+  startAll(): void {
+    for (const name of NODES) this.start(name);
+  }
+
+  crash(name: string): void {
+    const node = this.running.get(name);
+    if (!node) return;
+    node.clock.alive = false;
+    this.running.delete(name);
+    this.trace(`${name}     crashes`);
+  }
+
+  get leader(): string | undefined {
+    return NODES.find((name) => this.running.get(name)?.seat.leader);
+  }
+
+  private callerFor(node: string, clock: ProcessClock): WorkerCaller {
+    const reach = <T>(addr: string, deadline: number, act: (w: StandInWorker) => T): Promise<T> =>
+      new Promise((resolve, reject) => {
+        const host = addr.slice(0, addr.indexOf(':')) as HostId;
+        const pair = `${node} ${host}`;
+        const worker = this.workers.get(host);
+        clock.after(deadline, () => reject(new NoAnswer('deadline passed')));
+        if (!worker || this.cuts.has(pair)) return;
+        const arrive = (): void =>
+          worker.whenAwake(() => {
+            const answer = act(worker);
+            clock.after(2, () => resolve(answer));
+          });
+        if (this.holding.has(pair)) this.heldOrders.push({ pair, run: arrive });
+        else this.clock.after(2, arrive);
+      });
+    return {
+      command: (addr, epoch, tenure, orders, deadline) =>
+        reach(addr, deadline, (w) => w.command(epoch, tenure, orders)),
+      show: (addr, deadline) => reach(addr, deadline, (w) => w.show()),
+    };
+  }
+
+  hold(node: string, host: HostId): void {
+    this.holding.add(`${node} ${host}`);
+    this.trace(`network    holds orders from ${node} to ${host}`);
+  }
+
+  /** What was held arrives now, in order, late as it is. */
+  release(): void {
+    this.trace(`network    delivers ${this.heldOrders.length} held`);
+    this.holding.clear();
+    for (const { run } of this.heldOrders.splice(0)) run();
+  }
+
+  // Machines
+
+  private machineUp(machine: Machine): void {
+    this.trace(`${machine.id} is up (${machine.zone}${machine.spot ? ', spot' : ''})`);
+    this.workers.set(machine.id, new StandInWorker(machine, this.clock, this, LEASE_S * 1000));
+  }
+
+  private machineGone(id: HostId): void {
+    this.workers.get(id)?.vanish();
+    this.workers.delete(id);
+  }
+
+  /** The cloud takes a machine, without a word. */
+  takeAway(id: HostId): void {
+    this.trace(`${id} dies`);
+    this.machineGone(id);
+    this.cloud.machines.delete(id);
+  }
+
+  hostOf(task: string): HostId {
+    const host = this.rules.where(task as TaskId);
+    if (!host) throw new Error(`${task} is on no machine`);
+    return host;
+  }
+
+  worker(id: HostId): StandInWorker {
+    const worker = this.workers.get(id);
+    if (!worker) throw new Error(`${id} is not up`);
+    return worker;
+  }
+
+  job(id: JobId): JobFacts | undefined {
+    return this.jobs.get(id);
+  }
+
+  started(worker: StandInWorker, task: TaskId, tryNo: TryNo): void {
+    this.trace(`${worker.machine.id} runs ${task} try ${tryNo}`);
+    this.rules.started(task, worker.machine, this.clock.now());
+  }
+
+  left(worker: StandInWorker, task: TaskId, why: string): void {
+    this.trace(`${worker.machine.id} ends ${task}: ${why}`);
+    this.rules.left(task, worker.machine.id, why === 'done');
+  }
+
+  beat(worker: StandInWorker, node: string, report: Report): Promise<BeatAnswer | null> {
+    return new Promise((resolve) => {
+      this.clock.after(4000, () => resolve(null));
+      const cut = (name: string): boolean => this.cuts.has(`${name} ${worker.machine.id}`);
+      if (cut(node) || !this.running.has(node)) {
+        if (!cut(node)) this.clock.after(2, () => resolve(null));
+        return;
+      }
+      this.clock.after(3, () => {
+        // A follower passes the report on to whoever leads.
+        const seat = this.running.get(this.running.get(node)?.seat.leader ? node : (this.leader ?? ''))?.seat;
+        if (!seat) {
+          resolve({ status: 503, epoch: 0 as BeatAnswer['epoch'], orders: [] });
+          return;
+        }
+        void seat.beat(report).then((answer) => {
+          const body = answer?.body as { epoch: number; orders: Record<string, unknown>[] } | undefined;
+          const orders = (body?.orders ?? []).map((o) => ({
+            verb: o['verb'],
+            task: o['shard'],
+            tryNo: o['try'],
+            graceS: o['drainS'],
+          }));
+          const epoch = (body?.epoch ?? 0) as BeatAnswer['epoch'];
+          this.clock.after(2, () =>
+            resolve({
+              status: answer?.status ?? 503,
+              epoch,
+              orders: orders as unknown as BeatAnswer['orders'],
+            }),
+          );
+        });
+      });
+    });
+  }
+
+  // Users
+
+  async submit(wish: JobWish, node = 'node-0'): Promise<number> {
+    const kind = wish.kind ?? 'array';
+    const body = {
+      ref: wish.ref,
+      jobclass: kind === 'array' ? 'batch' : 'live',
+      owner: wish.team ?? 'red',
+      shape: kind,
+      rank: wish.rank ?? (kind === 'array' ? 'standard' : 'production'),
+      shards: wish.tasks ?? 1,
+      cpus: wish.cpus ?? 2,
+      gpus: 0,
+      memoryGb: 4,
+      bundle: 'img-1',
+      pullGb: 1,
+      hall: wish.zone ?? null,
+      samePlace: wish.samePlace ?? false,
+      apart: wish.apart ?? false,
+      reclaimable: wish.spot ?? false,
+      expectedS: kind === 'array' ? (wish.runS ?? 5) : 0,
+      savepointS: 0,
+      flushS: 0,
+    };
+    const id = wish.ref as JobId;
+    this.jobs.set(id, {
+      image: 'img-1' as ImageId,
+      fetchMs: 1000,
+      runMs: kind === 'array' ? (wish.runS ?? 5) * 1000 : null,
+      broken: wish.broken ?? false,
+    });
+    const team = settingsOf(node).teams.find((t) => t.id === (body.owner as TeamId));
+    this.rules.submitted(id, body, team?.cpusMax ?? null);
+    const answer = await this.ask(node, `submits ${wish.ref}`, (users) => users.submit(body));
+    if (answer.status === 201 || answer.status === 200) this.rules.accepted(id);
+    return answer.status;
+  }
+
+  async query(ref: string, node = 'node-0'): Promise<string> {
+    const answer = await this.ask(node, `asks for ${ref}`, (users) => users.query(ref));
+    const state = (answer.body as { status?: string }).status ?? String(answer.status);
+    if (answer.status === 200) this.rules.told(ref as JobId, state);
+    if (answer.status === 404) this.rules.told(ref as JobId, '404');
+    return state;
+  }
+
+  async cancel(ref: string, node = 'node-0'): Promise<string> {
+    const answer = await this.ask(node, `cancels ${ref}`, (users) => users.cancel(ref));
+    const state = (answer.body as { status?: string }).status ?? String(answer.status);
+    if (answer.status === 200) {
+      this.rules.told(ref as JobId, state);
+      if (state === 'cancelled') this.rules.cancelled(ref as JobId, this.clock.now() + 40_000);
+    }
+    return state;
+  }
+
+  private async ask(
+    node: string,
+    what: string,
+    act: (users: UserService) => Promise<{ status: number; body: object }>,
+  ): Promise<{ status: number; body: object }> {
+    const users = this.running.get(node)?.users;
+    if (!users) throw new Error(`${node} is down`);
+    let answer: { status: number; body: object } | null = null;
+    void act(users).then(
+      (a) => {
+        answer = a;
+      },
+      () => {
+        answer = { status: 503, body: {} };
+      },
+    );
+    while (answer === null) await this.clock.advance(5);
+    const done = answer as { status: number; body: object };
+    const status = (done.body as { status?: string }).status;
+    this.trace(`user       ${what} at ${node}: ${done.status}${status ? ` ${status}` : ''}`);
+    return done;
+  }
+
+  /** Every running task of a job, by the checker's own account. */
+  tasksOn(ref: string): number {
+    return this.rules.count((task) => splitTaskId(task)?.job === ref);
+  }
+
+  /** Cancellations past their limit that still have tasks on machines count as broken. */
+  finish(): void {
+    this.rules.checkCancelled(this.clock.now());
+  }
+}
+
+export { address };
--- /dev/null
+++ b/test/standins/state.ts
@@ -0,0 +1,140 @@
+import type { GrantId, Stamp } from '../../src/model/ids.js';
+import type { Clock } from '../../src/model/time.js';
+import { type Committed, StateRefused, type StateStore, StateUnknown } from '../../src/store/client.js';
+import type { Change, Condition, Page, Row, Write } from '../../src/wire/state.js';
+
+interface Entry {
+  value: unknown;
+  stamp: Stamp;
+  grant: GrantId | null;
+}
+
+const LATENCY_MS = 5;
+const DEADLINE_MS = 1000;
+
+/** A state service in memory, by the published protocol. */
+export class StandInState {
+  readonly keys = new Map<string, Entry>();
+  private readonly log: Change[] = [];
+  private readonly grants = new Map<GrantId, { ttl: number; until: number }>();
+  private readonly watchers = new Set<() => void>();
+  private ledger = 0;
+  private nextGrant = 1;
+  outage = false;
+  /** Nodes that are refused while the others are served. */
+  readonly refused = new Set<string>();
+  /** The next commit of such a node brings no answer and is applied after this many ms. */
+  readonly delayCommit = new Map<string, number>();
+
+  constructor(private readonly clock: Clock) {
+    this.expire();
+  }
+
+  private expire(): void {
+    this.clock.after(50, () => {
+      const now = this.clock.now();
+      for (const [id, grant] of this.grants) {
+        // During an outage no lease ends; after it every lease has its full time again.
+        if (this.outage) grant.until = now + grant.ttl;
+        else if (grant.until <= now) this.endGrant(id);
+      }
+      this.expire();
+    });
+  }
+
+  private endGrant(id: GrantId): void {
+    this.grants.delete(id);
+    const drops = [...this.keys].filter(([, e]) => e.grant === id).map(([key]) => ({ drop: key }));
+    if (drops.length > 0) this.apply(drops);
+  }
+
+  private apply(writes: readonly Write[]): Stamp {
+    this.ledger++;
+    const stamp = this.ledger as Stamp;
+    for (const w of writes) {
+      if ('set' in w) {
+        const value: unknown = JSON.parse(JSON.stringify(w.value));
+        this.keys.set(w.set, { value, stamp, grant: w.grant ?? null });
+        this.log.push({ key: w.set, value, stamp });
+      } else if (this.keys.delete(w.drop)) this.log.push({ key: w.drop, value: undefined, stamp });
+    }
+    for (const wake of [...this.watchers]) wake();
+    return stamp;
+  }
+
+  private decide(conditions: readonly Condition[], writes: readonly Write[]): Committed {
+    const failed = conditions.filter((c) => (this.keys.get(c.key)?.stamp ?? 0) !== c.stamp).map((c) => c.key);
+    if (failed.length > 0) return { ok: false, failed };
+    return { ok: true, stamp: writes.length > 0 ? this.apply(writes) : (this.ledger as Stamp) };
+  }
+
+  value(key: string): unknown {
+    return this.keys.get(key)?.value;
+  }
+
+  /** The service as one process sees it. */
+  for(node: string, clock: Clock): StateStore {
+    const ask = <T>(act: () => T): Promise<T> =>
+      new Promise((resolve, reject) => {
+        clock.after(LATENCY_MS, () => {
+          if (this.outage || this.refused.has(node)) reject(new StateRefused('state answered 503'));
+          else resolve(act());
+        });
+      });
+    return {
+      get: (key) =>
+        ask((): Row | null => {
+          const e = this.keys.get(key);
+          return e ? { key, value: e.value, stamp: e.stamp } : null;
+        }),
+      range: (prefix, after) =>
+        ask((): Page => {
+          const rows = [...this.keys]
+            .filter(([key]) => key.startsWith(prefix) && (after === undefined || key > after))
+            .sort(([a], [b]) => (a < b ? -1 : 1))
+            .map(([key, e]) => ({ key, value: e.value, stamp: e.stamp }));
+          return { rows, more: false, ledger: this.ledger as Stamp };
+        }),
+      commit: (conditions, writes) => {
+        const delay = this.delayCommit.get(node);
+        if (delay === undefined) return ask(() => this.decide(conditions, writes));
+        this.delayCommit.delete(node);
+        this.clock.after(delay, () => this.decide(conditions, writes));
+        return new Promise((_, reject) => {
+          clock.after(DEADLINE_MS, () => reject(new StateUnknown('state: deadline passed')));
+        });
+      },
+      grant: (ttl) =>
+        ask(() => {
+          const id = this.nextGrant++ as GrantId;
+          this.grants.set(id, { ttl, until: this.clock.now() + ttl });
+          return id;
+        }),
+      touch: (id) =>
+        ask(() => {
+          const grant = this.grants.get(id);
+          if (grant) grant.until = this.clock.now() + grant.ttl;
+          return grant !== undefined;
+        }),
+      release: (id) => ask(() => this.endGrant(id)),
+      changes: (prefix, after, waitMs) =>
+        new Promise((resolve, reject) => {
+          if (this.refused.has(node) || this.outage) {
+            clock.after(LATENCY_MS, () => reject(new StateRefused('state: watch answered 503')));
+            return;
+          }
+          const news = (): Change[] => this.log.filter((c) => c.stamp > after && c.key.startsWith(prefix));
+          const answer = (): void => {
+            if (this.outage || this.refused.has(node)) return;
+            if (news().length === 0 && this.clock.now() < end) return;
+            this.watchers.delete(answer);
+            clock.after(LATENCY_MS, () => resolve({ ledger: this.ledger as Stamp, changes: news() }));
+          };
+          const end = this.clock.now() + waitMs;
+          this.watchers.add(answer);
+          this.clock.after(waitMs, answer);
+          answer();
+        }),
+    };
+  }
+}
--- /dev/null
+++ b/test/standins/worker.ts
@@ -0,0 +1,224 @@
+import type { Counter, Epoch, ImageId, JobId, TaskId, Tenure, TryNo } from '../../src/model/ids.js';
+import { splitTaskId } from '../../src/model/ids.js';
+import type { Machine } from '../../src/model/machine.js';
+import type { Attempt, AttemptState, Order, Report } from '../../src/model/report.js';
+import type { Clock } from '../../src/model/time.js';
+import { address } from './cloud.js';
+
+export interface JobFacts {
+  readonly image: ImageId;
+  readonly fetchMs: number;
+  /** Null: runs until it is killed. */
+  readonly runMs: number | null;
+  /** Every attempt fails. */
+  readonly broken: boolean;
+}
+
+export interface BeatAnswer {
+  readonly status: number;
+  readonly epoch: Epoch;
+  readonly orders: readonly Order[];
+}
+
+export interface WorkerWorld {
+  readonly nodes: readonly string[];
+  job(id: JobId): JobFacts | undefined;
+  started(worker: StandInWorker, task: TaskId, tryNo: TryNo): void;
+  left(worker: StandInWorker, task: TaskId, why: string): void;
+  /** Null: no answer. */
+  beat(worker: StandInWorker, node: string, report: Report): Promise<BeatAnswer | null>;
+}
+
+interface Here {
+  tryNo: TryNo;
+  state: AttemptState;
+  cause: string | null;
+}
+
+const REPORT_MS = 3000;
+
+/** One machine's worker, by the published protocol. */
+export class StandInWorker {
+  private tenure = 1;
+  private counter = 0;
+  private epoch = 0;
+  private node = 0;
+  private lastAnsweredSent: number;
+  private readonly here = new Map<TaskId, Here>();
+  private readonly images = new Set<ImageId>();
+  private reporting = false;
+  private dirty = false;
+  private lastSent = -Infinity;
+  /** Does nothing; messages to it wait. */
+  hung = false;
+  /** Its machine fails whatever it starts. */
+  sick = false;
+  gone = false;
+  notice: number | null = null;
+  private readonly held: (() => void)[] = [];
+
+  constructor(
+    readonly machine: Machine,
+    private readonly clock: Clock,
+    private readonly world: WorkerWorld,
+    private readonly leaseMs: number,
+  ) {
+    this.lastAnsweredSent = clock.now();
+    this.tick();
+  }
+
+  hang(): void {
+    this.hung = true;
+  }
+
+  goOn(): void {
+    this.hung = false;
+    this.checkLease();
+    for (const run of this.held.splice(0)) run();
+  }
+
+  private tick(): void {
+    if (this.gone) return;
+    this.clock.after(250, () => {
+      if (!this.hung) {
+        this.checkLease();
+        const wait = this.dirty ? 500 : REPORT_MS;
+        if (!this.reporting && this.clock.now() - this.lastSent >= wait) void this.report();
+      }
+      this.tick();
+    });
+  }
+
+  private checkLease(): void {
+    if (this.gone || this.clock.now() - this.lastAnsweredSent <= this.leaseMs) return;
+    for (const [task, t] of this.here) if (t.state !== 'exited') this.world.left(this, task, 'lease over');
+    this.here.clear();
+    this.tenure++;
+    this.lastAnsweredSent = this.clock.now();
+    this.dirty = true;
+  }
+
+  private snapshot(): Report {
+    this.counter++;
+    const attempts: Attempt[] = [...this.here].map(([task, t]) => ({
+      task,
+      tryNo: t.tryNo,
+      state: t.state,
+      cause: t.cause,
+    }));
+    return {
+      host: this.machine.id,
+      address: address(this.machine.id),
+      type: this.machine.type,
+      zone: this.machine.zone,
+      spot: this.machine.spot,
+      tenure: this.tenure as Tenure,
+      counter: this.counter as Counter,
+      epoch: this.epoch as Epoch,
+      notice: this.notice as Report['notice'],
+      attempts,
+    };
+  }
+
+  private async report(): Promise<void> {
+    this.reporting = true;
+    this.dirty = false;
+    const sent = this.clock.now();
+    this.lastSent = sent;
+    const tenure = this.tenure;
+    const node = this.world.nodes[this.node % this.world.nodes.length] as string;
+    const answer = await this.world.beat(this, node, this.snapshot());
+    this.reporting = false;
+    if (this.gone || this.hung) return;
+    if (!answer || answer.status !== 200) {
+      this.node++;
+      this.lastSent = this.clock.now() - REPORT_MS + 1000;
+      return;
+    }
+    if (this.clock.now() - sent > 4000 || tenure !== this.tenure || answer.epoch < this.epoch) return;
+    if (answer.epoch > this.epoch) this.dirty = true;
+    this.epoch = answer.epoch;
+    this.lastAnsweredSent = sent;
+    this.execute(answer.orders);
+  }
+
+  /** POST /commands; a hanging machine carries it out when it goes on. */
+  command(epoch: Epoch, tenure: Tenure, orders: readonly Order[]): { executed: boolean; report: Report } {
+    if (epoch < this.epoch || tenure !== this.tenure) return { executed: false, report: this.snapshot() };
+    if (epoch > this.epoch) this.dirty = true;
+    this.epoch = epoch;
+    this.execute(orders);
+    return { executed: true, report: this.snapshot() };
+  }
+
+  /** Runs now, or once the machine goes on. */
+  whenAwake(run: () => void): void {
+    if (this.hung) this.held.push(run);
+    else if (!this.gone) run();
+  }
+
+  show(): Report {
+    return this.snapshot();
+  }
+
+  private execute(orders: readonly Order[]): void {
+    for (const order of orders) {
+      const known = this.here.get(order.task);
+      if (order.verb === 'run') {
+        if (known && known.tryNo === order.tryNo) continue;
+        if (known && known.state !== 'exited') continue;
+        this.start(order.task, order.tryNo);
+      } else if (order.verb === 'kill') {
+        if (known && known.tryNo === order.tryNo && known.state !== 'exited')
+          this.exit(order.task, known, 'stopped');
+      } else if (known && known.tryNo === order.tryNo && known.state === 'exited')
+        this.here.delete(order.task);
+    }
+  }
+
+  private exit(task: TaskId, t: Here, cause: string): void {
+    const was = t.state;
+    t.state = 'exited';
+    t.cause = cause;
+    this.dirty = true;
+    if (was === 'running') this.world.left(this, task, cause);
+  }
+
+  private start(task: TaskId, tryNo: TryNo): void {
+    const job = this.world.job(splitTaskId(task)?.job as JobId);
+    const t: Here = { tryNo, state: 'fetching', cause: null };
+    this.here.set(task, t);
+    this.dirty = true;
+    if (!job) {
+      this.exit(task, t, 'no_such');
+      return;
+    }
+    this.clock.after(this.images.has(job.image) ? 1 : job.fetchMs, () => this.ready(task, t, job));
+  }
+
+  private ready(task: TaskId, t: Here, job: JobFacts): void {
+    if (this.gone || t.state !== 'fetching' || this.here.get(task) !== t) return;
+    this.images.add(job.image);
+    t.state = 'running';
+    this.dirty = true;
+    this.world.started(this, task, t.tryNo);
+    if (this.sick || job.broken) this.finishAfter(task, t, 800, 'error');
+    else if (job.runMs !== null) this.finishAfter(task, t, job.runMs, 'done');
+  }
+
+  private finishAfter(task: TaskId, t: Here, ms: number, cause: string): void {
+    this.clock.after(ms, () => {
+      const finish = (): void => {
+        if (!this.gone && t.state === 'running' && this.here.get(task) === t) this.exit(task, t, cause);
+      };
+      this.whenAwake(finish);
+    });
+  }
+
+  /** The machine is gone, with everything on it. */
+  vanish(): void {
+    this.gone = true;
+    for (const [task, t] of this.here) if (t.state === 'running') this.world.left(this, task, 'machine gone');
+    this.here.clear();
+  }
+}
--- /dev/null
+++ b/test/traces/trace.ts
@@ -0,0 +1,13 @@
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
+import { expect } from 'vitest';
+import type { Site } from '../standins/site.js';
+
+/** Compares a scenario's event log with the kept one; a first run, or ACCEPT_TRACES, writes it. */
+export function expectTrace(name: string, site: Site): void {
+  site.finish();
+  expect(site.rules.broken).toEqual([]);
+  const path = new URL(`./${name}.txt`, import.meta.url);
+  if (process.env['ACCEPT_TRACES']) writeFileSync(path, site.text);
+  expect(existsSync(path), `no kept trace ${name}; run npm run traces:accept and read it`).toBe(true);
+  expect(site.text).toBe(readFileSync(path, 'utf8'));
+}
