--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -342,7 +342,7 @@
       spec: job.spec,
       tasks,
       runMs: this.runMs(job.spec),
-      slackMs: plan.guaranteed.has(job.spec.id) ? 0 : job.slackMs,
+      slackMs: this.slackAfterBoot(job),
     }));
     this.fleet.unmet(queue);
     this.committer.poke();
@@ -352,6 +352,12 @@
     return this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
   }
 
+  /** What a machine rented now can still save: the job's next target that its boot leaves reachable. */
+  private slackAfterBoot(job: JobView): number | null {
+    const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
+    return this.urgency.slack(job.spec, age + this.fleet.slowestBoot(), this.runMs(job.spec));
+  }
+
   private jobView(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
     return jobView(job, now, this.urgency.slack(job.spec, age, this.runMs(job.spec)));
--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -5,7 +5,7 @@
   readonly spec: JobSpec;
   readonly tasks: number;
   readonly runMs: number;
-  /** How long its last task may wait to start; null: no target is left. */
+  /** How long its last task may still wait after a boot; null: no target is left then. */
   readonly slackMs: number | null;
 }
 
@@ -21,12 +21,7 @@
  * one job after the other, behind `busyCpuMs` of work that is already running: the expected frees
  * of the design, counted until each job's own limit instead of one slot.
  */
-export function lateNeeds(
-  queue: readonly QueuedWork[],
-  cpus: number,
-  busyCpuMs: number,
-  bootMs: number,
-): Need[] {
+export function lateNeeds(queue: readonly QueuedWork[], cpus: number, busyCpuMs: number): Need[] {
   const needs: Need[] = [];
   let ahead = busyCpuMs;
   let rate = cpus * PACKED;
@@ -34,8 +29,7 @@
     const size = Math.max(0.01, job.spec.cpus);
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
-    // A machine rented for it helps only after its boot.
-    const patience = Math.max(LEAST_MS, (job.slackMs ?? NO_TARGET_MS) - bootMs) + job.runMs;
+    const patience = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
     const deficit = ahead / patience - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -193,12 +193,12 @@
     );
     const must = rentFor(needs(firm), coming, open, most);
     if (cheap.length > 0) return [...must, ...cheap];
-    const late = lateNeeds(spotWork, this.workingCpus(coming), this.busyCpuMs(), this.slowestBoot());
+    const late = lateNeeds(spotWork, this.workingCpus(coming), this.busyCpuMs());
     const ordinary = open.filter((p) => !p.spot);
     return [...must, ...rentFor(late, [], ordinary, most)];
   }
 
-  private slowestBoot(): number {
+  slowestBoot(): number {
     let boot = 0;
     for (const type of this.ctx.types.values()) boot = Math.max(boot, type.boot);
     return boot;
