--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -95,7 +95,7 @@
       this.ctx,
       this.stateBudget,
       (tasks) => this.placed(tasks),
-      (job) => this.ctx.log.debug({ job: job.spec.id, cancelled: job.cancelled }, 'job closed'),
+      (job) => this.closed(job),
     );
     const onReport = (host: Host, report: Report): void => void this.directReport(host, report);
     this.dispatcher = new Dispatcher(this.ctx, onReport);
@@ -435,6 +435,10 @@
   private told(host: Host, told: Told): void {
     const { log, clock, ops } = this.ctx;
     const now = clock.now();
+    for (const { job } of told.started) {
+      job.firstRunAt ??= now;
+      job.lastRunAt = now;
+    }
     for (const { task, ranMs } of told.finished) {
       if (ranMs === null) continue;
       this.lifetimes.add(task.job.spec.jobClass, ranMs, task.job.spec.estimateS * 1000);
@@ -472,6 +476,28 @@
     job.notBefore = plus(now, backoff);
   }
 
+  private closed(job: OpenJob): void {
+    const { id, jobClass, tasks, estimateS } = job.spec;
+    const now = this.ctx.clock.now();
+    const ago = (at: Steady | null): number | null =>
+      at === null ? null : Math.round((now - at) / 100) / 10;
+    const ageS = Math.round((this.ctx.clock.wall() - job.acceptedAt) / 100) / 10;
+    this.ctx.log.info(
+      {
+        job: id,
+        jobClass,
+        tasks,
+        cancelled: job.cancelled,
+        estimateS,
+        ageS,
+        firstRunAgoS: ago(job.firstRunAt),
+        lastRunAgoS: ago(job.lastRunAt),
+        lost: job.lost,
+      },
+      'job closed',
+    );
+  }
+
   private hostGone(host: Host): void {
     const lost = loseAll(host, this.ctx.clock.now());
     if (lost.length > 0)
--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from '../model/job.js';
+import { type JobSpec, Priority } from '../model/job.js';
 import type { Need } from './plan.js';
 
 export interface QueuedWork {
@@ -13,6 +13,8 @@
 const NO_TARGET_MS = 90_000;
 /** Tasks of odd sizes leave gaps, and some work is lost and done again. */
 const PACKED = 0.8;
+/** Work of the lowest rank waits longer before ordinary machines are rented for it. */
+const LOW_RANK = 2;
 /** Renting cannot help sooner. */
 const LEAST_MS = 5000;
 
@@ -29,7 +31,8 @@
     const size = Math.max(0.01, job.spec.cpus);
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
-    const patience = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
+    const ready = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
+    const patience = job.spec.priority === Priority.Low ? ready * LOW_RANK : ready;
     const deficit = ahead / patience - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -30,6 +30,7 @@
 const MOST_PER_RENTAL = 50;
 const MOST_PER_DELETE = 100;
 const RENT_TRIES = 4;
+const FIRST_SLOT = 0.3;
 /** A need of less than this part of a machine is not rented for. */
 const ROUND_DOWN = 0.3;
 /** By then a machine that is up has been heard by a new leader. */
@@ -441,9 +442,9 @@
     for (const key of this.slotNeed.keys()) this.ensemble(key);
     const told: Record<string, unknown> = {};
     for (const [key, ensemble] of this.ensembles) {
-      const need = this.slotNeed.get(key) ?? 0;
-      // The first slot of a site holds a stock of old work, not a slot's arrivals.
-      if (first && ensemble.series.length === 0) continue;
+      // The first slot of a site holds a stock of old work: a slot's arrivals are a part of it.
+      const stock = first && ensemble.series.length === 0 ? FIRST_SLOT : 1;
+      const need = (this.slotNeed.get(key) ?? 0) * stock;
       ensemble.observe(need, !this.refusedInSlot.has(key));
       const forecast = ensemble.forecast();
       const net = this.wanted(key, frees) - (reserves.get(key) ?? 0);
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -103,6 +103,10 @@
   closing = false;
   /** Hosts on which this job's tasks failed, and until when it waits after failing on several. */
   readonly failedOn = new Set<HostId>();
+  /** When its tasks ran, for the log. */
+  firstRunAt: Steady | null = null;
+  lastRunAt: Steady | null = null;
+  lost = 0;
   failures = 0;
   notBefore: Steady | null = null;
 
@@ -179,6 +183,7 @@
     task.zone = null;
     this.resetAttempt(task);
     this.heldCount--;
+    this.lost++;
     this.again.push(task.index);
     this.chunkOf(task.index).touch(now);
   }
