--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -32,7 +32,7 @@
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
     const ready = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
-    const patience = job.spec.priority === Priority.Low ? ready * LOW_RANK : ready;
+    const patience = job.spec.priority === Priority.Low ? ready * LOW_RANK * 2 : ready * 3;
     const deficit = ahead / patience - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
