--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -282,6 +282,9 @@
         host?.tasks.delete(task);
         job.release(task, now);
       } else {
+        if (job.spec.kind === 'service' && task.runningAt !== null) {
+          this.lifetimes.add(job.spec.jobClass, now - task.runningAt);
+        }
         task.kill = { graceS: 0, why: 'cancelled', at: now };
         if (host) wake.add(host);
       }
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -20,6 +20,7 @@
   perMachine,
   type Pool,
   poolKey,
+  price,
   rentFor,
   seriesKey,
   type Wish,
@@ -31,6 +32,7 @@
 const MOST_PER_DELETE = 100;
 const RENT_TRIES = 4;
 const FIRST_SLOT = 0.3;
+const MOST_AHEAD = 10;
 /** A need of less than this part of a machine is not rented for. */
 const ROUND_DOWN = 0.3;
 /** By then a machine that is up has been heard by a new leader. */
@@ -259,6 +261,9 @@
         this.refusedInSlot.add(seriesKey(rental.type, rental.spot));
       }
       if (got.length > 0) this.saveFleet();
+      if (why === 'forecast' && got.length < count) {
+        this.rentAhead(seriesKey(rental.type, rental.spot), count - got.length);
+      }
     } catch (error) {
       log.info({ name, pool: poolKey(rental), error: reason(error) }, 'rental failed');
     } finally {
@@ -390,6 +395,8 @@
       let sum = 0;
       for (const task of host.tasks) {
         const { spec } = task.job;
+        // Spot work on an ordinary machine is counted with the reserve already.
+        if (spec.spot && !host.machine.spot) continue;
         const age = task.runningAt === null ? 0 : now - task.runningAt;
         const p = this.lifetimes.endsWithin(spec.jobClass, age, slotMs, spec.estimateS * 1000);
         sum += p / Math.max(1, perMachine(spec, host.type));
@@ -467,12 +474,25 @@
     return was;
   }
 
+  /** One batched call; what a stockout leaves over is asked of another zone, then of another type. */
   private rentAhead(key: string, count: number): void {
     const spot = key.endsWith('~spot');
-    const id = spot ? key.slice(0, -5) : key;
-    const pools = this.openPools().filter((p) => p.type.id === id && p.spot === spot);
-    const pool = pools[Math.floor(this.ctx.random() * pools.length)];
-    if (pool) this.rent({ pool, count: Math.min(count, 10) }, 'forecast');
+    const type = this.ctx.types.get((spot ? key.slice(0, -5) : key) as TypeId);
+    if (!type) return;
+    const open = this.openPools().filter((p) => p.spot === spot);
+    const same = open.filter((p) => p.type.id === type.id);
+    if (same.length > 0) {
+      const pool = same[Math.floor(this.ctx.random() * same.length)] as Pool;
+      this.rent({ pool, count: Math.min(count, MOST_AHEAD) }, 'forecast');
+      return;
+    }
+    // Replicas cannot wait for the type to come back; spot work can.
+    if (spot || open.length === 0) return;
+    const next = open.reduce((best, p) => (price(p) < price(best) ? p : best));
+    this.rent(
+      { pool: next, count: Math.max(1, Math.round((count * type.cpus) / next.type.cpus)) },
+      'forecast',
+    );
   }
 
   /** Idle machines beyond what the forecast still wants go back after the wait. */
