Reserve for replicas topped up within the slot; patience for late work 2, lowest rank 4

Cause: a replica that took from the reserve left the next one to wait for the slot's end and a boot; the first minute had no forecast at all.

--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -14,7 +14,9 @@
 /** Tasks of odd sizes leave gaps, and some work is lost and done again. */
 const PACKED = 0.8;
 /** Work of the lowest rank waits longer before ordinary machines are rented for it. */
-const LOW_RANK = 2;
+const LOW_RANK = 4;
+/** Slack is reckoned on the careful side; ordinary machines are rented on what is likely. */
+const MEANT = 2;
 /** Renting cannot help sooner. */
 const LEAST_MS = 5000;
 
@@ -32,7 +34,7 @@
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
     const ready = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
-    const patience = job.spec.priority === Priority.Low ? ready * LOW_RANK * 2 : ready * 3;
+    const patience = job.spec.priority === Priority.Low ? ready * LOW_RANK : ready * MEANT;
     const deficit = ahead / patience - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -347,6 +347,7 @@
     this.dropLate(now);
     this.rentUnmet();
     if (now >= this.slotEnds) this.endSlot(now);
+    else this.topUp(now);
     this.giveBack(now);
   }
 
@@ -429,14 +430,44 @@
     return reserves;
   }
 
+  private holdsReplicas(type: TypeId): boolean {
+    for (const host of this.ctx.hosts.hosts.values()) {
+      if (host.machine.type !== type) continue;
+      for (const task of host.tasks) if (task.job.spec.kind === 'service') return true;
+    }
+    return false;
+  }
+
   /**
    * New need less expected frees. What is rented now serves only after its boot: ordinary machines
    * are wanted for a slot and a boot, since their work must not wait for either.
    */
   private wanted(key: string, frees: ReadonlyMap<string, number>): number {
-    const perSlot = this.ensemble(key).forecast() - (frees.get(key) ?? 0);
+    const ensemble = this.ensemble(key);
+    // Before the first slot has ended, its stock of old work tells what a slot may bring.
+    const early = (this.slotNeed.get(key) ?? 0) * FIRST_SLOT;
+    const forecast = ensemble.series.length === 0 ? early : ensemble.forecast();
+    const perSlot = forecast - (frees.get(key) ?? 0);
     const type = this.ctx.types.get(key as TypeId);
-    return type ? perSlot * (1 + type.boot / (this.ctx.ops.forecast.slot_s * 1000)) : perSlot;
+    if (!type) return perSlot;
+    // One machine's replicas find room at once when it dies.
+    const floor = this.holdsReplicas(type.id) ? 1 : 0;
+    return Math.max(floor, perSlot * (1 + type.boot / (this.ctx.ops.forecast.slot_s * 1000)));
+  }
+
+  /**
+   * Ordinary machines are topped up within the slot too: a replica that took from the reserve must
+   * not leave the next one to wait for the slot's end and a boot.
+   */
+  private topUp(now: Steady): void {
+    if (this.pending.size > 0) return;
+    const frees = this.frees(this.ctx.ops.forecast.slot_s * 1000, now);
+    const reserves = this.reserves();
+    for (const key of new Set([...this.ensembles.keys(), ...this.slotNeed.keys()])) {
+      if (key.endsWith('~spot')) continue;
+      const count = Math.ceil(this.wanted(key, frees) - (reserves.get(key) ?? 0) - ROUND_DOWN);
+      if (count > 0) this.rentAhead(key, count);
+    }
   }
 
   private endSlot(now: Steady): void {
