--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -12,6 +12,7 @@
 import { Budget } from '../net/budget.js';
 import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
 import { type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
+import { Patience } from '../scheduler/patience.js';
 import { Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
 import { decodeJob, keys } from '../store/records.js';
@@ -48,6 +49,7 @@
   private readonly lock = new Mutex();
   private readonly lifetimes = new Lifetimes();
   private readonly urgency: Urgency;
+  private readonly patience = new Patience();
   private readonly stateBudget: Budget;
   private over = false;
   private ready = false;
@@ -86,6 +88,7 @@
       this.ctx,
       cloudBudget,
       this.lifetimes,
+      this.patience,
       (host) => this.hostGone(host),
       () => {
         this.fleetDirty = true;
@@ -345,7 +348,7 @@
       spec: job.spec,
       tasks,
       runMs: this.runMs(job.spec),
-      slackMs: this.slackAfterBoot(job),
+      ...this.waitAfterBoot(job),
     }));
     this.fleet.unmet(queue);
     this.committer.poke();
@@ -356,9 +359,13 @@
   }
 
   /** What a machine rented now can still save: the job's next target that its boot leaves reachable. */
-  private slackAfterBoot(job: JobView): number | null {
-    const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    return this.urgency.slack(job.spec, age + this.fleet.slowestBoot(), this.runMs(job.spec));
+  private waitAfterBoot(job: JobView): { slackMs: number | null; patience: number } {
+    const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt) + this.fleet.slowestBoot();
+    const target = this.urgency.next(job.spec, age, this.runMs(job.spec));
+    return {
+      slackMs: this.urgency.slack(job.spec, age, this.runMs(job.spec)),
+      patience: this.patience.factor(job.spec.jobClass, target?.allowed ?? 0.1),
+    };
   }
 
   private jobView(job: OpenJob, now: Steady): JobView {
@@ -479,11 +486,20 @@
     job.notBefore = plus(now, backoff);
   }
 
+  /** Judged by the first target that renting for the job could have met. */
+  private learnPatience(job: OpenJob): void {
+    const target = this.urgency.next(job.spec, this.fleet.slowestBoot(), this.runMs(job.spec));
+    if (!target) return;
+    const age = this.ctx.clock.wall() - job.acceptedAt;
+    this.patience.over(job.spec.jobClass, age > target.ms, target.allowed);
+  }
+
   private closed(job: OpenJob): void {
     const { id, jobClass, tasks, estimateS } = job.spec;
     const now = this.ctx.clock.now();
     const ago = (at: Steady | null): number | null =>
       at === null ? null : Math.round((now - at) / 100) / 10;
+    if (!job.cancelled) this.learnPatience(job);
     const ageS = Math.round((this.ctx.clock.wall() - job.acceptedAt) / 100) / 10;
     this.ctx.log.info(
       {
--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -1,4 +1,4 @@
-import { type JobSpec, Priority } from '../model/job.js';
+import type { JobSpec } from '../model/job.js';
 import type { Need } from './plan.js';
 
 export interface QueuedWork {
@@ -7,16 +7,14 @@
   readonly runMs: number;
   /** How long its last task may still wait after a boot; null: no target is left then. */
   readonly slackMs: number | null;
+  /** How much longer than that it may wait (`Patience`). */
+  readonly patience: number;
 }
 
 /** Work without a target left is still worked off within this. */
 const NO_TARGET_MS = 90_000;
 /** Tasks of odd sizes leave gaps, and some work is lost and done again. */
 const PACKED = 0.8;
-/** Work of the lowest rank waits longer before ordinary machines are rented for it. */
-const LOW_RANK = 4;
-/** Slack is reckoned on the careful side; ordinary machines are rented on what is likely. */
-const MEANT = 2;
 /** Renting cannot help sooner. */
 const LEAST_MS = 5000;
 
@@ -34,7 +32,7 @@
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
     const ready = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
-    const patience = job.spec.priority === Priority.Low ? ready * LOW_RANK : ready * MEANT;
+    const patience = ready * job.patience;
     const deficit = ahead / patience - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -2,6 +2,7 @@
 import { CloudRefused, type Rented } from '../cloud/client.js';
 import { lateNeeds, type QueuedWork } from './backlog.js';
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
+import type { Patience } from '../scheduler/patience.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
 import { autoregression, highQuantile, movingAverage } from '../forecast/predictors.js';
 import { reason } from '../log/logger.js';
@@ -32,6 +33,8 @@
 const MOST_PER_DELETE = 100;
 const RENT_TRIES = 4;
 const FIRST_SLOT = 0.3;
+/** The record, beside the series', of what classes have missed. */
+const PATIENCE = '~patience';
 const MOST_AHEAD = 10;
 /** A need of less than this part of a machine is not rented for. */
 const ROUND_DOWN = 0.3;
@@ -67,6 +70,7 @@
     private readonly ctx: LeaderContext,
     private readonly budget: Budget,
     private readonly lifetimes: Lifetimes,
+    private readonly patience: Patience,
     private readonly onGone: (host: Host) => void,
     private readonly saveFleet: () => void,
   ) {
@@ -93,11 +97,13 @@
   }
 
   restoreForecast(key: string, stored: unknown): void {
-    this.ensemble(key).restore(stored);
+    if (key === PATIENCE) this.patience.restore(stored);
+    else this.ensemble(key).restore(stored);
   }
 
   forecastRecords(): Map<string, unknown> {
-    return new Map([...this.ensembles].map(([k, e]) => [k, e.record()]));
+    const records = new Map<string, unknown>([...this.ensembles].map(([k, e]) => [k, e.record()]));
+    return records.set(PATIENCE, this.patience.record());
   }
 
   /** New demand: counted once for the type that would serve it best, refused or not. */
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -4,35 +4,51 @@
 /** Room for a task that runs longer than expected, and for its image. */
 const LONGER = 1.25;
 const FETCH_MS = 4000;
+const DEFAULT_SHARE = 0.9;
+
+export interface Target {
+  /** From the job's submission. */
+  readonly ms: number;
+  /** The share of its class that may miss it. */
+  readonly allowed: number;
+}
 
 /**
  * How long a job may still wait, by its own deadline and its class's objectives. A target that can
  * no longer be met gives way to the next one: hopeless work must not push aside what can be saved.
  */
 export class Urgency {
-  private readonly within = new Map<string, number[]>();
+  private readonly finished = new Map<string, Target[]>();
+  private readonly deadline = new Map<string, number>();
 
   constructor(objectives: readonly Objective[]) {
     for (const o of objectives) {
-      if (o.kind !== 'finished' || o.jobClass === null || o.within === null) continue;
-      const list = this.within.get(o.jobClass) ?? [];
-      list.push(o.within);
-      this.within.set(
-        o.jobClass,
-        list.sort((a, b) => a - b),
-      );
+      if (o.jobClass === null) continue;
+      const allowed = 1 - (o.share ?? DEFAULT_SHARE);
+      if (o.kind === 'deadline') this.deadline.set(o.jobClass, allowed);
+      if (o.kind !== 'finished' || o.within === null) continue;
+      this.finished.set(o.jobClass, [...(this.finished.get(o.jobClass) ?? []), { ms: o.within, allowed }]);
     }
   }
 
-  /** Milliseconds until the job's tasks should have started; null: nothing is asked of it any more. */
-  slack(spec: JobSpec, ageMs: number, expectedRunMs: number): number | null {
-    const targets = [...(this.within.get(spec.jobClass) ?? [])];
-    if (spec.deadlineS !== null) targets.push(spec.deadlineS * 1000);
-    targets.sort((a, b) => a - b);
-    for (const target of targets) {
-      const slack = target - ageMs - expectedRunMs * LONGER - FETCH_MS;
-      if (slack > 0) return slack;
+  private targets(spec: JobSpec): Target[] {
+    const targets = [...(this.finished.get(spec.jobClass) ?? [])];
+    if (spec.deadlineS !== null) {
+      const allowed = this.deadline.get(spec.jobClass) ?? 1 - DEFAULT_SHARE;
+      targets.push({ ms: spec.deadlineS * 1000, allowed });
     }
-    return null;
+    return targets.sort((a, b) => a.ms - b.ms);
+  }
+
+  /** The first target that still can be met; null: nothing is asked of the job any more. */
+  next(spec: JobSpec, ageMs: number, expectedRunMs: number): Target | null {
+    const need = ageMs + expectedRunMs * LONGER + FETCH_MS;
+    return this.targets(spec).find((t) => t.ms > need) ?? null;
+  }
+
+  /** Milliseconds until the job's tasks should have started for its next target. */
+  slack(spec: JobSpec, ageMs: number, expectedRunMs: number): number | null {
+    const target = this.next(spec, ageMs, expectedRunMs);
+    return target && target.ms - ageMs - expectedRunMs * LONGER - FETCH_MS;
   }
 }
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -54,6 +54,7 @@
   readonly kind: string;
   readonly jobClass: string | null;
   readonly within: Millis | null;
+  readonly share: number | null;
 }
 
 export interface Settings {
@@ -107,6 +108,7 @@
       kind: o.kind,
       jobClass: o.class ?? null,
       within: o.within_s == null ? null : seconds(o.within_s),
+      share: o.share ?? null,
     })),
     clockError: ms(f.clock_error_ms ?? 0),
     reportEvery: seconds(f.workers.report_s),
