--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -370,7 +370,8 @@
 
   private jobView(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    return jobView(job, now, this.urgency.slack(job.spec, age, this.runMs(job.spec)));
+    const runMs = this.runMs(job.spec);
+    return jobView(job, now, runMs, this.urgency.slack(job.spec, age, runMs));
   }
 
   /** Committed: only now may run orders leave. */
@@ -578,7 +579,7 @@
 
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
 
-function jobView(job: OpenJob, now: Steady, slackMs: number | null): JobView {
+function jobView(job: OpenJob, now: Steady, runMs: number, slackMs: number | null): JobView {
   const zones: JobView['zones'] = new Map();
   // A task on a machine that only its record knows may be in any zone: the job waits.
   let unknownZone = false;
@@ -596,6 +597,7 @@
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
     slackMs,
+    runMs,
     heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
   };
 }
