--- a/src/scheduler/patience.ts
+++ b/src/scheduler/patience.ts
@@ -3,9 +3,9 @@
   missed: number;
 }
 
-const START = 2;
+const START = 1.4;
 const LEAST = 0.7;
-const MOST = 3.5;
+const MOST = 2.5;
 const NEWEST = 0.15;
 
 /**
