--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -14,7 +14,7 @@
 /** The operators' own settings; every field has a default (docs/settings.md). */
 const operators = z.strictObject({
   cluster: section({
-    grant_s: z._default(positive, 3),
+    grant_s: z._default(positive, 2),
     answer_alone_s: z._default(notNegative, 15),
   }),
   forecast: section({
@@ -32,8 +32,8 @@
     max_machines: z._default(z.int().check(z.gte(1)), 200),
   }),
   workers: section({
-    silent_s: z._default(positive, 5),
-    probe_s: z._default(positive, 1),
+    silent_s: z._default(positive, 4),
+    probe_s: z._default(positive, 0.8),
     sick_errors: z._default(z.int().check(z.gte(1)), 3),
   }),
   log: section({ summary_s: z._default(positive, 10) }),
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -47,7 +47,9 @@
       if (since(now, heard) > silentMs) silent.push(host);
     }
     // Many at once: more likely a part of the network, or our own. Their reports may come another way.
-    const many = silent.length > Math.max(3, up * 0.4);
+    // All at once, however few: a deaf leader would fence healthy machines before it gives way.
+    const all = up >= 2 && silent.length === up;
+    const many = all || silent.length > Math.max(3, up * 0.4);
     for (const host of silent) {
       const quiet = since(now, host.heardAt ?? this.ctx.startedAt);
       if (host.probes < PROBES) this.probe(host);
@@ -81,14 +83,18 @@
     });
   }
 
+  /** Probes follow each other at once: every second counts for the replicas on a dead machine. */
   private async ask(host: Host): Promise<void> {
-    try {
-      const report = await this.ctx.workers.show(host.address, this.ctx.ops.workers.probe_s * 1000);
-      if (!report || report.host !== host.id) throw new Error('not the worker asked for');
-      this.heard(host, this.ctx.clock.now());
-      this.onReport(host, report);
-    } catch {
-      host.probes++;
+    while (host.probes < PROBES && !this.ctx.ended()) {
+      try {
+        const report = await this.ctx.workers.show(host.address, this.ctx.ops.workers.probe_s * 1000);
+        if (!report || report.host !== host.id) throw new Error('not the worker asked for');
+        this.heard(host, this.ctx.clock.now());
+        this.onReport(host, report);
+        return;
+      } catch {
+        host.probes++;
+      }
     }
   }
 }
