--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -14,7 +14,7 @@
 /** The operators' own settings; every field has a default (docs/settings.md). */
 const operators = z.strictObject({
   cluster: section({
-    grant_s: z._default(positive, 2),
+    grant_s: z._default(positive, 2.5),
     answer_alone_s: z._default(notNegative, 15),
   }),
   forecast: section({
--- a/src/wire/common.ts
+++ b/src/wire/common.ts
@@ -4,10 +4,27 @@
 export const amount = z.number().check(z.nonnegative());
 export const word = z.string().check(z.minLength(1), z.maxLength(200));
 
+function words(issue: z.core.$ZodIssue): string {
+  switch (issue.code) {
+    case 'invalid_type':
+      return issue.input === undefined ? `missing, or no ${issue.expected}` : `no ${issue.expected}`;
+    case 'unrecognized_keys':
+      return `unknown field ${issue.keys.join(', ')}`;
+    case 'too_small':
+      return `below ${issue.minimum}`;
+    case 'too_big':
+      return `above ${issue.maximum}`;
+    case 'invalid_value':
+      return `none of ${issue.values.join(', ')}`;
+    default:
+      return issue.message;
+  }
+}
+
 /** One clear line naming the first field at fault. */
 export function firstIssue(error: z.core.$ZodError): string {
   const issue = error.issues[0];
   if (!issue) return 'invalid';
   const where = issue.path.map(String).join('.');
-  return where ? `${where}: ${issue.message}` : issue.message;
+  return where ? `${where}: ${words(issue)}` : words(issue);
 }
--- /dev/null
+++ b/test/unit/wire.test.ts
@@ -0,0 +1,128 @@
+import { describe, expect, it } from 'vitest';
+import { readOperators } from '../../src/config/operators.js';
+import type { HostId, JobId, TaskIndex, TryNo } from '../../src/model/ids.js';
+import {
+  BadFrame,
+  decodeProgress,
+  encodeFrame,
+  encodeProgress,
+  FrameReader,
+  Kind,
+} from '../../src/peer/frames.js';
+import { decodeChunk, encodeChunk } from '../../src/store/records.js';
+import { readSettings } from '../../src/wire/settings.js';
+import { parseSubmission } from '../../src/wire/users.js';
+import { parseReport } from '../../src/wire/workers.js';
+
+const submission = {
+  ref: 'j-000412',
+  jobclass: 'train',
+  owner: 'vision',
+  shape: 'array',
+  rank: 'urgent',
+  shards: 16,
+  cpus: 8.0,
+  gpus: 1.0,
+  memoryGb: 64.0,
+  bundle: 'img-07',
+  pullGb: 6.2,
+  samePlace: true,
+  apart: false,
+  reclaimable: true,
+  expectedS: 240.0,
+  savepointS: 30.0,
+  flushS: 4.0,
+};
+
+describe('submissions', () => {
+  it('may omit what may be null, and may hold unknown fields', () => {
+    const parsed = parseSubmission({ ...submission, later: 1, dueS: null });
+    expect(parsed).toMatchObject({ ok: true, value: { types: null, zone: null, deadlineS: null } });
+  });
+
+  it.each([
+    ['ref', 'job-1'],
+    ['shards', 0],
+    ['shards', 1.5],
+    ['shape', 'swarm'],
+    ['cpus', -1],
+    ['samePlace', 'yes'],
+    ['bundle', undefined],
+  ])('are malformed with %s = %s', (field, value) => {
+    expect(parseSubmission({ ...submission, [field]: value }).ok).toBe(false);
+  });
+
+  it('are malformed when they are no object', () => {
+    for (const body of [null, undefined, 3, 'x', []]) expect(parseSubmission(body).ok).toBe(false);
+  });
+});
+
+describe('reports', () => {
+  it('count a task in a state that we do not know as being on the machine', () => {
+    const parsed = parseReport({
+      host: 'host-000001',
+      address: '10.1.0.1:9000',
+      flavour: 'g8',
+      hall: 'a',
+      reclaimable: false,
+      tenure: 1,
+      counter: 2,
+      epoch: 3,
+      shards: [{ shard: 'j-000001/0', try: 1, status: 'dreaming' }],
+    });
+    expect(parsed).toMatchObject({ ok: true, value: { attempts: [{ state: 'running' }], notice: null } });
+  });
+});
+
+describe('frames', () => {
+  it('come out whole from any cuts of the stream', () => {
+    const bytes = Buffer.concat([
+      encodeFrame(Kind.Beat, 7, Buffer.from('{"a":1}')),
+      encodeFrame(Kind.Ping, 0, Buffer.alloc(3)),
+    ]);
+    const reader = new FrameReader();
+    const frames = [...bytes].flatMap((b) => reader.push(Buffer.from([b])));
+    expect(frames.map((f) => [f.kind, f.request, f.payload.length])).toEqual([
+      [Kind.Beat, 7, 7],
+      [Kind.Ping, 0, 3],
+    ]);
+  });
+
+  it('are refused when they cannot be ours', () => {
+    expect(() => new FrameReader().push(Buffer.from('GET / HTTP/1.1\r\n'))).toThrow(BadFrame);
+    expect(() => decodeProgress(Buffer.from([200, 1, 2]))).toThrow(BadFrame);
+  });
+
+  it('carry the progress of jobs', () => {
+    const jobs = [{ id: 'j-000412' as JobId, done: 3, running: 13 }];
+    expect(decodeProgress(encodeProgress(jobs))).toEqual(jobs);
+  });
+});
+
+describe('records', () => {
+  it('keep a chunk’s progress, in ranges', () => {
+    const progress = {
+      done: new Set([0, 1, 2, 5] as TaskIndex[]),
+      placed: new Map([[3 as TaskIndex, { tryNo: 2 as TryNo, host: 'host-000001' as HostId }]]),
+      used: new Map([[4 as TaskIndex, 1 as TryNo]]),
+    };
+    const stored = encodeChunk(progress);
+    expect(stored).toEqual({
+      d: [
+        [0, 2],
+        [5, 5],
+      ],
+      p: [[3, 2, 'host-000001']],
+      u: [[4, 1]],
+    });
+    expect(decodeChunk(JSON.parse(JSON.stringify(stored)))).toEqual(progress);
+  });
+});
+
+describe('settings', () => {
+  it('name the field at fault', () => {
+    expect(() => readSettings({ member: 'a' })).toThrow(/^site: /);
+    expect(() => readOperators({ forecast: { slot_s: -1 } })).toThrow(/^forecast\.slot_s: /);
+    expect(() => readOperators({ fleet: { give_back: 1 } })).toThrow(/give_back/);
+  });
+});
