--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -370,8 +370,7 @@
 
   private jobView(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    const runMs = this.runMs(job.spec);
-    return jobView(job, now, runMs, this.urgency.slack(job.spec, age, runMs));
+    return jobView(job, now, this.urgency.slack(job.spec, age, this.runMs(job.spec)));
   }
 
   /** Committed: only now may run orders leave. */
@@ -579,7 +578,7 @@
 
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
 
-function jobView(job: OpenJob, now: Steady, runMs: number, slackMs: number | null): JobView {
+function jobView(job: OpenJob, now: Steady, slackMs: number | null): JobView {
   const zones: JobView['zones'] = new Map();
   // A task on a machine that only its record knows may be in any zone: the job waits.
   let unknownZone = false;
@@ -597,7 +596,6 @@
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
     slackMs,
-    runMs,
     heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
   };
 }
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -3,7 +3,6 @@
 import type { Team } from '../model/team.js';
 import type { WallTime } from '../model/time.js';
 import type { TeamUse } from './job-book.js';
-import { queueOrder } from './queue.js';
 
 /** Pure: a snapshot in, decisions out. */
 export interface MachineView {
@@ -42,8 +41,6 @@
   readonly heldBack: boolean;
   /** How long it may still wait; null: no target is left. */
   readonly slackMs: number | null;
-  /** Expected run time of a task. */
-  readonly runMs: number;
 }
 
 export interface Start {
@@ -81,6 +78,17 @@
   return inside;
 }
 
+export function queueOrder(jobs: readonly JobView[], guaranteed: ReadonlySet<JobId>): JobView[] {
+  const rank = (j: JobView): number =>
+    j.spec.priority === Priority.Production ? 10 : j.spec.priority * 2 + (guaranteed.has(j.spec.id) ? 1 : 0);
+  const slack = (j: JobView): number => j.slackMs ?? Infinity;
+  return [...jobs].sort((a, b) => {
+    if (rank(a) !== rank(b)) return rank(b) - rank(a);
+    if (slack(a) !== slack(b)) return slack(a) - slack(b);
+    return a.acceptedAt - b.acceptedAt;
+  });
+}
+
 export function allowed(spec: JobSpec, m: { type: TypeId; zone: ZoneId; spot: boolean }): boolean {
   if (m.spot && !spec.spot) return false;
   if (spec.zone !== null && spec.zone !== m.zone) return false;
@@ -180,8 +188,7 @@
   const used = new Map<TeamId, TeamUse>();
   for (const [team, u] of use) used.set(team, { ...u });
 
-  const cpus = machines.reduce((sum, m) => sum + m.cpus, 0);
-  for (const job of queueOrder(jobs, guaranteed, cpus)) {
+  for (const job of queueOrder(jobs, guaranteed)) {
     if (job.waiting === 0 || job.heldBack) continue;
     const { spec } = job;
     const team = teams.get(spec.team);
