--- /dev/null
+++ b/test/unit/sockets.test.ts
@@ -0,0 +1,109 @@
+import { createServer, connect, type AddressInfo } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { type FrontHandler, frontListener, MAX_BODY } from '../../src/api/front.js';
+import { silentLog } from '../../src/log/logger.js';
+import { realClock } from '../../src/model/time.js';
+import { HttpTarget } from '../../src/net/http-client.js';
+import { FrontServer } from '../../src/net/server.js';
+import { Kind, type Ping } from '../../src/peer/frames.js';
+import { PeerLink, PeerServer } from '../../src/peer/link.js';
+
+/** Real sockets on loopback; every wait is for an event. */
+const closing: (() => void)[] = [];
+afterEach(() => closing.splice(0).forEach((close) => close()));
+
+function freeAddress(): Promise<string> {
+  return new Promise((resolve) => {
+    const probe = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = probe.address() as AddressInfo;
+      probe.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+}
+
+async function front(handler: Partial<FrontHandler>): Promise<string> {
+  const whole: FrontHandler = {
+    up: () => true,
+    beat: () => Promise.resolve({ status: 503, body: null }),
+    user: (verb, body) => Promise.resolve({ status: 200, body: { verb, text: body.toString() } }),
+    ...handler,
+  };
+  const limits = { sockets: 10, headersMs: 2000, requestMs: 2000, idleMs: 2000 };
+  const server = new FrontServer(frontListener(whole), limits, silentLog);
+  const address = await freeAddress();
+  await server.listen(address);
+  closing.push(() => server.close());
+  return address;
+}
+
+function target(address: string): HttpTarget {
+  const http = new HttpTarget(address, 2);
+  closing.push(() => http.close());
+  return http;
+}
+
+describe('the front address', () => {
+  it('routes health checks, users and workers', async () => {
+    const http = target(await front({}));
+    expect((await http.call('GET', '/up', undefined, 5000)).status).toBe(200);
+    const query = await http.call('GET', '/v2/runs/j-000001', undefined, 5000);
+    expect(query.body).toEqual({ verb: 'query', text: 'j-000001' });
+    const cancel = await http.call('POST', '/v2/runs/j-000001/cancel', {}, 5000);
+    expect(cancel.body).toEqual({ verb: 'cancel', text: 'j-000001' });
+    expect((await http.call('POST', '/agent/beat', {}, 5000)).status).toBe(503);
+    expect((await http.call('GET', '/elsewhere', undefined, 5000)).status).toBe(404);
+  });
+
+  it('refuses a body over the limit and goes on', async () => {
+    const address = await front({});
+    const long = await target(address).call('POST', '/v2/runs', 'x'.repeat(MAX_BODY), 5000);
+    expect(long.status).toBe(413);
+    expect((await target(address).call('GET', '/up', undefined, 5000)).status).toBe(200);
+  });
+
+  it('answers what is no HTTP with 400', async () => {
+    const address = await front({});
+    const text = await new Promise<string>((resolve) => {
+      const socket = connect(Number(address.split(':')[1]), '127.0.0.1', () =>
+        socket.write('nonsense\r\n\r\n'),
+      );
+      let read = '';
+      socket.on('data', (d) => (read += d.toString()));
+      socket.on('close', () => resolve(read));
+    });
+    expect(text).toContain('400 Bad Request');
+  });
+});
+
+describe('the peer link', () => {
+  it('carries questions and pings between two nodes', async () => {
+    const ping = (member: string): Ping => ({ member, stateOk: true, leading: null });
+    const server = new PeerServer(
+      {
+        ping: () => ping('b'),
+        progress: () => {},
+        ask: (_kind, payload) => Promise.resolve({ status: 200, body: payload }),
+      },
+      4,
+      silentLog,
+    );
+    const address = await freeAddress();
+    await server.listen(address);
+    closing.push(() => server.close());
+    const heard = await new Promise<{ link: PeerLink; from: Ping }>((resolve) => {
+      const link: PeerLink = new PeerLink(
+        'b',
+        address,
+        realClock,
+        silentLog,
+        () => ping('a'),
+        (from) => resolve({ link, from }),
+      );
+      link.start();
+    });
+    expect(heard.from.member).toBe('b');
+    const answer = await heard.link.ask(Kind.Beat, Buffer.from('{}'), 5000);
+    expect(answer).toMatchObject({ status: 200 });
+    expect(answer?.body.toString()).toBe('{}');
+  });
+});
