Tidy after reading the whole change: one take and give, one reading of series names

The forecast is fitted once per slot instead of at every tick; a target carries its slack instead of being looked for twice; fields that nothing read are gone.

--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -276,7 +276,6 @@
     if (!job || job.cancelled) return;
     const now = this.ctx.clock.now();
     job.cancelled = true;
-    job.cancelledAt = now;
     const wake = new Set<Host>();
     for (const task of [...job.held()]) {
       const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
@@ -363,14 +362,14 @@
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt) + this.fleet.slowestBoot();
     const target = this.urgency.next(job.spec, age, this.runMs(job.spec));
     return {
-      slackMs: this.urgency.slack(job.spec, age, this.runMs(job.spec)),
+      slackMs: target?.slackMs ?? null,
       patience: this.patience.factor(job.spec.jobClass, target?.allowed ?? 0.1),
     };
   }
 
   private jobView(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    return jobView(job, now, this.urgency.slack(job.spec, age, this.runMs(job.spec)));
+    return jobView(job, now, this.urgency.next(job.spec, age, this.runMs(job.spec))?.slackMs ?? null);
   }
 
   /** Committed: only now may run orders leave. */
@@ -592,7 +591,6 @@
     spec: job.spec,
     acceptedAt: job.acceptedAt,
     waiting: job.waiting,
-    done: job.done,
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
     slackMs,
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -23,6 +23,7 @@
   poolKey,
   price,
   rentFor,
+  readSeriesKey,
   seriesKey,
   type Wish,
 } from './plan.js';
@@ -81,8 +82,8 @@
     let e = this.ensembles.get(key);
     if (!e) {
       const f = this.ctx.ops.forecast;
-      const spot = key.endsWith('~spot');
-      const type = this.ctx.types.get((spot ? key.slice(0, -5) : key) as TypeId);
+      const { type: id, spot } = readSeriesKey(key);
+      const type = this.ctx.types.get(id);
       const cost: PredictionCost = {
         // Ordinary machines are forecast for work that must not wait for a boot.
         beta: spot ? f.beta : f.firm_beta,
@@ -454,8 +455,9 @@
     const early = (this.slotNeed.get(key) ?? 0) * FIRST_SLOT;
     const forecast = ensemble.series.length === 0 ? early : ensemble.forecast();
     const perSlot = forecast - (frees.get(key) ?? 0);
-    const type = this.ctx.types.get(key as TypeId);
-    if (!type) return perSlot;
+    const { type: id, spot } = readSeriesKey(key);
+    const type = this.ctx.types.get(id);
+    if (spot || !type) return perSlot;
     // One machine's replicas find room at once when it dies.
     const floor = this.holdsReplicas(type.id) ? 1 : 0;
     return Math.max(floor, perSlot * (1 + type.boot / (this.ctx.ops.forecast.slot_s * 1000)));
@@ -470,7 +472,7 @@
     const frees = this.frees(this.ctx.ops.forecast.slot_s * 1000, now);
     const reserves = this.reserves();
     for (const key of new Set([...this.ensembles.keys(), ...this.slotNeed.keys()])) {
-      if (key.endsWith('~spot')) continue;
+      if (readSeriesKey(key).spot) continue;
       const count = Math.ceil(this.wanted(key, frees) - (reserves.get(key) ?? 0) - ROUND_DOWN);
       if (count > 0) this.rentAhead(key, count);
     }
@@ -513,8 +515,8 @@
 
   /** One batched call; what a stockout leaves over is asked of another zone, then of another type. */
   private rentAhead(key: string, count: number): void {
-    const spot = key.endsWith('~spot');
-    const type = this.ctx.types.get((spot ? key.slice(0, -5) : key) as TypeId);
+    const { type: id, spot } = readSeriesKey(key);
+    const type = this.ctx.types.get(id);
     if (!type) return;
     const open = this.openPools().filter((p) => p.spot === spot);
     const same = open.filter((p) => p.type.id === type.id);
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,5 +1,5 @@
 import type { TypeId, ZoneId } from '../model/ids.js';
-import { fits, type JobSpec, type Resources } from '../model/job.js';
+import { fits, type JobSpec, type Resources, type Room, take } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
 import { allowed } from '../scheduler/place.js';
 
@@ -13,14 +13,21 @@
 export const poolKey = (p: { type: TypeId; zone: ZoneId; spot: boolean }): string =>
   `${p.type}|${p.zone}|${p.spot ? 'spot' : 'ordinary'}`;
 
+const SPOT = '~spot';
+
 /** The series that a forecast is made for: a machine type, its spot and ordinary need apart. */
-export const seriesKey = (type: TypeId, spot: boolean): string => (spot ? `${type}~spot` : type);
+export const seriesKey = (type: TypeId, spot: boolean): string => (spot ? `${type}${SPOT}` : type);
+
+export function readSeriesKey(key: string): { type: TypeId; spot: boolean } {
+  const spot = key.endsWith(SPOT);
+  return { type: (spot ? key.slice(0, -SPOT.length) : key) as TypeId, spot };
+}
 
 export interface Coming {
   readonly type: TypeId;
   readonly zone: ZoneId;
   readonly spot: boolean;
-  readonly free: { cpus: number; gpus: number; memoryGb: number };
+  readonly free: Room;
 }
 
 export interface Need {
@@ -88,9 +95,7 @@
     const fill = (bin: Coming): void => {
       if (!allowed(spec, bin)) return;
       while (left > 0 && fits(spec, bin.free)) {
-        bin.free.cpus -= spec.cpus;
-        bin.free.gpus -= spec.gpus;
-        bin.free.memoryGb -= spec.memoryGb;
+        take(bin.free, spec);
         left--;
       }
     };
--- a/src/forecast/ensemble.ts
+++ b/src/forecast/ensemble.ts
@@ -31,6 +31,7 @@
 export class Ensemble {
   readonly series: number[] = [];
   private readonly weights = new Map<string, number>();
+  private latest: number | null = null;
 
   constructor(
     private readonly predictors: readonly Predictor[],
@@ -43,10 +44,10 @@
     return this.weights.get(name) ?? 0;
   }
 
+  /** Asked many times in a slot, and fitted once: only `observe` and `restore` change it. */
   forecast(): number {
-    let sum = 0;
-    for (const p of this.predictors) sum += this.weight(p.name) * p.predict(this.series);
-    return sum;
+    this.latest ??= this.predictors.reduce((sum, p) => sum + this.weight(p.name) * p.predict(this.series), 0);
+    return this.latest;
   }
 
   /**
@@ -55,6 +56,7 @@
    * not scored: refused rentals are not a predictor's fault.
    */
   observe(actual: number, scored = true): void {
+    this.latest = null;
     if (scored && this.series.length > 0) {
       const inverse = this.predictors.map(
         (p) => 1 / (predictionCost(this.cost, actual, p.predict(this.series)) + 1e-3),
@@ -88,6 +90,7 @@
   }
 
   restore(stored: unknown): void {
+    this.latest = null;
     const v = stored as Partial<EnsembleRecord> | null | undefined;
     if (!v || !Array.isArray(v.series)) return;
     this.series.splice(0, this.series.length, ...v.series.filter((n) => typeof n === 'number'));
--- a/src/model/job.ts
+++ b/src/model/job.ts
@@ -51,3 +51,22 @@
   const eps = 1e-9;
   return need.cpus <= free.cpus + eps && need.gpus <= free.gpus + eps && need.memoryGb <= free.memoryGb + eps;
 }
+
+/** Room that is being handed out. */
+export interface Room {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+export function take(room: Room, need: Resources): void {
+  room.cpus -= need.cpus;
+  room.gpus -= need.gpus;
+  room.memoryGb -= need.memoryGb;
+}
+
+export function give(room: Room, back: Resources): void {
+  room.cpus += back.cpus;
+  room.gpus += back.gpus;
+  room.memoryGb += back.memoryGb;
+}
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -96,11 +96,8 @@
   private fresh = 0;
   private readonly again: TaskIndex[] = [];
   cancelled = false;
-  cancelledAt: Steady | null = null;
   done = 0;
   heldCount = 0;
-  /** The final transaction is being tried. */
-  closing = false;
   /** Hosts on which this job's tasks failed, and until when it waits after failing on several. */
   readonly failedOn = new Set<HostId>();
   /** When its tasks ran, for the log. */
--- a/src/scheduler/patience.ts
+++ b/src/scheduler/patience.ts
@@ -1,8 +1,3 @@
-/** A class's allowance is what its objective lets be late; half of it is aimed at. */
-interface Seen {
-  missed: number;
-}
-
 const START = 1.4;
 const LEAST = 0.7;
 const MOST = 2.5;
@@ -14,27 +9,27 @@
  * pays for hardly any others, one that falls behind rents early.
  */
 export class Patience {
-  private readonly seen = new Map<string, Seen>();
+  /** The share of each class that has lately come too late. */
+  private readonly missed = new Map<string, number>();
 
   /** One job is over; `allowed` is the share of its class that may miss the target. */
   over(jobClass: string, missed: boolean, allowed: number): void {
-    const seen = this.seen.get(jobClass) ?? { missed: allowed };
-    seen.missed += NEWEST * ((missed ? 1 : 0) - seen.missed);
-    this.seen.set(jobClass, seen);
+    const before = this.missed.get(jobClass) ?? allowed;
+    this.missed.set(jobClass, before + NEWEST * ((missed ? 1 : 0) - before));
   }
 
   factor(jobClass: string, allowed: number): number {
-    const missed = this.seen.get(jobClass)?.missed ?? allowed;
+    const missed = this.missed.get(jobClass) ?? allowed;
     return Math.min(MOST, Math.max(LEAST, START * Math.sqrt(allowed / Math.max(0.005, missed))));
   }
 
   record(): Record<string, number> {
-    return Object.fromEntries([...this.seen].map(([k, s]) => [k, Math.round(s.missed * 1000) / 1000]));
+    return Object.fromEntries([...this.missed].map(([k, m]) => [k, Math.round(m * 1000) / 1000]));
   }
 
   restore(stored: unknown): void {
     for (const [jobClass, missed] of Object.entries((stored ?? {}) as Record<string, unknown>)) {
-      if (typeof missed === 'number') this.seen.set(jobClass, { missed });
+      if (typeof missed === 'number') this.missed.set(jobClass, missed);
     }
   }
 }
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -1,5 +1,5 @@
 import type { HostId, ImageId, JobId, TaskId, TeamId, TypeId, ZoneId } from '../model/ids.js';
-import { fits, type JobSpec, Priority, type Resources } from '../model/job.js';
+import { fits, give, type JobSpec, Priority, type Resources, type Room, take } from '../model/job.js';
 import type { Team } from '../model/team.js';
 import type { WallTime } from '../model/time.js';
 import type { TeamUse } from './job-book.js';
@@ -11,7 +11,7 @@
   readonly zone: ZoneId;
   readonly spot: boolean;
   readonly cpus: number;
-  readonly free: { cpus: number; gpus: number; memoryGb: number };
+  readonly free: Room;
   readonly images: ReadonlySet<ImageId>;
   /** Tasks that could be stopped to make room, cheapest loss first. */
   readonly victims: Victim[];
@@ -33,8 +33,6 @@
   readonly spec: JobSpec;
   readonly acceptedAt: WallTime;
   waiting: number;
-  /** Tasks done: a guarantee covers what is unfinished. */
-  readonly done: number;
   /** Tasks that may be on a machine, by zone. */
   readonly zones: Map<ZoneId, number>;
   readonly avoid: ReadonlySet<HostId>;
@@ -149,20 +147,6 @@
   return fits(spec, free) ? chosen : null;
 }
 
-type Free = MachineView['free'];
-
-function give(free: Free, r: Resources): void {
-  free.cpus += r.cpus;
-  free.gpus += r.gpus;
-  free.memoryGb += r.memoryGb;
-}
-
-function take(free: Free, r: Resources): void {
-  free.cpus -= r.cpus;
-  free.gpus -= r.gpus;
-  free.memoryGb -= r.memoryGb;
-}
-
 /**
  * Who may be stopped for a job (PROTOCOL, "Preemption"): lower priorities for production work;
  * for a team's guarantee, what other teams run beyond theirs.
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -13,6 +13,11 @@
   readonly allowed: number;
 }
 
+export interface NextTarget extends Target {
+  /** Until the job's tasks should have started. */
+  readonly slackMs: number;
+}
+
 /**
  * How long a job may still wait, by its own deadline and its class's objectives. A target that can
  * no longer be met gives way to the next one: hopeless work must not push aside what can be saved.
@@ -41,14 +46,11 @@
   }
 
   /** The first target that still can be met; null: nothing is asked of the job any more. */
-  next(spec: JobSpec, ageMs: number, expectedRunMs: number): Target | null {
-    const need = ageMs + expectedRunMs * LONGER + FETCH_MS;
-    return this.targets(spec).find((t) => t.ms > need) ?? null;
-  }
-
-  /** Milliseconds until the job's tasks should have started for its next target. */
-  slack(spec: JobSpec, ageMs: number, expectedRunMs: number): number | null {
-    const target = this.next(spec, ageMs, expectedRunMs);
-    return target && target.ms - ageMs - expectedRunMs * LONGER - FETCH_MS;
+  next(spec: JobSpec, ageMs: number, expectedRunMs: number): NextTarget | null {
+    for (const target of this.targets(spec)) {
+      const slackMs = target.ms - ageMs - expectedRunMs * LONGER - FETCH_MS;
+      if (slackMs > 0) return { ...target, slackMs };
+    }
+    return null;
   }
 }
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -1,5 +1,5 @@
 import type { Counter, HostId, ImageId, JobId, TaskId, Tenure, TryNo } from '../model/ids.js';
-import type { Resources } from '../model/job.js';
+import { type Room, take } from '../model/job.js';
 import type { Machine, MachineType } from '../model/machine.js';
 import type { Attempt, Report } from '../model/report.js';
 import { type Steady, plus } from '../model/time.js';
@@ -65,7 +65,7 @@
     return this.machine.id;
   }
 
-  free(): { cpus: number; gpus: number; memoryGb: number } {
+  free(): Room {
     const free = { cpus: this.type.cpus, gpus: this.type.gpus, memoryGb: this.type.memoryGb };
     for (const task of this.tasks) take(free, task.job.spec);
     return free;
@@ -118,12 +118,6 @@
   }
 }
 
-export function take(free: { cpus: number; gpus: number; memoryGb: number }, need: Resources): void {
-  free.cpus -= need.cpus;
-  free.gpus -= need.gpus;
-  free.memoryGb -= need.memoryGb;
-}
-
 /** All machines that may exist, as the leader knows them. */
 export class HostBook {
   readonly hosts = new Map<HostId, Host>();
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -37,7 +37,6 @@
   spec: spec(over),
   acceptedAt: 0 as WallTime,
   waiting: over.tasks ?? 1,
-  done: 0,
   zones: new Map(),
   avoid: new Set(),
   heldBack: false,
@@ -124,9 +123,9 @@
 
   it('give way to the next one when they cannot be met any more', () => {
     // 60 s − 30 s · 1.25 − 4 s for the image
-    expect(urgency.slack(spec({}), 0, 30_000)).toBe(18_500);
-    expect(urgency.slack(spec({}), 20_000, 30_000)).toBe(58_500);
-    expect(urgency.slack(spec({}), 100_000, 30_000)).toBeNull();
+    expect(urgency.next(spec({}), 0, 30_000)?.slackMs).toBe(18_500);
+    expect(urgency.next(spec({}), 20_000, 30_000)?.slackMs).toBe(58_500);
+    expect(urgency.next(spec({}), 100_000, 30_000)).toBeNull();
   });
 });
 
