--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -36,6 +36,8 @@
   /** Between 0 and 1. */
   readonly random: () => number;
   readonly types: Map<TypeId, MachineType>;
+  /** Direct calls to workers that may be under way at once. */
+  readonly workerCalls: number;
 }
 
 /** What the parts of one leadership share. */
--- /dev/null
+++ b/src/cluster/fleet-record.ts
@@ -0,0 +1,122 @@
+import type { FleetManager } from '../fleet/manager.js';
+import type { HostId } from '../model/ids.js';
+import { type Steady, since } from '../model/time.js';
+import type { Budget } from '../net/budget.js';
+import { keys } from '../store/records.js';
+import type { Write } from '../wire/state.js';
+import type { Host } from '../workers/host-book.js';
+import type { LeaderContext } from './context.js';
+
+export type StoredMachine = [
+  id: string,
+  type: string,
+  zone: string,
+  spot: 0 | 1,
+  address: string,
+  rentedAt: number,
+  up: 0 | 1,
+];
+
+const PER_RECORD = 120;
+/** Changes of this long share one writing: what a record lacks, reports and the list tell. */
+const EVERY_MS = 2000;
+/** The share of the budget's burst that is left to starts. */
+const LEFT_FOR_STARTS = 0.4;
+
+/**
+ * The rented machines and the forecast's weights, in the state service. A machine keeps its place in
+ * the records, and only records that have changed are written: at size, each rental would otherwise
+ * rewrite the whole fleet and take the writes that starts need.
+ */
+export class FleetRecord {
+  private readonly chunkOf = new Map<HostId, number>();
+  private readonly rentedAt = new Map<HostId, number>();
+  private readonly sizes: number[] = [];
+  /** What each key was last written with. */
+  private readonly written = new Map<string, string>();
+  private writing = false;
+  private lastAt: Steady | null = null;
+
+  constructor(
+    private readonly ctx: LeaderContext,
+    private readonly fleet: FleetManager,
+    private readonly budget: Budget,
+  ) {}
+
+  /** Whether a writing may begin now. */
+  mayWrite(now: Steady): boolean {
+    if (this.writing || (this.lastAt !== null && since(now, this.lastAt) < EVERY_MS)) return false;
+    return this.budget.available() > this.budget.burst * LEFT_FOR_STARTS;
+  }
+
+  async save(): Promise<void> {
+    this.writing = true;
+    this.lastAt = this.ctx.clock.now();
+    try {
+      const changed = this.changes();
+      const { txnOps } = this.ctx.settings;
+      for (let i = 0; i < changed.length; i += txnOps) {
+        const part = changed.slice(i, i + txnOps);
+        this.budget.force(part.length);
+        const result = await this.ctx.store.commit(
+          [{ key: keys.epoch, stamp: this.ctx.epochStamp }],
+          part.map((c): Write => ({ set: c.key, value: c.value })),
+        );
+        if (!result.ok) {
+          this.ctx.deposed('the fleet record found a newer epoch');
+          return;
+        }
+        for (const { key, text } of part) this.written.set(key, text);
+      }
+    } finally {
+      this.writing = false;
+    }
+  }
+
+  private changes(): { key: string; value: unknown; text: string }[] {
+    const values = new Map<string, unknown>();
+    for (const [n, machines] of this.chunks().entries()) values.set(keys.fleetChunk(n), { m: machines });
+    for (const [key, record] of this.fleet.forecastRecords()) values.set(keys.forecastOf(key), record);
+    const changed: { key: string; value: unknown; text: string }[] = [];
+    for (const [key, value] of values) {
+      const text = JSON.stringify(value);
+      if (this.written.get(key) !== text) changed.push({ key, value, text });
+    }
+    return changed;
+  }
+
+  private chunks(): StoredMachine[][] {
+    const { hosts } = this.ctx.hosts;
+    for (const [id, n] of this.chunkOf) {
+      if (hosts.has(id)) continue;
+      this.chunkOf.delete(id);
+      this.rentedAt.delete(id);
+      this.sizes[n] = (this.sizes[n] ?? 1) - 1;
+    }
+    for (const host of hosts.values()) if (!this.chunkOf.has(host.id)) this.seat(host);
+    const chunks: StoredMachine[][] = Array.from({ length: Math.max(1, this.sizes.length) }, () => []);
+    for (const host of hosts.values()) {
+      const { id, type, zone, spot } = host.machine;
+      const at = this.rentedAt.get(id) ?? 0;
+      chunks[this.chunkOf.get(id) ?? 0]?.push([
+        id,
+        type,
+        zone,
+        spot ? 1 : 0,
+        host.address,
+        at,
+        host.up ? 1 : 0,
+      ]);
+    }
+    return chunks;
+  }
+
+  private seat(host: Host): void {
+    let n = this.sizes.findIndex((size) => size < PER_RECORD);
+    if (n < 0) n = this.sizes.push(0) - 1;
+    this.sizes[n] = (this.sizes[n] ?? 0) + 1;
+    this.chunkOf.set(host.id, n);
+    const { clock } = this.ctx;
+    this.rentedAt.set(host.id, Math.round(clock.wall() - (clock.now() - host.since)));
+  }
+}
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -4,16 +4,16 @@
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
 import type { Epoch, HostId, JobId, Stamp, TeamId } from '../model/ids.js';
-import type { JobSpec } from '../model/job.js';
+import { type JobSpec, Priority } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import type { Team } from '../model/team.js';
 import { type Cancel, type Steady, plus, since, sleep } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
-import { type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
+import { guaranteedJobs, type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
 import { Patience } from '../scheduler/patience.js';
-import { Urgency } from '../scheduler/urgency.js';
+import { isStarving, Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
 import { decodeJob, keys } from '../store/records.js';
 import { ordersBody } from '../wire/workers.js';
@@ -23,7 +23,8 @@
 import { clearsFor, ordersFor } from '../workers/orders.js';
 import { applyReport, loseAll, type Told } from '../workers/reports.js';
 import type { LeaderContext, NodeContext } from './context.js';
-import { loadOpenJobs, restoreFleet, saveSlot } from './takeover.js';
+import { FleetRecord } from './fleet-record.js';
+import { loadOpenJobs, restoreFleet } from './takeover.js';
 
 export interface Answer {
   readonly status: number;
@@ -35,6 +36,8 @@
 const MOST_ORDERS = 250;
 /** Decisions that follow each other closely are made together. */
 const DECIDE_MS = 15;
+/** The pause after a decision, in times of what it took. */
+const DECIDE_PAUSE = 3;
 
 /** One leadership: everything that one epoch decides. */
 export class Leader {
@@ -50,11 +53,11 @@
   private readonly lifetimes = new Lifetimes();
   private readonly urgency: Urgency;
   private readonly patience = new Patience();
-  private readonly stateBudget: Budget;
+  private readonly record: FleetRecord;
   private over = false;
   private ready = false;
   private poked = false;
-  private saving = false;
+  private decideMs = 0;
   private fleetDirty = false;
   private stopTick: Cancel | null = null;
 
@@ -82,7 +85,7 @@
     };
     this.urgency = new Urgency(settings.objectives);
     this.teams = new Map(settings.teams.map((t) => [t.id, t]));
-    this.stateBudget = new Budget(clock, settings.stateWriteRps * 0.7, settings.stateWriteRps * 0.7);
+    const stateBudget = new Budget(clock, settings.stateWriteRps * 0.7, settings.stateWriteRps * 0.7);
     const cloudBudget = new Budget(clock, settings.cloudRps * 0.8, settings.cloudRps);
     this.fleet = new FleetManager(
       this.ctx,
@@ -94,14 +97,15 @@
         this.fleetDirty = true;
       },
     );
+    this.record = new FleetRecord(this.ctx, this.fleet, stateBudget);
     this.committer = new Committer(
       this.ctx,
-      this.stateBudget,
+      stateBudget,
       (tasks) => this.placed(tasks),
       (job) => this.closed(job),
     );
     const onReport = (host: Host, report: Report): void => void this.directReport(host, report);
-    this.dispatcher = new Dispatcher(this.ctx, onReport);
+    this.dispatcher = new Dispatcher(this.ctx, onReport, node.workerCalls);
     this.health = new Health(
       this.ctx,
       answerAloneMs,
@@ -149,12 +153,25 @@
       { epoch: this.ctx.epoch, jobs: this.jobs.jobs.size, hosts: this.hosts.hosts.size },
       'leadership begun',
     );
-    for (const host of this.hosts.hosts.values()) this.dispatcher.wake(host);
+    for (const host of this.inOrderOfNeed()) this.dispatcher.wake(host);
     void this.watch(ledger);
     this.loop();
     this.poke();
   }
 
+  /** Whom a new leader meets first: machines with production work, then those with room. */
+  private inOrderOfNeed(): Host[] {
+    const need = (host: Host): number => {
+      for (const task of host.tasks) if (task.job.spec.priority === Priority.Production) return 0;
+      return host.free.cpus > 0 ? 1 : 2;
+    };
+    return [...this.hosts.hosts.values()]
+      .filter((host) => host.up || !host.empty)
+      .map((host) => ({ host, n: need(host) }))
+      .sort((a, b) => a.n - b.n)
+      .map((x) => x.host);
+  }
+
   private loop(): void {
     if (this.over) return;
     this.stopTick = this.ctx.clock.after(TICK_MS, () => {
@@ -172,7 +189,8 @@
     this.health.tick(now);
     this.fleet.tick();
     this.nudge(now);
-    if (this.fleet.takeDirty() || this.fleetDirty) void this.save();
+    if (this.fleet.takeDirty()) this.fleetDirty = true;
+    if (this.fleetDirty && this.record.mayWrite(now)) void this.save();
     this.poke();
   }
 
@@ -217,7 +235,7 @@
         const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
         if (host) {
           task.zone = host.machine.zone;
-          host.tasks.add(task);
+          host.put(task);
         } else if (task.host !== null) this.adoptUnknown(task, task.host);
       }
     }
@@ -229,7 +247,7 @@
     if (!type) return;
     const machine: Machine = { id, type: type.id, zone: this.ctx.settings.zone, spot: true };
     const host = this.fleet.adopt(machine, this.ctx.startedAt, '', true);
-    host?.tasks.add(task);
+    host?.put(task);
   }
 
   private async watch(from: Stamp): Promise<void> {
@@ -281,7 +299,7 @@
       const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
       if (task.phase === 'deciding' || (task.sentTenure === null && !task.inherited)) {
         // No order has left: the task cannot be on the machine.
-        host?.tasks.delete(task);
+        host?.drop(task);
         job.release(task, now);
       } else {
         if (job.spec.kind === 'service' && task.runningAt !== null) {
@@ -291,6 +309,7 @@
         if (host) wake.add(host);
       }
     }
+    this.jobs.changed(job);
     for (const host of wake) this.dispatcher.wake(host);
     this.committer.poke();
     this.poke();
@@ -304,24 +323,44 @@
   private poke(): void {
     if (this.poked || this.over || !this.ready) return;
     this.poked = true;
-    this.ctx.clock.after(DECIDE_MS, () => {
+    // A decision that took long is followed by a longer pause: reports go first.
+    this.ctx.clock.after(Math.max(DECIDE_MS, this.decideMs * DECIDE_PAUSE), () => {
       this.poked = false;
-      if (!this.over) void this.lock.runExclusive(() => this.decide());
+      if (this.over) return;
+      void this.lock.runExclusive(() => {
+        const began = this.ctx.clock.now();
+        this.decide(began);
+        this.decideMs = since(this.ctx.clock.now(), began);
+      });
     });
   }
 
-  private decide(): void {
-    const now = this.ctx.clock.now();
-    const views: JobView[] = [];
+  private decide(now: Steady): void {
+    const open: OpenJob[] = [];
+    const waiting: JobView[] = [];
     for (const job of this.jobs.jobs.values()) {
-      if (!job.cancelled && !job.complete) views.push(this.jobView(job, now));
+      if (job.cancelled || job.complete) continue;
+      open.push(job);
+      if (job.waiting > 0) waiting.push(this.jobView(job, now));
+    }
+    if (waiting.length === 0) {
+      this.fleet.unmet([]);
+      return;
     }
     const machines: MachineView[] = [];
     for (const host of this.hosts.hosts.values()) {
       if (host.closed || !host.known || host.takenAt !== null) continue;
-      machines.push(machineView(host, now));
+      machines.push(machineView(host));
     }
-    const plan = place(views, machines, this.teams, this.jobs.teamUse());
+    const guaranteed = guaranteedJobs(open, this.teams);
+    const plan = place({
+      jobs: waiting,
+      machines,
+      guaranteed,
+      teams: this.teams,
+      use: this.jobs.teamUse(),
+      victimsOf: this.victimsAmong(open, waiting, guaranteed, now),
+    });
     const making = new Set<Host>();
     for (const stop of plan.stops) {
       const host = this.hosts.hosts.get(stop.host);
@@ -337,7 +376,7 @@
       const host = this.hosts.hosts.get(start.host);
       if (!job || !host) continue;
       const task = job.decide(host.id, host.machine.zone, now);
-      host.tasks.add(task);
+      host.put(task);
       host.idleSince = null;
       // The stop and the start leave together, once the start is committed.
       making.delete(host);
@@ -353,6 +392,32 @@
     this.committer.poke();
   }
 
+  /**
+   * Who may be stopped at all is looked up by job, and only once somebody asks: mostly nobody does,
+   * or nothing may be stopped.
+   */
+  private victimsAmong(
+    open: readonly OpenJob[],
+    waiting: readonly JobView[],
+    guaranteed: ReadonlySet<JobId>,
+    now: Steady,
+  ): (id: HostId) => Victim[] {
+    const production = waiting.some((j) => j.spec.priority === Priority.Production);
+    let stoppable: Set<HostId> | null = null;
+    return (id) => {
+      if (!stoppable) {
+        stoppable = new Set();
+        for (const job of open) {
+          if (job.heldCount === 0 || job.spec.priority === Priority.Production) continue;
+          if (!production && guaranteed.has(job.spec.id)) continue;
+          for (const task of job.held()) if (task.host !== null) stoppable.add(task.host);
+        }
+      }
+      const host = stoppable.has(id) ? this.hosts.hosts.get(id) : undefined;
+      return host ? victims(host, now) : [];
+    };
+  }
+
   private runMs(spec: JobSpec): number {
     return this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
   }
@@ -369,7 +434,8 @@
 
   private jobView(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    return jobView(job, now, this.urgency.next(job.spec, age, this.runMs(job.spec))?.slackMs ?? null);
+    const slackMs = this.urgency.next(job.spec, age, this.runMs(job.spec))?.slackMs ?? null;
+    return jobView(job, now, slackMs, isStarving(job, age, now));
   }
 
   /** Committed: only now may run orders leave. */
@@ -379,7 +445,7 @@
     for (const task of tasks) {
       const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
       if (!host || host.removing || task.job.cancelled) {
-        host?.tasks.delete(task);
+        host?.drop(task);
         task.job.release(task, now);
         this.poke();
       } else wake.add(host);
@@ -534,17 +600,12 @@
   }
 
   private async save(): Promise<void> {
-    if (this.saving) return;
-    this.saving = true;
     this.fleetDirty = false;
     try {
-      await saveSlot(this.ctx, this.fleet);
+      await this.record.save();
     } catch (error) {
       this.ctx.log.debug({ error: reason(error) }, 'fleet not saved');
       this.fleetDirty = true;
-      await sleep(this.ctx.clock, 500);
-    } finally {
-      this.saving = false;
     }
   }
 
@@ -569,7 +630,7 @@
       if (!host.up) continue;
       up++;
       cpus += host.type.cpus;
-      usedCpus += host.type.cpus - host.free().cpus;
+      usedCpus += host.type.cpus - host.free.cpus;
     }
     return { jobs: this.jobs.jobs.size, waiting, held, hosts: this.hosts.hosts.size, up, cpus, usedCpus };
   }
@@ -577,7 +638,7 @@
 
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
 
-function jobView(job: OpenJob, now: Steady, slackMs: number | null): JobView {
+function jobView(job: OpenJob, now: Steady, slackMs: number | null, starving: boolean): JobView {
   const zones: JobView['zones'] = new Map();
   // A task on a machine that only its record knows may be in any zone: the job waits.
   let unknownZone = false;
@@ -594,6 +655,7 @@
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
     slackMs,
+    starving,
     heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
   };
 }
@@ -610,16 +672,15 @@
   return list.sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
 }
 
-function machineView(host: Host, now: Steady): MachineView {
+function machineView(host: Host): MachineView {
   return {
     id: host.id,
     type: host.machine.type,
     zone: host.machine.zone,
     spot: host.machine.spot,
     cpus: host.type.cpus,
-    free: host.free(),
-    images: new Set(host.images.keys()),
-    victims: victims(host, now),
+    free: { ...host.free },
+    images: host.images,
     reachable: host.unreachable === 0,
   };
 }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -8,6 +8,7 @@
 import { realClock, type Steady, since } from '../model/time.js';
 import { HttpTarget, parseJson } from '../net/http-client.js';
 import { FrontServer } from '../net/server.js';
+import { shareSockets } from '../net/sockets.js';
 import {
   type AnswerFrame,
   decodeCall,
@@ -45,7 +46,7 @@
   private readonly seat: Seat;
   private readonly users: UserService;
   private readonly links: PeerLink[];
-  private readonly targets = new WorkerTargets();
+  private readonly targets: WorkerTargets;
   private readonly front: FrontServer;
   private readonly peers: PeerServer;
   private readonly admission: Admission;
@@ -62,10 +63,12 @@
     random: () => number,
   ) {
     const clock = realClock;
+    const shares = shareSockets(settings.sockets, settings.siblings.length);
+    this.targets = new WorkerTargets(shares.workers);
     this.stateOkAt = clock.now();
     const store = new StateClient(
-      new HttpTarget(settings.stateAddress, 24),
-      new HttpTarget(settings.stateAddress, 4),
+      new HttpTarget(settings.stateAddress, shares.state),
+      new HttpTarget(settings.stateAddress, shares.watches),
       STATE_MS,
       (answered) => this.stateAnswered(answered),
     );
@@ -96,10 +99,11 @@
       settings,
       ops,
       store,
-      cloud: new CloudClient(new HttpTarget(settings.cloudAddress, 4), CLOUD_MS),
+      cloud: new CloudClient(new HttpTarget(settings.cloudAddress, shares.cloud), CLOUD_MS),
       workers: new RoutedCaller(direct, links, clock),
       random,
       types: new Map(),
+      workerCalls: Math.floor(shares.workers / 2),
     };
     this.typeBook = new TypeBook(this.ctx);
     this.users = new UserService(this.ctx, (id) => this.progressOf(id));
@@ -110,11 +114,9 @@
       beat: (body) => this.beat(body),
       user: (verb, body) => this.user(verb, body, true),
     };
-    // Room stays for peers, the state service, the cloud and direct calls to workers.
-    const reserve = Math.min(400, Math.floor(settings.sockets * 0.35));
     this.front = new FrontServer(
       frontListener(handler),
-      { sockets: settings.sockets - reserve, headersMs: 10_000, requestMs: 15_000, idleMs: 75_000 },
+      { sockets: shares.front, headersMs: 10_000, requestMs: 15_000, idleMs: 75_000 },
       log,
     );
     this.peers = new PeerServer(
@@ -123,7 +125,7 @@
         progress: (payload) => this.takeProgress(payload),
         ask: (kind, payload) => this.peerAsks(kind, payload),
       },
-      32,
+      shares.peers,
       log,
     );
   }
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -1,11 +1,12 @@
 import type { FleetManager } from '../fleet/manager.js';
 import type { HostId, JobId, Stamp, TypeId, ZoneId } from '../model/ids.js';
 import type { Machine } from '../model/machine.js';
-import type { Steady, WallTime } from '../model/time.js';
+import type { Steady } from '../model/time.js';
 import { OpenJob } from '../scheduler/job-book.js';
 import { decodeJob, keys, parseOpenKey } from '../store/records.js';
 import type { Condition, Row, Write } from '../wire/state.js';
 import type { LeaderContext } from './context.js';
+import type { StoredMachine } from './fleet-record.js';
 
 async function readAll(ctx: LeaderContext, prefix: string): Promise<{ rows: Row[]; ledger: Stamp }> {
   const rows: Row[] = [];
@@ -64,18 +65,6 @@
   return changed;
 }
 
-type StoredMachine = [
-  id: string,
-  type: string,
-  zone: string,
-  spot: 0 | 1,
-  address: string,
-  rentedAt: number,
-  up: 0 | 1,
-];
-
-const PER_RECORD = 120;
-
 export interface RestoredMachine {
   readonly machine: Machine;
   readonly address: string;
@@ -102,38 +91,3 @@
   }
   return known;
 }
-
-/** The rented machines and the forecast's weights, each slot and after each rental. */
-export async function saveSlot(ctx: LeaderContext, fleet: FleetManager): Promise<void> {
-  const wallNow: WallTime = ctx.clock.wall();
-  const now = ctx.clock.now();
-  const machines: StoredMachine[] = [];
-  for (const host of ctx.hosts.hosts.values()) {
-    const { id, type, zone, spot } = host.machine;
-    machines.push([
-      id,
-      type,
-      zone,
-      spot ? 1 : 0,
-      host.address,
-      Math.round(wallNow - (now - host.since)),
-      host.up ? 1 : 0,
-    ]);
-  }
-  const writes: Write[] = [];
-  for (let i = 0; i < Math.max(1, machines.length); i += PER_RECORD) {
-    writes.push({ set: keys.fleetChunk(i / PER_RECORD), value: { m: machines.slice(i, i + PER_RECORD) } });
-  }
-  for (const [key, record] of fleet.forecastRecords())
-    writes.push({ set: keys.forecastOf(key), value: record });
-  for (let i = 0; i < writes.length; i += ctx.settings.txnOps) {
-    const result = await ctx.store.commit(
-      [{ key: keys.epoch, stamp: ctx.epochStamp }],
-      writes.slice(i, i + ctx.settings.txnOps),
-    );
-    if (!result.ok) {
-      ctx.deposed('the fleet record found a newer epoch');
-      return;
-    }
-  }
-}
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -29,10 +29,10 @@
     give_back_s: z._default(positive, 10),
     spot_give_back_s: z._default(positive, 20),
     boot_patience: z._default(positive, 4),
-    max_machines: z._default(z.int().check(z.gte(1)), 200),
+    max_machines: z._default(z.int().check(z.gte(1)), 10_000),
   }),
   workers: section({
-    silent_s: z._default(positive, 4),
+    silent_s: z.optional(positive),
     probe_s: z._default(positive, 0.8),
     sick_errors: z._default(z.int().check(z.gte(1)), 3),
   }),
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -36,13 +36,21 @@
 const FIRST_SLOT = 0.3;
 /** The record, beside the series', of what classes have missed. */
 const PATIENCE = '~patience';
-const MOST_AHEAD = 10;
 /** A need of less than this part of a machine is not rented for. */
 const ROUND_DOWN = 0.3;
 /** By then a machine that is up has been heard by a new leader. */
 const HEARING_MS = 15_000;
 /** Unmet demand is turned into this many rentals at a time, so that each knows the last one's refusal. */
 const MOST_PENDING = 2;
+/** The pause after looking what to rent, in times of what it took. */
+const RENT_PAUSE = 10;
+
+interface Outlook {
+  readonly frees: ReadonlyMap<string, number>;
+  readonly reserves: ReadonlyMap<string, number>;
+  /** Types of machines that hold replicas. */
+  readonly replicasOn: ReadonlySet<TypeId>;
+}
 
 interface PendingRental {
   readonly pool: Pool;
@@ -65,7 +73,11 @@
   private lastList: Steady | null = null;
   private dirty = false;
   private rentLater = false;
+  private lookAgainAt: Steady | null = null;
+  /** Rentals take their turns one after the other: a deletion never waits behind all of them. */
+  private rentalTurn: Promise<void> = Promise.resolve();
   private firstSlot = true;
+  private looked: Outlook | null = null;
 
   constructor(
     private readonly ctx: LeaderContext,
@@ -151,7 +163,7 @@
     for (const host of this.ctx.hosts.hosts.values()) {
       if (host.up || host.closed) continue;
       if (since(now, host.since) > host.type.boot * 1.7 + 3000) continue;
-      list.push({ ...host.machine, free: host.free() });
+      list.push({ ...host.machine, free: host.free });
     }
     for (const p of this.pending.values()) {
       const { cpus, gpus, memoryGb } = p.pool.type;
@@ -169,7 +181,8 @@
 
   private rentUnmet(): void {
     if (this.queue.length === 0 || this.pending.size >= MOST_PENDING) return;
-    const wait = this.budget.wait();
+    const began = this.ctx.clock.now();
+    const wait = Math.max(this.budget.wait(), (this.lookAgainAt ?? began) - began);
     if (wait > 0) {
       if (!this.rentLater) {
         this.rentLater = true;
@@ -183,6 +196,8 @@
     const most = this.ctx.ops.fleet.max_machines - this.ctx.hosts.hosts.size - this.pending.size;
     const wishes = this.wishes(most);
     for (const wish of wishes.slice(0, MOST_PENDING - this.pending.size)) this.rent(wish, 'queue');
+    const now = this.ctx.clock.now();
+    this.lookAgainAt = plus(now, since(now, began) * RENT_PAUSE);
   }
 
   /**
@@ -282,8 +297,11 @@
   /** The same name is tried again: a rental without an answer may have been carried out. */
   private async tryRent(rental: Rental): Promise<Rented | null> {
     for (let tries = 1; ; tries++) {
+      this.rentalTurn = this.rentalTurn.then(() => this.turn());
+      await this.rentalTurn;
       if (this.ctx.ended()) return null;
-      await this.turn();
+      // Refused meanwhile, to a rental before this one: nothing has been asked under this name yet.
+      if (tries === 1 && this.refused(rental, this.ctx.clock.now())) return 'no capacity';
       try {
         return await this.ctx.cloud.rent(rental);
       } catch (error) {
@@ -350,6 +368,7 @@
 
   tick(): void {
     const now = this.ctx.clock.now();
+    this.looked = null;
     if (!this.listing && (this.lastList === null || since(now, this.lastList) > 4000)) void this.list();
     this.dropLate(now);
     this.rentUnmet();
@@ -396,8 +415,19 @@
     else if (m.status === 'running' && !host.known) this.ctx.dispatch(host.id);
   }
 
+  /** Expected frees and idle room, reckoned at most once a tick. */
+  private outlook(now: Steady): Outlook {
+    this.looked ??= {
+      frees: this.frees(now),
+      reserves: this.reserves(),
+      replicasOn: this.typesWithReplicas(),
+    };
+    return this.looked;
+  }
+
   /** Expected frees of a slot, in machines, by series. */
-  private frees(slotMs: number, now: Steady): Map<string, number> {
+  private frees(now: Steady): Map<string, number> {
+    const slotMs = this.ctx.ops.forecast.slot_s * 1000;
     const frees = new Map<string, number>();
     for (const host of this.ctx.hosts.hosts.values()) {
       let sum = 0;
@@ -437,19 +467,20 @@
     return reserves;
   }
 
-  private holdsReplicas(type: TypeId): boolean {
+  private typesWithReplicas(): Set<TypeId> {
+    const types = new Set<TypeId>();
     for (const host of this.ctx.hosts.hosts.values()) {
-      if (host.machine.type !== type) continue;
-      for (const task of host.tasks) if (task.job.spec.kind === 'service') return true;
+      if (types.has(host.machine.type)) continue;
+      for (const task of host.tasks) if (task.job.spec.kind === 'service') types.add(host.machine.type);
     }
-    return false;
+    return types;
   }
 
   /**
    * New need less expected frees. What is rented now serves only after its boot: ordinary machines
    * are wanted for a slot and a boot, since their work must not wait for either.
    */
-  private wanted(key: string, frees: ReadonlyMap<string, number>): number {
+  private wanted(key: string, { frees, replicasOn }: Outlook): number {
     const ensemble = this.ensemble(key);
     // Before the first slot has ended, its stock of old work tells what a slot may bring.
     const early = (this.slotNeed.get(key) ?? 0) * FIRST_SLOT;
@@ -459,7 +490,7 @@
     const type = this.ctx.types.get(id);
     if (spot || !type) return perSlot;
     // One machine's replicas find room at once when it dies.
-    const floor = this.holdsReplicas(type.id) ? 1 : 0;
+    const floor = replicasOn.has(type.id) ? 1 : 0;
     return Math.max(floor, perSlot * (1 + type.boot / (this.ctx.ops.forecast.slot_s * 1000)));
   }
 
@@ -469,11 +500,10 @@
    */
   private topUp(now: Steady): void {
     if (this.pending.size > 0) return;
-    const frees = this.frees(this.ctx.ops.forecast.slot_s * 1000, now);
-    const reserves = this.reserves();
+    const outlook = this.outlook(now);
     for (const key of new Set([...this.ensembles.keys(), ...this.slotNeed.keys()])) {
       if (readSeriesKey(key).spot) continue;
-      const count = Math.ceil(this.wanted(key, frees) - (reserves.get(key) ?? 0) - ROUND_DOWN);
+      const count = Math.ceil(this.wanted(key, outlook) - (outlook.reserves.get(key) ?? 0) - ROUND_DOWN);
       if (count > 0) this.rentAhead(key, count);
     }
   }
@@ -483,8 +513,8 @@
     this.firstSlot = false;
     const slotMs = this.ctx.ops.forecast.slot_s * 1000;
     this.slotEnds = plus(now, slotMs);
-    const frees = this.frees(slotMs, now);
-    const reserves = this.reserves();
+    const outlook = this.outlook(now);
+    const { frees, reserves } = outlook;
     for (const key of this.slotNeed.keys()) this.ensemble(key);
     const told: Record<string, unknown> = {};
     for (const [key, ensemble] of this.ensembles) {
@@ -493,7 +523,7 @@
       const need = (this.slotNeed.get(key) ?? 0) * stock;
       ensemble.observe(need, !this.refusedInSlot.has(key));
       const forecast = ensemble.forecast();
-      const net = this.wanted(key, frees) - (reserves.get(key) ?? 0);
+      const net = this.wanted(key, outlook) - (reserves.get(key) ?? 0);
       told[key] = [need, forecast, frees.get(key) ?? 0, reserves.get(key) ?? 0].map(
         (n) => Math.round(n * 100) / 100,
       );
@@ -522,7 +552,7 @@
     const same = open.filter((p) => p.type.id === type.id);
     if (same.length > 0) {
       const pool = same[Math.floor(this.ctx.random() * same.length)] as Pool;
-      this.rent({ pool, count: Math.min(count, MOST_AHEAD) }, 'forecast');
+      this.rent({ pool, count }, 'forecast');
       return;
     }
     // Replicas cannot wait for the type to come back; spot work can.
@@ -536,7 +566,6 @@
 
   /** Idle machines beyond what the forecast still wants go back after the wait. */
   private giveBack(now: Steady): void {
-    const slotMs = this.ctx.ops.forecast.slot_s * 1000;
     const idle = new Map<string, Host[]>();
     for (const host of this.ctx.hosts.hosts.values()) {
       if (!host.up || host.removing || !host.empty || host.idleSince === null) continue;
@@ -547,14 +576,15 @@
       const wait = host.machine.spot ? this.ctx.ops.fleet.spot_give_back_s : this.ctx.ops.fleet.give_back_s;
       if (since(now, host.idleSince) < wait * 1000) continue;
       const key = seriesKey(host.machine.type, host.machine.spot);
-      idle.set(key, [...(idle.get(key) ?? []), host]);
+      const hosts = idle.get(key);
+      if (hosts) hosts.push(host);
+      else idle.set(key, [host]);
     }
     if (idle.size === 0) return;
-    const frees = this.frees(slotMs, now);
-    const reserves = this.reserves();
+    const outlook = this.outlook(now);
     for (const [key, hosts] of idle) {
-      const need = Math.max(0, this.wanted(key, frees));
-      const surplus = Math.floor((reserves.get(key) ?? 0) - need + ROUND_DOWN);
+      const need = Math.max(0, this.wanted(key, outlook));
+      const surplus = Math.floor((outlook.reserves.get(key) ?? 0) - need + ROUND_DOWN);
       for (const host of hosts.slice(0, Math.max(0, surplus))) this.remove(host, 'surplus');
     }
   }
--- a/src/forecast/lifetimes.ts
+++ b/src/forecast/lifetimes.ts
@@ -1,10 +1,13 @@
 import { build, type Histogram } from 'hdr-histogram-js';
 
 const UNIT_MS = 100;
+const LOOK_AGAIN = 1.05;
 
 /** Run times seen per class of jobs: the empirical F of the paper's equation 9. */
 export class Lifetimes {
   private readonly seen = new Map<string, Histogram>();
+  /** Shares already looked up, by whole seconds; made anew once the class has grown by a part. */
+  private readonly looked = new Map<string, { count: number; shares: Map<number, number> }>();
   /** Run and estimated time per class: owners are mostly too high on some days, too low on others. */
   private readonly sums = new Map<string, { ran: number; estimated: number }>();
 
@@ -44,7 +47,19 @@
   within(jobClass: string, ms: number): number {
     const h = this.seen.get(jobClass);
     if (!h || h.totalCount === 0) return 0;
-    return shareUpTo(h, ms / UNIT_MS);
+    let looked = this.looked.get(jobClass);
+    if (!looked || h.totalCount > looked.count * LOOK_AGAIN) {
+      looked = { count: h.totalCount, shares: new Map() };
+      this.looked.set(jobClass, looked);
+    }
+    // Thousands of running tasks ask for the same few hundred ages.
+    const age = Math.round(ms / 1000);
+    let share = looked.shares.get(age);
+    if (share === undefined) {
+      share = shareUpTo(h, (age * 1000) / UNIT_MS);
+      looked.shares.set(age, share);
+    }
+    return share;
   }
 
   /**
--- a/src/net/budget.ts
+++ b/src/net/budget.ts
@@ -11,7 +11,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly perSecond: number,
-    private readonly burst: number,
+    readonly burst: number,
   ) {
     this.tokens = burst;
     this.last = clock.now();
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -22,8 +22,7 @@
   tryNo = 0 as TryNo;
   host: HostId | null = null;
   zone: ZoneId | null = null;
-  /** What the host last showed of this attempt. */
-  shown: AttemptState | null = null;
+  private lastShown: AttemptState | null = null;
   runningAt: Steady | null = null;
   placedAt: Steady | null = null;
   /** The host's tenure when a run order first left; null: none has left under our epoch. */
@@ -48,6 +47,17 @@
   get held(): boolean {
     return this.phase === 'deciding' || this.phase === 'placed';
   }
+
+  /** What the host last showed of this attempt. */
+  get shown(): AttemptState | null {
+    return this.lastShown;
+  }
+
+  set shown(state: AttemptState | null) {
+    if (this.lastShown === 'running') this.job.running--;
+    if (state === 'running') this.job.running++;
+    this.lastShown = state;
+  }
 }
 
 export class Chunk {
@@ -56,6 +66,8 @@
   version = 0;
   durable = 0;
   dirtySince: Steady | null = null;
+  /** Tasks whose start is being decided. */
+  readonly deciding = new Set<Task>();
   readonly tasks = new Map<TaskIndex, Task>();
 
   constructor(
@@ -74,6 +86,7 @@
   touch(now: Steady): void {
     this.version++;
     this.dirtySince ??= now;
+    this.job.book?.dirty.add(this);
   }
 
   /** The progress to be written; decisions being made count as placed. */
@@ -95,9 +108,15 @@
   readonly chunks = new Map<number, Chunk>();
   private fresh = 0;
   private readonly again: TaskIndex[] = [];
+  /** The book that lists this job; it is told of every change. */
+  book: JobBook | null = null;
   cancelled = false;
   done = 0;
   heldCount = 0;
+  /** Tasks that were last shown running. */
+  running = 0;
+  /** When one of its tasks was last given a machine. */
+  servedAt: Steady | null = null;
   /** Hosts on which this job's tasks failed, and until when it waits after failing on several. */
   readonly failedOn = new Set<HostId>();
   /** When its tasks ran, for the log. */
@@ -117,10 +136,9 @@
     return this.cancelled ? 0 : this.again.length + (this.spec.tasks - this.fresh);
   }
 
-  get running(): number {
-    let n = 0;
-    for (const task of this.tasks.values()) if (task.phase === 'placed' && task.shown === 'running') n++;
-    return n;
+  /** Nothing of it is left to be done: its records can be closed. */
+  get over(): boolean {
+    return this.cancelled ? this.heldCount === 0 : this.complete;
   }
 
   get complete(): boolean {
@@ -158,7 +176,10 @@
     task.placedAt = now;
     this.resetAttempt(task);
     this.heldCount++;
-    this.chunkOf(index).touch(now);
+    this.servedAt = now;
+    const chunk = this.chunkOf(index);
+    chunk.deciding.add(task);
+    chunk.touch(now);
     return task;
   }
 
@@ -172,9 +193,17 @@
     task.kill = null;
   }
 
+  /** The start is durable: run orders may leave. */
+  placed(task: Task): void {
+    task.phase = 'placed';
+    this.chunkOf(task.index).deciding.delete(task);
+  }
+
   /** The attempt is proven gone without success. */
   release(task: Task, now: Steady): void {
     if (!task.held) return;
+    const chunk = this.chunkOf(task.index);
+    chunk.deciding.delete(task);
     task.phase = 'waiting';
     task.host = null;
     task.zone = null;
@@ -182,16 +211,21 @@
     this.heldCount--;
     this.lost++;
     this.again.push(task.index);
-    this.chunkOf(task.index).touch(now);
+    chunk.touch(now);
+    this.book?.changed(this);
   }
 
   finish(task: Task, now: Steady): void {
     if (task.held) this.heldCount--;
+    const chunk = this.chunkOf(task.index);
+    chunk.deciding.delete(task);
     task.phase = 'done';
     task.host = null;
     task.zone = null;
+    task.shown = null;
     this.done++;
-    this.chunkOf(task.index).touch(now);
+    chunk.touch(now);
+    this.book?.changed(this);
   }
 
   /** Takes over what an earlier leader wrote. */
@@ -241,14 +275,31 @@
   readonly jobs = new Map<JobId, OpenJob>();
   /** Jobs that ended while we led: an old event must not open them again. */
   private readonly ended = new Set<JobId>();
+  /** Chunks with changes that are not durable yet. */
+  readonly dirty = new Set<Chunk>();
+  /** Jobs whose records wait to be closed. */
+  readonly over = new Set<OpenJob>();
 
   add(job: OpenJob): boolean {
     if (this.jobs.has(job.spec.id) || this.ended.has(job.spec.id)) return false;
     this.jobs.set(job.spec.id, job);
+    job.book = this;
+    for (const chunk of job.chunks.values()) if (chunk.dirty) this.dirty.add(chunk);
+    this.changed(job);
     return true;
   }
 
+  changed(job: OpenJob): void {
+    if (job.over) this.over.add(job);
+  }
+
   end(id: JobId): void {
+    const job = this.jobs.get(id);
+    if (job) {
+      this.over.delete(job);
+      for (const chunk of job.chunks.values()) this.dirty.delete(chunk);
+      job.book = null;
+    }
     this.jobs.delete(id);
     this.ended.add(id);
     if (this.ended.size > 20_000) {
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -1,4 +1,5 @@
-import type { JobSpec } from '../model/job.js';
+import { type JobSpec, Priority } from '../model/job.js';
+import { type Steady, since } from '../model/time.js';
 import type { Objective } from '../wire/settings.js';
 
 /** Room for a task that runs longer than expected, and for its image. */
@@ -18,6 +19,22 @@
   readonly slackMs: number;
 }
 
+/** A job none of whose tasks has been given a machine for this long goes ahead of its rank. */
+const STARVED_MS = 120_000;
+
+/**
+ * Whether a job waits unserved for too long. Work whose targets are lost goes last and low ranks go
+ * behind high ones; on a full cluster both could wait for ever.
+ */
+export function isStarving(
+  job: { readonly spec: JobSpec; readonly servedAt: Steady | null; readonly heldCount: number },
+  ageMs: number,
+  now: Steady,
+): boolean {
+  if (job.spec.priority === Priority.Production || job.heldCount > 0 || ageMs <= STARVED_MS) return false;
+  return job.servedAt === null || since(now, job.servedAt) > STARVED_MS;
+}
+
 /**
  * How long a job may still wait, by its own deadline and its class's objectives. A target that can
  * no longer be met gives way to the next one: hopeless work must not push aside what can be saved.
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -6,11 +6,19 @@
 import type { Budget } from '../net/budget.js';
 import type { Chunk, OpenJob, Task } from '../scheduler/job-book.js';
 import type { Condition, Write } from '../wire/state.js';
-import { sleep } from '../model/time.js';
+import { since, sleep } from '../model/time.js';
 
 /** Progress without a new start may wait this long for company: it only saves repeated work. */
 const LAZY_MS = 400;
+/** While starts and closings need the writes, progress waits up to this long. */
+const LAZIEST_MS = 5000;
+/** The share of the budget's burst that is kept for starts. */
+const KEPT_FOR_STARTS = 0.5;
 const MAX_BYTES = 48 * 1024;
+/** About what one write, one placement and one other task take in a transaction. */
+const WRITE_BYTES = 200;
+const PLACEMENT_BYTES = 26;
+const TASK_BYTES = 8;
 
 interface Batch {
   readonly conditions: Condition[];
@@ -56,7 +64,7 @@
     try {
       while (!this.ctx.ended()) {
         const batch = this.pick();
-        if (batch.writes.length === 0) break;
+        if (batch === null) break;
         await this.write(batch);
       }
     } catch (error) {
@@ -67,41 +75,47 @@
     }
   }
 
-  private pick(): Batch {
+  /**
+   * The next transaction: jobs that are done, starts by rank, progress, records of cancelled jobs,
+   * while the rate that the state service allows has room. What is left over is picked later.
+   */
+  private pick(): Batch | null {
+    const { jobs, settings } = this.ctx;
+    const wait = this.budget.wait();
+    if (wait > 0) {
+      if (jobs.dirty.size > 0 || jobs.over.size > 0) this.later(wait + 1);
+      return null;
+    }
     const batch: Batch = { conditions: [], writes: [], chunks: [], closing: [], bytes: 0 };
     batch.conditions.push({ key: keys.epoch, stamp: this.ctx.epochStamp });
     const now = this.ctx.clock.now();
-    const max = Math.min(this.ctx.settings.txnOps, Math.max(1, Math.floor(this.budget.available())));
+    const available = Math.floor(this.budget.available());
+    const max = Math.min(settings.txnOps, Math.max(1, available));
     const starts: Chunk[] = [];
-    const idle: Chunk[] = [];
-    let wait = Infinity;
-    for (const job of this.ctx.jobs.jobs.values()) {
-      if (this.canClose(job)) {
-        this.addClosing(batch, job, max);
+    const progress: Chunk[] = [];
+    let next = Infinity;
+    for (const chunk of jobs.dirty) {
+      const { job } = chunk;
+      if (job.over) continue;
+      if (!job.cancelled && chunk.deciding.size > 0) {
+        starts.push(chunk);
         continue;
       }
-      for (const chunk of job.chunks.values()) {
-        if (!chunk.dirty) continue;
-        if (!job.cancelled && hasDecided(chunk)) starts.push(chunk);
-        else {
-          const age = now - (chunk.dirtySince ?? now);
-          if (age >= LAZY_MS) idle.push(chunk);
-          else wait = Math.min(wait, LAZY_MS - age);
-        }
-      }
+      const age = since(now, chunk.dirtySince ?? now);
+      const due = available > this.budget.burst * KEPT_FOR_STARTS ? LAZY_MS : LAZIEST_MS;
+      if (age >= due) progress.push(chunk);
+      else next = Math.min(next, due - age, LAZY_MS);
     }
     starts.sort((a, b) => b.job.spec.priority - a.job.spec.priority);
-    for (const chunk of [...starts, ...idle]) {
-      if (batch.writes.length >= max || batch.bytes > MAX_BYTES) break;
-      this.addChunk(batch, chunk);
-    }
-    if (batch.writes.length === 0 && wait < Infinity) this.later(wait + 1);
-    return batch;
-  }
-
-  private canClose(job: OpenJob): boolean {
-    if (job.cancelled) return job.heldCount === 0;
-    return job.complete;
+    const full = (): boolean => batch.writes.length >= max || batch.bytes > MAX_BYTES;
+    // Users wait for `done`, and few jobs end at a time; nobody waits for a cancelled job's records.
+    for (const job of jobs.over) if (!full() && !job.cancelled) this.addClosing(batch, job, max);
+    for (const chunk of starts) if (!full()) this.addChunk(batch, chunk);
+    for (const chunk of progress) if (!full()) this.addChunk(batch, chunk);
+    for (const job of jobs.over) if (!full() && job.cancelled) this.addClosing(batch, job, max);
+    if (batch.writes.length > 0) return batch;
+    if (next < Infinity) this.later(Math.max(next, 1) + 1);
+    return null;
   }
 
   private addClosing(batch: Batch, job: OpenJob, max: number): void {
@@ -126,15 +140,15 @@
   }
 
   private addChunk(batch: Batch, chunk: Chunk): void {
-    const decided = [...chunk.tasks.values()].filter((t) => t.phase === 'deciding');
-    const value = encodeChunk(chunk.progress());
+    const decided = [...chunk.deciding];
+    const progress = chunk.progress();
     batch.conditions.push({ key: chunk.key, stamp: chunk.stamp });
     if (decided.length > 0) {
       batch.conditions.push({ key: keys.job(chunk.job.spec.id), stamp: chunk.job.stamp });
     }
-    batch.writes.push({ set: chunk.key, value });
+    batch.writes.push({ set: chunk.key, value: encodeChunk(progress) });
     batch.chunks.push({ chunk, version: chunk.version, decided });
-    batch.bytes += JSON.stringify(value).length + 200;
+    batch.bytes += WRITE_BYTES + progress.placed.size * PLACEMENT_BYTES + chunk.tasks.size * TASK_BYTES;
   }
 
   private async write(batch: Batch): Promise<void> {
@@ -159,9 +173,10 @@
       chunk.stamp = result.stamp;
       chunk.durable = Math.max(chunk.durable, version);
       chunk.dirtySince = chunk.dirty ? this.ctx.clock.now() : null;
+      if (!chunk.dirty) this.ctx.jobs.dirty.delete(chunk);
       decided.forEach((task, t) => {
         if (task.phase !== 'deciding' || task.tryNo !== tries[c]?.[t]) return;
-        task.phase = 'placed';
+        chunk.job.placed(task);
         placed.push(task);
       });
     });
@@ -202,8 +217,3 @@
     else if (state === 'done') this.end(job);
   }
 }
-
-function hasDecided(chunk: Chunk): boolean {
-  for (const task of chunk.tasks.values()) if (task.phase === 'deciding') return true;
-  return false;
-}
--- a/src/workers/caller.ts
+++ b/src/workers/caller.ts
@@ -1,28 +1,52 @@
 import type { CallVerb } from '../peer/frames.js';
-import { HttpTarget, type Reply } from '../net/http-client.js';
+import { HttpTarget, NoAnswer, type Reply } from '../net/http-client.js';
 
-const MOST_TARGETS = 300;
+interface Target {
+  readonly http: HttpTarget;
+  inFlight: number;
+}
+
+/** A command and a look may be on their way to one worker at the same time. */
+const SOCKETS_EACH = 2;
 
-/** Calls to the workers' own addresses over kept connections. */
+/** Calls to the workers' own addresses over kept connections, the least recently used dropped first. */
 export class WorkerTargets {
-  private readonly targets = new Map<string, HttpTarget>();
+  private readonly targets = new Map<string, Target>();
+  private readonly most: number;
+
+  constructor(sockets: number) {
+    this.most = Math.max(1, Math.floor(sockets / SOCKETS_EACH));
+  }
 
-  private target(address: string): HttpTarget {
+  private target(address: string): Target {
     let target = this.targets.get(address);
-    if (!target) {
-      target = new HttpTarget(address, 2);
-      this.targets.set(address, target);
-      if (this.targets.size > MOST_TARGETS) this.drop(this.targets.keys().next().value as string);
+    if (target) this.targets.delete(address);
+    else {
+      if (this.targets.size >= this.most) this.dropIdle();
+      target = { http: new HttpTarget(address, SOCKETS_EACH), inFlight: 0 };
     }
+    this.targets.set(address, target);
     return target;
   }
 
-  private drop(address: string): void {
-    this.targets.get(address)?.close();
-    this.targets.delete(address);
+  /** A call that is under way is never cut off: its orders would then be neither sent nor unsent. */
+  private dropIdle(): void {
+    for (const [address, { http, inFlight }] of this.targets) {
+      if (inFlight > 0) continue;
+      http.close();
+      this.targets.delete(address);
+      return;
+    }
+    throw new NoAnswer('no socket is free');
   }
 
-  raw(verb: CallVerb, address: string, body: unknown, deadlineMs: number): Promise<Reply> {
-    return this.target(address).call(verb === 'show' ? 'GET' : 'POST', `/${verb}`, body, deadlineMs);
+  async raw(verb: CallVerb, address: string, body: unknown, deadlineMs: number): Promise<Reply> {
+    const target = this.target(address);
+    target.inFlight++;
+    try {
+      return await target.http.call(verb === 'show' ? 'GET' : 'POST', `/${verb}`, body, deadlineMs);
+    } finally {
+      target.inFlight--;
+    }
   }
 }
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -10,14 +10,24 @@
 /** After calls that brought no answer, orders wait for the host's reports this long. */
 const REST_MS = 3000;
 const MOST_ORDERS = 200;
+/**
+ * First contacts under way at once. A new leader has every worker to meet; their reports come by
+ * themselves, and orders to those that it knows must not queue behind the rest.
+ */
+const MOST_CONTACTS = 24;
 
-/** Sends orders straight to the workers, one call at a time to each. */
+/** Sends orders straight to the workers, one call at a time to each, so many at once. */
 export class Dispatcher {
   private readonly restUntil = new Map<string, Steady>();
+  private readonly waiting = new Set<Host>();
+  private readonly strangers = new Set<Host>();
+  private inFlight = 0;
+  private contacts = 0;
 
   constructor(
     private readonly ctx: LeaderContext,
     private readonly onReport: (host: Host, report: Report) => void,
+    private readonly most: number,
   ) {}
 
   wake(host: Host): void {
@@ -25,12 +35,50 @@
       host.commandWanted = true;
       return;
     }
-    if (host.address === '' || this.ctx.ended()) return;
+    if (!this.mayCall(host)) return;
+    if (host.known) this.order(host);
+    else {
+      this.strangers.add(host);
+      this.meet();
+    }
+  }
+
+  private mayCall(host: Host): boolean {
+    if (host.address === '' || this.ctx.ended()) return false;
     const rest = this.restUntil.get(host.id);
-    if (rest !== undefined && rest > this.ctx.clock.now()) return;
-    const orders = host.known ? ordersFor(host, this.ctx.clock.now()).slice(0, MOST_ORDERS) : [];
-    if (orders.length === 0 && host.known) return;
-    void this.send(host, orders);
+    return rest === undefined || rest <= this.ctx.clock.now();
+  }
+
+  private order(host: Host): void {
+    if (this.inFlight >= this.most) {
+      this.waiting.add(host);
+      return;
+    }
+    const orders = ordersFor(host, this.ctx.clock.now()).slice(0, MOST_ORDERS);
+    if (orders.length > 0) void this.send(host, orders);
+  }
+
+  /** An empty command tells a worker our epoch and brings its report. */
+  private meet(): void {
+    for (const host of this.strangers) {
+      if (this.contacts >= MOST_CONTACTS || this.inFlight >= this.most) return;
+      this.strangers.delete(host);
+      // It may have reported by itself meanwhile.
+      if (host.known || host.commandInFlight || !this.mayCall(host)) continue;
+      this.contacts++;
+      void this.send(host, []).finally(() => {
+        this.contacts--;
+        this.meet();
+      });
+    }
+  }
+
+  private next(): void {
+    for (const host of this.waiting) {
+      if (this.inFlight >= this.most) return;
+      this.waiting.delete(host);
+      this.wake(host);
+    }
   }
 
   private async send(host: Host, orders: Order[]): Promise<void> {
@@ -41,6 +89,7 @@
     }
     host.commandInFlight = true;
     host.commandWanted = false;
+    this.inFlight++;
     const sentAt = this.ctx.clock.now();
     try {
       const answer = await this.ctx.workers.command(
@@ -64,14 +113,18 @@
       );
     } finally {
       host.commandInFlight = false;
+      this.inFlight--;
       if (host.commandWanted) this.wake(host);
+      this.next();
     }
   }
 }
 
 /** The tasks whose run orders are among these. */
 export function runsAmong(host: Host, orders: readonly Order[]): { task: Task; tryNo: Task['tryNo'] }[] {
-  const ids = new Set(orders.filter((o) => o.verb === 'run').map((o) => o.task));
+  const ids = new Set<string>();
+  for (const order of orders) if (order.verb === 'run') ids.add(order.task);
+  if (ids.size === 0) return [];
   const runs: { task: Task; tryNo: Task['tryNo'] }[] = [];
   for (const task of host.tasks) if (ids.has(task.id)) runs.push({ task, tryNo: task.tryNo });
   return runs;
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -4,12 +4,15 @@
 import type { Host } from './host-book.js';
 
 const PROBES = 2;
+/** A report's way here. */
+const LATE_MS = 250;
 /** Hearing nobody for this long while machines are up means that the fault is ours. */
 const DEAF_MS = 7000;
 
 /** Watches for silent machines and fences them; notices when it is the leader who is deaf. */
 export class Health {
   private lastHeard: Steady;
+  private readonly silentMs: number;
 
   constructor(
     private readonly ctx: LeaderContext,
@@ -19,6 +22,9 @@
     private readonly leaseOver: (host: Host) => void,
   ) {
     this.lastHeard = ctx.startedAt;
+    // A healthy worker's reports lie up to a quarter more than `report_s` apart (PROTOCOL).
+    const { silent_s: asked } = ctx.ops.workers;
+    this.silentMs = asked === undefined ? ctx.settings.reportEvery * 1.25 + LATE_MS : asked * 1000;
   }
 
   heard(host: Host, now: Steady): void {
@@ -36,7 +42,7 @@
   }
 
   tick(now: Steady): void {
-    const silentMs = this.ctx.ops.workers.silent_s * 1000;
+    const silentMs = this.silentMs;
     const silent: Host[] = [];
     let up = 0;
     for (const host of this.ctx.hosts.hosts.values()) {
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -33,7 +33,9 @@
   takenAt: Steady | null = null;
   /** Nothing more is placed here. */
   closed: 'sick' | 'returning' | 'silent' | null = null;
-  readonly tasks = new Set<Task>();
+  private readonly held = new Set<Task>();
+  /** What is left of the machine; null: to be reckoned again. */
+  private room: Room | null = null;
   readonly ended = new Map<string, EndedAttempt>();
   /** Attempts shown that nobody wants: killed at every chance. */
   strays: Attempt[] = [];
@@ -65,9 +67,26 @@
     return this.machine.id;
   }
 
-  free(): Room {
+  /** Tasks that may be on the machine. */
+  get tasks(): ReadonlySet<Task> {
+    return this.held;
+  }
+
+  put(task: Task): void {
+    this.held.add(task);
+    this.room = null;
+  }
+
+  drop(task: Task): void {
+    this.held.delete(task);
+    this.room = null;
+  }
+
+  get free(): Readonly<Room> {
+    if (this.room) return this.room;
     const free = { cpus: this.type.cpus, gpus: this.type.gpus, memoryGb: this.type.memoryGb };
-    for (const task of this.tasks) take(free, task.job.spec);
+    for (const task of this.held) take(free, task.job.spec);
+    this.room = free;
     return free;
   }
 
@@ -77,7 +96,7 @@
     this.removing = old.removing;
     for (const task of old.tasks) {
       task.zone = this.machine.zone;
-      this.tasks.add(task);
+      this.put(task);
     }
   }
 
@@ -109,7 +128,7 @@
 
   /** Whether the machine may hold a task that has not been proven gone. */
   get empty(): boolean {
-    return this.tasks.size === 0;
+    return this.held.size === 0;
   }
 
   leaseEnd(start: Steady, lease: number): Steady {
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -96,7 +96,7 @@
   const ranMs = task.runningAt === null ? null : now - task.runningAt;
   const loose = task.loose > 0;
   const quietAt = answerQuietAt(task.answeredAt, now);
-  host.tasks.delete(task);
+  host.drop(task);
   told.changed = true;
   if (attempt.cause === 'done') {
     host.keepImage(task.job.spec.image, task.job.spec.imageGb);
@@ -136,7 +136,7 @@
 }
 
 function lose(host: Host, task: Task, now: Steady, told: Told): void {
-  host.tasks.delete(task);
+  host.drop(task);
   task.job.release(task, now);
   told.lost.push(task);
   told.changed = true;
@@ -146,7 +146,7 @@
 export function loseAll(host: Host, now: Steady): Task[] {
   const lost: Task[] = [];
   for (const task of [...host.tasks]) {
-    host.tasks.delete(task);
+    host.drop(task);
     if (task.phase !== 'placed') continue;
     task.job.release(task, now);
     lost.push(task);
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -144,6 +144,7 @@
       workers: this.callerFor(name, clock),
       random: this.random,
       types: new Map(TYPES.map((t) => [t.id, t])),
+      workerCalls: 64,
     };
     const seat = new Seat(ctx, () => Promise.resolve());
     this.running.set(name, { clock, seat, users: new UserService(ctx, () => null) });
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -1,12 +1,24 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { describe, expect, it } from 'vitest';
 import { lateNeeds } from '../../src/fleet/backlog.js';
 import { rentFor } from '../../src/fleet/plan.js';
 import type { HostId, ImageId, JobId, TaskId, TeamId, TypeId, ZoneId } from '../../src/model/ids.js';
 import { type JobSpec, Priority } from '../../src/model/job.js';
 import type { Team } from '../../src/model/team.js';
-import type { WallTime } from '../../src/model/time.js';
-import { type JobView, type MachineView, place, type Victim } from '../../src/scheduler/place.js';
-import { Urgency } from '../../src/scheduler/urgency.js';
+import type { Steady, WallTime } from '../../src/model/time.js';
+import {
+  guaranteedJobs,
+  type JobView,
+  type MachineView,
+  place as placeSnapshot,
+  type Plan,
+  type Snapshot,
+  type Victim,
+} from '../../src/scheduler/place.js';
+import type { TeamUse } from '../../src/scheduler/job-book.js';
+import { plainPlace, structuredCloneOf } from './plain-place.js';
+import { isStarving, Urgency } from '../../src/scheduler/urgency.js';
 import { TYPES } from '../standins/site.js';
 
 const spec = (over: Partial<JobSpec>): JobSpec => ({
@@ -41,10 +53,13 @@
   avoid: new Set(),
   heldBack: false,
   slackMs: 10_000,
+  starving: false,
   ...more,
 });
 
-const machine = (id: string, over: Partial<MachineView> = {}): MachineView => ({
+type MachineWith = MachineView & { victims: Victim[] };
+
+const machine = (id: string, over: Partial<MachineWith> = {}): MachineWith => ({
   id: id as HostId,
   type: 'small' as TypeId,
   zone: 'north' as ZoneId,
@@ -74,6 +89,25 @@
   { id: id as TeamId, cpus, gpus: 0, cpusMax, gpusMax: null },
 ];
 const TEAMS = new Map([team('red', 4, 8), team('blue', 4, null)]);
+function snapshot(
+  jobs: JobView[],
+  machines: MachineWith[],
+  teams: Map<TeamId, Team>,
+  use: Map<TeamId, TeamUse>,
+): Snapshot {
+  const victims = new Map(machines.map((m) => [m.id, m.victims]));
+  return {
+    jobs,
+    machines,
+    teams,
+    use,
+    guaranteed: guaranteedJobs(jobs, teams),
+    victimsOf: (id) => [...(victims.get(id) ?? [])],
+  };
+}
+
+const place = (...args: Parameters<typeof snapshot>): Plan => placeSnapshot(snapshot(...args));
+
 const FULL = { cpus: 0, gpus: 0, memoryGb: 0 };
 
 describe('placement', () => {
@@ -115,6 +149,107 @@
   });
 });
 
+describe('placement at size', () => {
+  const generator = xoroshiro128plus(11);
+  const draw = (n: number): number => uniformInt(generator, 0, n - 1);
+
+  /** A drawn cluster: machines part full, jobs of all kinds, teams near their limits. */
+  function drawn(): Snapshot {
+    const machines = Array.from({ length: 30 }, (_, i) => {
+      const cpus = draw(3) === 0 ? 64 : 8;
+      const victims = Array.from({ length: draw(4) }, (_v, k) =>
+        victim(`j-000009/${i * 10 + k}`, {
+          lostMs: draw(60_000),
+          cpus: 2,
+          priority: draw(3) as Priority,
+          job: `j-90000${draw(4)}` as JobId,
+          team: (draw(2) ? 'red' : 'blue') as TeamId,
+        }),
+      ).sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
+      return machine(`host-${String(draw(900_000)).padStart(6, '0')}-${i}`, {
+        cpus,
+        zone: (draw(2) ? 'north' : 'south') as ZoneId,
+        spot: draw(2) === 0,
+        free: { cpus: draw(5) * 2, gpus: 0, memoryGb: draw(30) },
+        images: new Set(draw(2) ? [`img-${draw(3)}` as ImageId] : []),
+        reachable: draw(8) > 0,
+        victims,
+      });
+    });
+    const jobs = Array.from({ length: 12 }, (_, i) => {
+      const production = draw(4) === 0;
+      const tasks = 1 + draw(9);
+      return job(
+        {
+          id: `j-${String(i).padStart(6, '0')}` as JobId,
+          team: (draw(2) ? 'red' : 'blue') as TeamId,
+          priority: production ? Priority.Production : (draw(2) as Priority),
+          kind: production ? 'service' : 'array',
+          spot: !production,
+          tasks,
+          cpus: 1 + draw(4),
+          memoryGb: 1 + draw(6),
+          image: `img-${draw(3)}` as ImageId,
+          oneZone: draw(5) === 0,
+          spread: draw(5) === 0,
+        },
+        {
+          acceptedAt: draw(1000) as WallTime,
+          waiting: 1 + draw(tasks),
+          slackMs: draw(3) ? draw(90_000) : null,
+        },
+      );
+    });
+    const teams = new Map([team('red', 10, 40), team('blue', 30, 90)]);
+    return snapshot(jobs, machines, teams, new Map([['red' as TeamId, { cpus: draw(20), gpus: 0 }]]));
+  }
+
+  it('decides what plain first-fit over the whole list decides', () => {
+    let starts = 0;
+    let stops = 0;
+    for (let i = 0; i < 300; i++) {
+      const now = drawn();
+      const plain = plainPlace(structuredCloneOf(now));
+      const plan = placeSnapshot(now);
+      expect(plan.starts).toEqual(plain.starts);
+      expect(plan.stops).toEqual(plain.stops);
+      starts += plan.starts.length;
+      stops += plan.stops.length;
+    }
+    // Otherwise the draws would show nothing.
+    expect(starts).toBeGreaterThan(3000);
+    expect(stops).toBeGreaterThan(100);
+  });
+
+  it('looks at a full machine once, however many jobs wait', () => {
+    let looks = 0;
+    const machines = Array.from({ length: 1500 }, (_, i) => {
+      const m = machine(`host-${i}`, { free: { ...FULL } });
+      return new Proxy(m, {
+        get(target, field) {
+          if (field === 'free') looks++;
+          return Reflect.get(target, field) as unknown;
+        },
+      });
+    });
+    const jobs = Array.from({ length: 200 }, (_, i) => job({ id: `j-${i}` as JobId, tasks: 50 }));
+    const plan = place(jobs, machines, new Map([team('red', 0, null)]), new Map());
+    expect(plan.unmet).toHaveLength(200);
+    // one look for each of the two orders
+    expect(looks).toBeLessThanOrEqual(2 * machines.length);
+  });
+
+  it('lets a job begin that has waited unserved, with a part of its tasks', () => {
+    const late = job({ id: 'j-000002' as JobId, tasks: 8 }, { slackMs: null, starving: true });
+    const urgent = job({ id: 'j-000001' as JobId, tasks: 8, priority: Priority.High }, { slackMs: 1 });
+    const plan = place([urgent, late], [machine('a')], new Map([team('red', 0, null)]), new Map());
+    expect(plan.starts.map((s) => s.job)).toEqual(['j-000002', 'j-000002', 'j-000001', 'j-000001']);
+    expect(isStarving({ spec: spec({}), servedAt: null, heldCount: 0 }, 119_000, 0 as Steady)).toBe(false);
+    expect(isStarving({ spec: spec({}), servedAt: null, heldCount: 0 }, 121_000, 0 as Steady)).toBe(true);
+    expect(isStarving({ spec: spec({}), servedAt: null, heldCount: 1 }, 121_000, 0 as Steady)).toBe(false);
+  });
+});
+
 describe('targets', () => {
   const urgency = new Urgency([
     { kind: 'finished', jobClass: 'batch', within: 60_000 as never, share: 0.9 },
--- /dev/null
+++ b/test/unit/plain-place.ts
@@ -0,0 +1,120 @@
+import { fits, give, type JobSpec, Priority, take } from '../../src/model/job.js';
+import {
+  allowed,
+  type MachineView,
+  type Plan,
+  queueOrder,
+  type Snapshot,
+  teamRoom,
+  type Victim,
+  zoneAllows,
+} from '../../src/scheduler/place.js';
+
+/** A copy that can be decided on without touching the original. */
+export function structuredCloneOf(now: Snapshot): Snapshot {
+  return {
+    ...now,
+    jobs: now.jobs.map((j) => ({ ...j, zones: new Map(j.zones) })),
+    machines: now.machines.map((m) => ({ ...m, free: { ...m.free } })),
+  };
+}
+
+/** The documented order, sorted in full for every job. */
+function machineOrder(spec: JobSpec, machines: readonly MachineView[]): MachineView[] {
+  const image = (m: MachineView): number => (m.images.has(spec.image) ? 0 : 1);
+  const key = (m: MachineView): (number | string)[] =>
+    spec.spot
+      ? [m.reachable ? 0 : 1, m.spot ? 0 : 1, m.free.cpus, image(m), m.id]
+      : [m.reachable ? 0 : 1, image(m), m.cpus, m.free.cpus, m.id];
+  return machines
+    .filter((m) => allowed(spec, m))
+    .map((m) => ({ m, key: key(m) }))
+    .sort((a, b) => {
+      for (let i = 0; i < a.key.length; i++) {
+        const [x, y] = [a.key[i] as number, b.key[i] as number];
+        if (x !== y) return x < y ? -1 : 1;
+      }
+      return 0;
+    })
+    .map((x) => x.m);
+}
+
+function victimsFor(
+  spec: JobSpec,
+  m: MachineView,
+  from: Victim[],
+  may: (v: Victim) => boolean,
+): Victim[] | null {
+  const free = { ...m.free };
+  const chosen: Victim[] = [];
+  for (const v of from) {
+    if (fits(spec, free)) break;
+    if (!may(v)) continue;
+    give(free, v);
+    chosen.push(v);
+  }
+  return fits(spec, free) ? chosen : null;
+}
+
+/** Placement without any index: every job looks at every machine, every task at every victim. */
+export function plainPlace(now: Snapshot): Plan {
+  const plan: Plan = { starts: [], stops: [], unmet: [] };
+  const used = new Map([...now.use].map(([team, u]) => [team, { ...u }]));
+  const victims = new Map(now.machines.map((m) => [m.id, now.victimsOf(m.id)]));
+  for (const job of queueOrder(now.jobs, now.guaranteed)) {
+    const { spec } = job;
+    const team = now.teams.get(spec.team);
+    if (!team || job.waiting === 0 || job.heldBack) continue;
+    const mine = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    used.set(spec.team, mine);
+    let left = Math.min(job.waiting, teamRoom(team, mine, spec));
+    const start = (m: MachineView): void => {
+      plan.starts.push({ job: spec.id, host: m.id });
+      take(m.free, spec);
+      mine.cpus += spec.cpus;
+      mine.gpus += spec.gpus;
+      job.zones.set(m.zone, (job.zones.get(m.zone) ?? 0) + 1);
+      job.waiting--;
+      left--;
+    };
+    const firstFit = (which: (m: MachineView) => boolean): void => {
+      for (const m of machineOrder(spec, now.machines)) {
+        if (!which(m) || job.avoid.has(m.id)) continue;
+        while (left > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) start(m);
+      }
+    };
+    const production = spec.priority === Priority.Production;
+    const within = now.guaranteed.has(spec.id);
+    const may = (v: Victim): boolean =>
+      (production && v.priority < spec.priority) ||
+      (within && v.team !== spec.team && v.priority < Priority.Production && !now.guaranteed.has(v.job));
+    const makeRoom = (which: (m: MachineView) => boolean): void => {
+      while (left > 0) {
+        let best: { m: MachineView; stop: Victim[]; lost: number } | null = null;
+        for (const m of now.machines) {
+          const from = victims.get(m.id) ?? [];
+          if (!m.reachable || !which(m) || !allowed(spec, m)) continue;
+          if (job.avoid.has(m.id) || !zoneAllows(job, m.zone)) continue;
+          const stop = victimsFor(spec, m, from, may);
+          const lost = stop?.reduce((sum, v) => sum + v.lostMs * v.cpus, 0) ?? Infinity;
+          if (stop && (!best || lost < best.lost)) best = { m, stop, lost };
+        }
+        if (!best) return;
+        for (const v of best.stop) {
+          plan.stops.push({ host: best.m.id, task: v.task });
+          const from = victims.get(best.m.id) ?? [];
+          from.splice(from.indexOf(v), 1);
+          give(best.m.free, v);
+        }
+        start(best.m);
+      }
+    };
+    const warm = (m: MachineView): boolean => production && m.images.has(spec.image);
+    firstFit(warm);
+    makeRoom(warm);
+    firstFit(() => true);
+    makeRoom(() => true);
+    if (left > 0) plan.unmet.push({ job, tasks: left });
+  }
+  return plan;
+}
