--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -1,6 +1,7 @@
 import { Mutex } from 'async-mutex';
 import { FleetManager } from '../fleet/manager.js';
 import type { QueuedWork } from '../fleet/backlog.js';
+import { seriesKey } from '../fleet/plan.js';
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
 import type { Epoch, HostId, JobId, Stamp, TeamId } from '../model/ids.js';
@@ -622,17 +623,43 @@
     let up = 0;
     let cpus = 0;
     let usedCpus = 0;
+    let runningCpus = 0;
     for (const job of this.jobs.jobs.values()) {
       waiting += job.waiting;
       held += job.heldCount;
+      runningCpus += job.running * job.spec.cpus;
     }
+    const pools: Record<string, Record<string, number>> = {};
     for (const host of this.hosts.hosts.values()) {
       if (!host.up) continue;
       up++;
       cpus += host.type.cpus;
       usedCpus += host.type.cpus - host.free.cpus;
+      const pool = (pools[seriesKey(host.machine.type, host.machine.spot)] ??= {
+        up: 0,
+        empty: 0,
+        free: 0,
+        withReplicas: 0,
+      });
+      let replicas = 0;
+      for (const task of host.tasks) if (task.job.spec.kind === 'service') replicas = 1;
+      pool['up'] = (pool['up'] ?? 0) + 1;
+      pool['empty'] = (pool['empty'] ?? 0) + (host.empty ? 1 : 0);
+      pool['free'] = Math.round((pool['free'] ?? 0) + host.free.cpus);
+      pool['withReplicas'] = (pool['withReplicas'] ?? 0) + replicas;
     }
-    return { jobs: this.jobs.jobs.size, waiting, held, hosts: this.hosts.hosts.size, up, cpus, usedCpus };
+    const rounded = (n: number): number => Math.round(n);
+    return {
+      jobs: this.jobs.jobs.size,
+      waiting,
+      held,
+      hosts: this.hosts.hosts.size,
+      up,
+      cpus,
+      usedCpus: rounded(usedCpus),
+      runningCpus: rounded(runningCpus),
+      pools,
+    };
   }
 }
 
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -1,6 +1,7 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { CloudRefused, type Rented } from '../cloud/client.js';
 import { lateNeeds, type QueuedWork } from './backlog.js';
+import { lookOut, type Outlook } from './outlook.js';
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
 import type { Patience } from '../scheduler/patience.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
@@ -8,7 +9,7 @@
 import { reason } from '../log/logger.js';
 import type { HostId, RentalName, TypeId, ZoneId } from '../model/ids.js';
 import type { ListedMachine, Machine } from '../model/machine.js';
-import { type Steady, plus, since, sleep } from '../model/time.js';
+import { type Steady, plus, seconds, since, sleep } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
 import type { OpenJob } from '../scheduler/job-book.js';
 import type { Rental } from '../wire/cloud.js';
@@ -45,13 +46,6 @@
 /** The pause after looking what to rent, in times of what it took. */
 const RENT_PAUSE = 10;
 
-interface Outlook {
-  readonly frees: ReadonlyMap<string, number>;
-  readonly reserves: ReadonlyMap<string, number>;
-  /** Types of machines that hold replicas. */
-  readonly replicasOn: ReadonlySet<TypeId>;
-}
-
 interface PendingRental {
   readonly pool: Pool;
   readonly count: number;
@@ -417,83 +411,72 @@
 
   /** Expected frees and idle room, reckoned at most once a tick. */
   private outlook(now: Steady): Outlook {
-    this.looked ??= {
-      frees: this.frees(now),
-      reserves: this.reserves(),
-      replicasOn: this.typesWithReplicas(),
-    };
+    const { hosts, ops, types } = this.ctx;
+    this.looked ??= lookOut(
+      {
+        hosts: hosts.hosts.values(),
+        pending: this.pending.values(),
+        queue: this.queue,
+        types: types.values(),
+      },
+      this.lifetimes,
+      seconds(ops.forecast.slot_s),
+      now,
+    );
     return this.looked;
   }
 
-  /** Expected frees of a slot, in machines, by series. */
-  private frees(now: Steady): Map<string, number> {
-    const slotMs = this.ctx.ops.forecast.slot_s * 1000;
-    const frees = new Map<string, number>();
-    for (const host of this.ctx.hosts.hosts.values()) {
-      let sum = 0;
-      for (const task of host.tasks) {
-        const { spec } = task.job;
-        // Spot work on an ordinary machine is counted with the reserve already.
-        if (spec.spot && !host.machine.spot) continue;
-        const age = task.runningAt === null ? 0 : now - task.runningAt;
-        const p = this.lifetimes.endsWithin(spec.jobClass, age, slotMs, spec.estimateS * 1000);
-        sum += p / Math.max(1, perMachine(spec, host.type));
-      }
-      const key = seriesKey(host.machine.type, host.machine.spot);
-      frees.set(key, (frees.get(key) ?? 0) + sum);
-    }
-    return frees;
-  }
-
-  /** Idle room, up or coming, in machines, by series. */
-  private reserves(): Map<string, number> {
-    const reserves = new Map<string, number>();
-    const add = (key: string, n: number): void => {
-      reserves.set(key, (reserves.get(key) ?? 0) + n);
-    };
-    for (const host of this.ctx.hosts.hosts.values()) {
-      if (host.closed) continue;
-      // Spot work on an ordinary machine makes room when it is needed: the machine counts as idle.
-      let free = host.type.cpus;
-      for (const task of host.tasks) if (host.machine.spot || !task.job.spec.spot) free -= task.job.spec.cpus;
-      add(seriesKey(host.machine.type, host.machine.spot), Math.max(0, free) / host.type.cpus);
-    }
-    for (const p of this.pending.values()) add(seriesKey(p.pool.type.id, p.pool.spot), p.count);
-    // What is queued already has its place on the machines that are coming.
-    for (const { spec, tasks } of this.queue) {
-      const pool = spec.spot ? null : cheapestPool(spec, tasks, allPools(this.ctx.types.values()));
-      if (pool) add(seriesKey(pool.type.id, false), -tasks / perMachine(spec, pool.type));
-    }
-    return reserves;
+  /** New machines that the slot will need. */
+  private forecastOf(key: string): number {
+    const ensemble = this.ensemble(key);
+    // Before the first slot has ended, its stock of old work tells what a slot may bring.
+    const early = (this.slotNeed.get(key) ?? 0) * FIRST_SLOT;
+    return ensemble.series.length === 0 ? early : ensemble.forecast();
   }
 
-  private typesWithReplicas(): Set<TypeId> {
-    const types = new Set<TypeId>();
-    for (const host of this.ctx.hosts.hosts.values()) {
-      if (types.has(host.machine.type)) continue;
-      for (const task of host.tasks) if (task.job.spec.kind === 'service') types.add(host.machine.type);
+  /**
+   * New need of all series of spot work, less what such work is expected to free, in CPUs. It runs
+   * wherever there is room, so what one type frees serves the need of another: reckoned type by
+   * type, machines would be kept for demand that the others' frees have long met.
+   */
+  private spotNet(outlook: Outlook): { need: number; net: number } {
+    let need = 0;
+    for (const key of this.ensembles.keys()) {
+      const { type, spot } = readSeriesKey(key);
+      if (spot) need += this.forecastOf(key) * (this.ctx.types.get(type)?.cpus ?? 0);
     }
-    return types;
+    return { need, net: Math.max(0, need - outlook.spotFrees) };
   }
 
   /**
-   * New need less expected frees. What is rented now serves only after its boot: ordinary machines
-   * are wanted for a slot and a boot, since their work must not wait for either.
+   * The reserve wanted: new need less expected frees. What is rented now serves only after its boot:
+   * ordinary machines are wanted for a slot and a boot, since their work must not wait for either.
    */
-  private wanted(key: string, { frees, replicasOn }: Outlook): number {
-    const ensemble = this.ensemble(key);
-    // Before the first slot has ended, its stock of old work tells what a slot may bring.
-    const early = (this.slotNeed.get(key) ?? 0) * FIRST_SLOT;
-    const forecast = ensemble.series.length === 0 ? early : ensemble.forecast();
-    const perSlot = forecast - (frees.get(key) ?? 0);
+  private wanted(key: string, outlook: Outlook): number {
     const { type: id, spot } = readSeriesKey(key);
+    const forecast = this.forecastOf(key);
+    if (spot) {
+      const { need, net } = this.spotNet(outlook);
+      return need > 0 ? (forecast * net) / need : 0;
+    }
+    const perSlot = forecast - (outlook.frees.get(key) ?? 0);
     const type = this.ctx.types.get(id);
-    if (spot || !type) return perSlot;
+    if (!type) return perSlot;
     // One machine's replicas find room at once when it dies.
-    const floor = replicasOn.has(type.id) ? 1 : 0;
+    const floor = outlook.replicasOn.has(type.id) ? 1 : 0;
     return Math.max(floor, perSlot * (1 + type.boot / (this.ctx.ops.forecast.slot_s * 1000)));
   }
 
+  /** Machines to rent ahead: the reserve wanted, less the one that is there. */
+  private missing(key: string, outlook: Outlook): number {
+    const { type: id, spot } = readSeriesKey(key);
+    const count = Math.ceil(this.wanted(key, outlook) - (outlook.reserves.get(key) ?? 0) - ROUND_DOWN);
+    if (!spot) return count;
+    // Idle room on other machines serves spot work as well.
+    const short = this.spotNet(outlook).net - outlook.spotIdle;
+    return Math.min(count, Math.ceil(short / (this.ctx.types.get(id)?.cpus ?? 1) - ROUND_DOWN));
+  }
+
   /**
    * Ordinary machines are topped up within the slot too: a replica that took from the reserve must
    * not leave the next one to wait for the slot's end and a boot.
@@ -503,7 +486,7 @@
     const outlook = this.outlook(now);
     for (const key of new Set([...this.ensembles.keys(), ...this.slotNeed.keys()])) {
       if (readSeriesKey(key).spot) continue;
-      const count = Math.ceil(this.wanted(key, outlook) - (outlook.reserves.get(key) ?? 0) - ROUND_DOWN);
+      const count = this.missing(key, outlook);
       if (count > 0) this.rentAhead(key, count);
     }
   }
@@ -511,8 +494,7 @@
   private endSlot(now: Steady): void {
     const first = this.firstSlot;
     this.firstSlot = false;
-    const slotMs = this.ctx.ops.forecast.slot_s * 1000;
-    this.slotEnds = plus(now, slotMs);
+    this.slotEnds = plus(now, this.ctx.ops.forecast.slot_s * 1000);
     const outlook = this.outlook(now);
     const { frees, reserves } = outlook;
     for (const key of this.slotNeed.keys()) this.ensemble(key);
@@ -523,14 +505,19 @@
       const need = (this.slotNeed.get(key) ?? 0) * stock;
       ensemble.observe(need, !this.refusedInSlot.has(key));
       const forecast = ensemble.forecast();
-      const net = this.wanted(key, outlook) - (reserves.get(key) ?? 0);
       told[key] = [need, forecast, frees.get(key) ?? 0, reserves.get(key) ?? 0].map(
         (n) => Math.round(n * 100) / 100,
       );
-      const count = Math.ceil(net - ROUND_DOWN);
+    }
+    for (const key of this.ensembles.keys()) {
+      const count = this.missing(key, outlook);
       if (count > 0) this.rentAhead(key, count);
     }
-    this.ctx.log.info({ needForecastFreesReserve: told }, 'slot');
+    const { spotFrees, spotIdle } = outlook;
+    this.ctx.log.info(
+      { needForecastFreesReserve: told, spotFrees: Math.round(spotFrees), spotIdle: Math.round(spotIdle) },
+      'slot',
+    );
     this.slotNeed.clear();
     this.refusedInSlot.clear();
     this.dirty = true;
--- /dev/null
+++ b/src/fleet/outlook.ts
@@ -0,0 +1,69 @@
+import type { Lifetimes } from '../forecast/lifetimes.js';
+import type { TypeId } from '../model/ids.js';
+import type { MachineType } from '../model/machine.js';
+import { type Millis, type Steady, since } from '../model/time.js';
+import type { Host } from '../workers/host-book.js';
+import type { QueuedWork } from './backlog.js';
+import { allPools, cheapestPool, perMachine, type Pool, seriesKey } from './plan.js';
+
+/** What the fleet looks like from here: its expected frees of a slot and its idle room. */
+export interface Outlook {
+  /** Expected frees of work that needs ordinary machines, in machines, by series. */
+  readonly frees: ReadonlyMap<string, number>;
+  /** Idle room, up or coming, in machines, by series. */
+  readonly reserves: ReadonlyMap<string, number>;
+  /** Types of machines that hold replicas. */
+  readonly replicasOn: ReadonlySet<TypeId>;
+  /** CPUs that work for spot machines is expected to free, wherever it runs. */
+  readonly spotFrees: number;
+  /** CPUs that are idle, on any machine, less what is queued for them. */
+  readonly spotIdle: number;
+}
+
+export interface Fleet {
+  readonly hosts: Iterable<Host>;
+  readonly pending: Iterable<{ readonly pool: Pool; readonly count: number }>;
+  readonly queue: readonly QueuedWork[];
+  readonly types: Iterable<MachineType>;
+}
+
+const bump = (map: Map<string, number>, key: string, n: number): void => {
+  map.set(key, (map.get(key) ?? 0) + n);
+};
+
+export function lookOut(fleet: Fleet, lifetimes: Lifetimes, slot: Millis, now: Steady): Outlook {
+  const frees = new Map<string, number>();
+  const reserves = new Map<string, number>();
+  const replicasOn = new Set<TypeId>();
+  let spotFrees = 0;
+  let spotIdle = 0;
+  for (const host of fleet.hosts) {
+    const key = seriesKey(host.machine.type, host.machine.spot);
+    // Work for spot machines makes room on an ordinary one when it is needed: the machine counts as idle.
+    let idle = host.type.cpus;
+    for (const task of host.tasks) {
+      const { spec } = task.job;
+      const age = task.runningAt === null ? 0 : since(now, task.runningAt);
+      const ends = lifetimes.endsWithin(spec.jobClass, age, slot, spec.estimateS * 1000);
+      if (spec.spot) spotFrees += ends * spec.cpus;
+      else bump(frees, key, ends / Math.max(1, perMachine(spec, host.type)));
+      if (host.machine.spot || !spec.spot) idle -= spec.cpus;
+      if (spec.kind === 'service') replicasOn.add(host.machine.type);
+    }
+    if (host.closed) continue;
+    spotIdle += Math.max(0, host.free.cpus);
+    bump(reserves, key, Math.max(0, idle) / host.type.cpus);
+  }
+  for (const { pool, count } of fleet.pending) {
+    spotIdle += count * pool.type.cpus;
+    bump(reserves, seriesKey(pool.type.id, pool.spot), count);
+  }
+  const pools = allPools(fleet.types);
+  // What is queued already has its place on the machines that are coming.
+  for (const { spec, tasks } of fleet.queue) {
+    spotIdle -= tasks * spec.cpus;
+    const pool = spec.spot ? null : cheapestPool(spec, tasks, pools);
+    if (pool) bump(reserves, seriesKey(pool.type.id, false), -tasks / perMachine(spec, pool.type));
+  }
+  return { frees, reserves, replicasOn, spotFrees, spotIdle: Math.max(0, spotIdle) };
+}
