--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -54,6 +54,8 @@
   /** Something changed that decisions depend on. */
   poke(): void;
   cancelled(job: JobId): void;
+  /** The host is emptied: its work starts again elsewhere. */
+  empty(host: HostId): void;
   /** Orders wait for this host. */
   dispatch(host: HostId): void;
 }
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -83,6 +83,7 @@
       poke: () => this.poke(),
       cancelled: (id) => this.cancel(id),
       dispatch: (id) => this.wake(id),
+      empty: (id) => this.emptyOut(id),
     };
     this.urgency = new Urgency(settings.objectives);
     this.teams = new Map(settings.teams.map((t) => [t.id, t]));
@@ -93,6 +94,7 @@
       cloudBudget,
       this.lifetimes,
       this.patience,
+      this.urgency,
       (host) => this.hostGone(host),
       () => {
         this.fleetDirty = true;
@@ -316,6 +318,19 @@
     this.poke();
   }
 
+  private emptyOut(id: HostId): void {
+    const host = this.hosts.hosts.get(id);
+    if (!host || host.closed) return;
+    host.closed = 'emptying';
+    const now = this.ctx.clock.now();
+    for (const task of host.tasks) {
+      const { checkpointS, saveS } = task.job.spec;
+      if (task.phase !== 'placed' || task.kill) continue;
+      task.kill = { graceS: checkpointS > 0 ? saveS + 1 : 0, why: 'drain', at: now };
+    }
+    this.dispatcher.wake(host);
+  }
+
   private wake(id: HostId): void {
     const host = this.hosts.hosts.get(id);
     if (host) this.dispatcher.wake(host);
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -1,6 +1,7 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { CloudRefused, type Rented } from '../cloud/client.js';
 import { lateNeeds, type QueuedWork } from './backlog.js';
+import { gather, type MovableTask, type PartlyUsed } from './gather.js';
 import { lookOut, type Outlook } from './outlook.js';
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
 import type { Patience } from '../scheduler/patience.js';
@@ -11,7 +12,8 @@
 import type { ListedMachine, Machine } from '../model/machine.js';
 import { type Steady, plus, seconds, since, sleep } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
-import type { OpenJob } from '../scheduler/job-book.js';
+import type { OpenJob, Task } from '../scheduler/job-book.js';
+import type { Urgency } from '../scheduler/urgency.js';
 import type { Rental } from '../wire/cloud.js';
 import { Host } from '../workers/host-book.js';
 import {
@@ -35,6 +37,10 @@
 const MOST_PER_DELETE = 100;
 const RENT_TRIES = 4;
 const FIRST_SLOT = 0.3;
+/** A machine costs this much of its time however soon it goes back (PROTOCOL). */
+const PAID_MS = 60_000;
+/** Between two looks for machines to be emptied; the last one's work has found its place by then. */
+const EMPTY_EVERY_MS = 2000;
 /** The record, beside the series', of what classes have missed. */
 const PATIENCE = '~patience';
 /** A need of less than this part of a machine is not rented for. */
@@ -71,6 +77,7 @@
   /** Rentals take their turns one after the other: a deletion never waits behind all of them. */
   private rentalTurn: Promise<void> = Promise.resolve();
   private firstSlot = true;
+  private emptiedAt: Steady | null = null;
   private looked: Outlook | null = null;
 
   constructor(
@@ -78,6 +85,7 @@
     private readonly budget: Budget,
     private readonly lifetimes: Lifetimes,
     private readonly patience: Patience,
+    private readonly urgency: Urgency,
     private readonly onGone: (host: Host) => void,
     private readonly saveFleet: () => void,
   ) {
@@ -369,6 +377,7 @@
     if (now >= this.slotEnds) this.endSlot(now);
     else this.topUp(now);
     this.giveBack(now);
+    this.emptyPartlyUsed(now);
   }
 
   private dropLate(now: Steady): void {
@@ -435,7 +444,8 @@
   }
 
   /**
-   * New need of all series of spot work, less what such work is expected to free, in CPUs. It runs
+   * New need of all series of spot work, less what such work, its own included, is expected to free,
+   * in CPUs. It runs
    * wherever there is room, so what one type frees serves the need of another: reckoned type by
    * type, machines would be kept for demand that the others' frees have long met.
    */
@@ -445,7 +455,7 @@
       const { type, spot } = readSeriesKey(key);
       if (spot) need += this.forecastOf(key) * (this.ctx.types.get(type)?.cpus ?? 0);
     }
-    return { need, net: Math.max(0, need - outlook.spotFrees) };
+    return { need, net: Math.max(0, need * (1 - outlook.spotOwnFrees) - outlook.spotFrees) };
   }
 
   /**
@@ -551,17 +561,66 @@
     );
   }
 
+  /** While nothing waits: machines that are mostly idle are emptied, if their work fits elsewhere. */
+  private emptyPartlyUsed(now: Steady): void {
+    if (this.queue.length > 0 || this.pending.size > 0) return;
+    if (this.emptiedAt !== null && since(now, this.emptiedAt) < EMPTY_EVERY_MS) return;
+    this.emptiedAt = now;
+    const outlook = this.outlook(now);
+    const surplus = outlook.spotIdle - this.spotNet(outlook).net;
+    const machines: PartlyUsed[] = [];
+    for (const host of this.ctx.hosts.hosts.values()) {
+      if (!host.up || !host.known || host.closed || host.takenAt !== null || host.unreachable > 0) continue;
+      if (since(now, host.since) < PAID_MS) continue;
+      machines.push({
+        id: host.id,
+        cpus: host.type.cpus,
+        freeCpus: Math.max(0, host.free.cpus),
+        freeMemoryGb: Math.max(0, host.free.memoryGb),
+        price: price({ type: host.type, spot: host.machine.spot }),
+        tasks: [...host.tasks].map((task) => this.movable(task, now)),
+      });
+    }
+    let cpuPrice = Infinity;
+    for (const pool of allPools(this.ctx.types.values())) {
+      cpuPrice = Math.min(cpuPrice, price(pool) / pool.type.cpus);
+    }
+    const chosen = gather(machines, surplus, cpuPrice);
+    if (chosen.length > 0) this.ctx.log.info({ machines: chosen.length, surplus }, 'emptying machines');
+    for (const id of chosen) this.ctx.empty(id);
+  }
+
+  private movable(task: Task, now: Steady): MovableTask {
+    const { spec, acceptedAt } = task.job;
+    const run = this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
+    const ran = task.runningAt === null ? 0 : since(now, task.runningAt);
+    const leftMs = Math.max(run * 0.2, run - ran);
+    const age = Math.max(0, this.ctx.clock.wall() - acceptedAt);
+    return {
+      cpus: spec.cpus,
+      memoryGb: spec.memoryGb,
+      lostMs: spec.checkpointS > 0 ? Math.min(ran, spec.checkpointS * 1000) : ran,
+      leftMs,
+      mayMove:
+        spec.spot &&
+        spec.kind === 'array' &&
+        task.phase === 'placed' &&
+        task.kill === null &&
+        this.urgency.mayStartAgain(spec, age, leftMs, run),
+    };
+  }
+
   /** Idle machines beyond what the forecast still wants go back after the wait. */
   private giveBack(now: Steady): void {
     const idle = new Map<string, Host[]>();
     for (const host of this.ctx.hosts.hosts.values()) {
       if (!host.up || host.removing || !host.empty || host.idleSince === null) continue;
-      if (host.closed === 'sick') {
-        this.remove(host, 'sick');
+      if (host.closed === 'sick' || host.closed === 'emptying') {
+        this.remove(host, host.closed);
         continue;
       }
       const wait = host.machine.spot ? this.ctx.ops.fleet.spot_give_back_s : this.ctx.ops.fleet.give_back_s;
-      if (since(now, host.idleSince) < wait * 1000) continue;
+      if (since(now, host.idleSince) < wait * 1000 || since(now, host.since) < PAID_MS) continue;
       const key = seriesKey(host.machine.type, host.machine.spot);
       const hosts = idle.get(key);
       if (hosts) hosts.push(host);
--- a/src/fleet/outlook.ts
+++ b/src/fleet/outlook.ts
@@ -16,6 +16,8 @@
   readonly replicasOn: ReadonlySet<TypeId>;
   /** CPUs that work for spot machines is expected to free, wherever it runs. */
   readonly spotFrees: number;
+  /** The part of a slot's new spot work that ends within the slot itself, arriving evenly over it. */
+  readonly spotOwnFrees: number;
   /** CPUs that are idle, on any machine, less what is queued for them. */
   readonly spotIdle: number;
 }
@@ -37,6 +39,8 @@
   const replicasOn = new Set<TypeId>();
   let spotFrees = 0;
   let spotIdle = 0;
+  let spotCpus = 0;
+  let ownFrees = 0;
   for (const host of fleet.hosts) {
     const key = seriesKey(host.machine.type, host.machine.spot);
     // Work for spot machines makes room on an ordinary one when it is needed: the machine counts as idle.
@@ -45,8 +49,11 @@
       const { spec } = task.job;
       const age = task.runningAt === null ? 0 : since(now, task.runningAt);
       const ends = lifetimes.endsWithin(spec.jobClass, age, slot, spec.estimateS * 1000);
-      if (spec.spot) spotFrees += ends * spec.cpus;
-      else bump(frees, key, ends / Math.max(1, perMachine(spec, host.type)));
+      if (spec.spot) {
+        spotFrees += ends * spec.cpus;
+        spotCpus += spec.cpus;
+        ownFrees += lifetimes.endsWithin(spec.jobClass, 0, slot / 2, spec.estimateS * 1000) * spec.cpus;
+      } else bump(frees, key, ends / Math.max(1, perMachine(spec, host.type)));
       if (host.machine.spot || !spec.spot) idle -= spec.cpus;
       if (spec.kind === 'service') replicasOn.add(host.machine.type);
     }
@@ -65,5 +72,12 @@
     const pool = spec.spot ? null : cheapestPool(spec, tasks, pools);
     if (pool) bump(reserves, seriesKey(pool.type.id, false), -tasks / perMachine(spec, pool.type));
   }
-  return { frees, reserves, replicasOn, spotFrees, spotIdle: Math.max(0, spotIdle) };
+  return {
+    frees,
+    reserves,
+    replicasOn,
+    spotFrees,
+    spotOwnFrees: spotCpus > 0 ? ownFrees / spotCpus : 0,
+    spotIdle: Math.max(0, spotIdle),
+  };
 }
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -62,6 +62,12 @@
     return targets.sort((a, b) => a.ms - b.ms);
   }
 
+  /** Whether a task that is stopped now and starts again leaves its job the target that it would meet. */
+  mayStartAgain(spec: JobSpec, ageMs: number, leftMs: number, expectedRunMs: number): boolean {
+    const within = this.targets(spec).find((t) => ageMs + leftMs <= t.ms);
+    return !within || ageMs + expectedRunMs * LONGER + FETCH_MS <= within.ms;
+  }
+
   /** The first target that still can be met; null: nothing is asked of the job any more. */
   next(spec: JobSpec, ageMs: number, expectedRunMs: number): NextTarget | null {
     for (const target of this.targets(spec)) {
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -32,7 +32,7 @@
   /** When the cloud takes the machine, by its notice. */
   takenAt: Steady | null = null;
   /** Nothing more is placed here. */
-  closed: 'sick' | 'returning' | 'silent' | null = null;
+  closed: 'sick' | 'emptying' | 'returning' | 'silent' | null = null;
   private readonly held = new Set<Task>();
   /** What is left of the machine; null: to be reckoned again. */
   private room: Room | null = null;
