--- /dev/null
+++ b/src/api/job-cache.ts
@@ -0,0 +1,135 @@
+import type { JobId, Stamp } from '../model/ids.js';
+import type { JobRecord } from '../model/job.js';
+import { type Clock, sleep } from '../model/time.js';
+import { type Committed, StateRefused, type StateStore } from '../store/client.js';
+import { decodeJob, keys } from '../store/records.js';
+import type { Change, Condition } from '../wire/state.js';
+
+export interface Known {
+  readonly stamp: Stamp;
+  readonly tasks: number;
+}
+
+const KEPT_ENDED = 4000;
+const AGAIN_MS = 100;
+const KEPT_OPEN = 20_000;
+
+/** A map that forgets its oldest entries. */
+class Recent<K, V> extends Map<K, V> {
+  constructor(private readonly most: number) {
+    super();
+  }
+
+  override set(key: K, value: V): this {
+    super.set(key, value);
+    if (this.size > this.most) this.delete(this.keys().next().value as K);
+    return this;
+  }
+}
+
+/**
+ * What this node has seen of jobs. Final states never change and may be told from here. Of an
+ * accepted job it only knows the stamp that its record had: whether it still has it, the state
+ * service must say for every answer (`Confirmations`).
+ */
+export class JobCache {
+  private readonly open = new Recent<JobId, Known>(KEPT_OPEN);
+  private readonly ended = new Recent<JobId, object>(KEPT_ENDED);
+
+  known(id: JobId): Known | undefined {
+    return this.open.get(id);
+  }
+
+  final(id: JobId): object | undefined {
+    return this.ended.get(id);
+  }
+
+  learn(id: JobId, record: JobRecord, stamp: Stamp, body: object): void {
+    if (record.state === 'accepted') {
+      const before = this.open.get(id);
+      if (!this.ended.has(id) && (!before || before.stamp < stamp)) {
+        this.open.set(id, { stamp, tasks: record.spec.tasks });
+      }
+      return;
+    }
+    this.open.delete(id);
+    this.ended.set(id, body);
+  }
+
+  /** Changes seen by a watch of the jobs' records. */
+  take(changes: readonly Change[], body: (id: JobId, record: JobRecord) => object): void {
+    for (const { key, value, stamp } of changes) {
+      if (value === undefined) continue;
+      const id = key.slice(keys.jobs.length) as JobId;
+      const record = decodeJob(id, value);
+      this.learn(id, record, stamp, body(id, record));
+    }
+  }
+}
+
+interface Asked {
+  readonly key: string;
+  readonly stamp: Stamp;
+  readonly done: (same: boolean) => void;
+  readonly failed: (error: unknown) => void;
+}
+
+/**
+ * Many questions in one request: a transaction without writes compares the stamps of many records,
+ * at one moment after all of them were asked. Hundreds of users who each ask every few seconds would
+ * otherwise use up the requests that the state service allows, and with them the leader's.
+ */
+export class Confirmations {
+  private asked: Asked[] = [];
+  private waiting = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly store: StateStore,
+    private readonly most: number,
+    private readonly waitMs: number,
+  ) {}
+
+  /** Whether the key still has this stamp. */
+  same(key: string, stamp: Stamp): Promise<boolean> {
+    return new Promise((done, failed) => {
+      this.asked.push({ key, stamp, done, failed });
+      if (this.asked.length >= this.most) void this.ask();
+      else if (!this.waiting) void this.later();
+    });
+  }
+
+  private async later(): Promise<void> {
+    this.waiting = true;
+    await sleep(this.clock, this.waitMs);
+    this.waiting = false;
+    await this.ask();
+  }
+
+  /** A moment's overload of the state service is not worth that many users' asking again. */
+  private async compare(conditions: readonly Condition[]): Promise<Committed> {
+    try {
+      return await this.store.commit(conditions, []);
+    } catch (error) {
+      if (!(error instanceof StateRefused && error.tooMany)) throw error;
+      await sleep(this.clock, AGAIN_MS);
+      return this.store.commit(conditions, []);
+    }
+  }
+
+  private async ask(): Promise<void> {
+    const asked = this.asked;
+    this.asked = [];
+    if (asked.length === 0) return;
+    // Two users may know one job by two stamps; a key is asked for once in a request.
+    const byKey = new Map<string, Asked>();
+    for (const a of asked) if (!byKey.has(a.key)) byKey.set(a.key, a);
+    try {
+      const result = await this.compare([...byKey.values()].map(({ key, stamp }) => ({ key, stamp })));
+      const failed = new Set(result.ok ? [] : result.failed);
+      for (const a of asked) a.done(!failed.has(a.key) && byKey.get(a.key)?.stamp === a.stamp);
+    } catch (error) {
+      for (const a of asked) a.failed(error);
+    }
+  }
+}
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -1,12 +1,15 @@
 import type { NodeContext } from '../cluster/context.js';
 import type { JobId, Stamp } from '../model/ids.js';
 import { isJobId, NO_STAMP } from '../model/ids.js';
+import { reason } from '../log/logger.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import { fits } from '../model/job.js';
 import { sleep } from '../model/time.js';
+import { Budget } from '../net/budget.js';
 import { teamRoom } from '../scheduler/place.js';
 import { StateRefused, StateUnknown } from '../store/client.js';
 import { decodeJob, encodeJob, keys } from '../store/records.js';
+import { Confirmations, JobCache } from './job-cache.js';
 import { accepted, jobStatus, parseSubmission, type Progress } from '../wire/users.js';
 
 export interface UserAnswer {
@@ -17,7 +20,11 @@
 }
 
 const TRIES = 3;
-const KEPT_ENDED = 4000;
+/** Questions that come within this are asked in one request. */
+const TOGETHER_MS = 25;
+/** The share of the state service's requests that first questions about jobs may use, by all nodes. */
+const FIRST_QUESTIONS = 0.4;
+const WATCH_MS = 20_000;
 
 export const unavailable = (error: string, retryAfter = 1): UserAnswer => ({
   status: 503,
@@ -35,12 +42,35 @@
  * than another one gave. Only final states are remembered: they do not change.
  */
 export class UserService {
-  private readonly endedJobs = new Map<JobId, object>();
+  private readonly cache = new JobCache();
+  private readonly confirmations: Confirmations;
+  private readonly firstQuestions: Budget;
 
   constructor(
     private readonly ctx: NodeContext,
     private readonly progressOf: (id: JobId) => Progress | null,
-  ) {}
+  ) {
+    const { clock, settings, store } = ctx;
+    this.confirmations = new Confirmations(clock, store, settings.txnOps * 4, TOGETHER_MS);
+    const rate = (settings.stateRps * FIRST_QUESTIONS) / (settings.siblings.length + 1);
+    this.firstQuestions = new Budget(clock, rate, rate);
+  }
+
+  /** Sees every job's record change, so that most questions need only a confirmation. */
+  async watch(): Promise<void> {
+    let after: Stamp | null = null;
+    for (;;) {
+      try {
+        after ??= (await this.ctx.store.range(keys.epoch)).ledger;
+        const read = await this.ctx.store.changes(keys.jobs, after, WATCH_MS);
+        after = read?.ledger ?? null;
+        if (read) this.cache.take(read.changes, (id, record) => this.bodyOf(id, record));
+      } catch (error) {
+        this.ctx.log.debug({ error: reason(error) }, 'jobs not watched');
+        await sleep(this.ctx.clock, 300 + this.ctx.random() * 300);
+      }
+    }
+  }
 
   /** May throw StateRefused or StateUnknown: the caller then asks another node or answers 503. */
   async submit(body: unknown): Promise<UserAnswer> {
@@ -51,7 +81,7 @@
       // A known job is answered from its record, whatever the repeat says.
       if (refusal.status !== 503 && typeof ref === 'string' && isJobId(ref)) {
         const found = await this.find(ref);
-        if (found) return this.known(ref, found.record);
+        if (found) return this.known(ref, found);
       }
       return refusal;
     }
@@ -78,7 +108,8 @@
 
   private async accept(spec: JobSpec): Promise<UserAnswer> {
     const { id } = spec;
-    if (this.endedJobs.has(id)) return { status: 200, body: this.endedJobs.get(id) as object };
+    const ended = this.cache.final(id);
+    if (ended) return { status: 200, body: ended };
     const value = encodeJob({ spec, state: 'accepted', acceptedAt: this.ctx.clock.wall() });
     for (let tries = 1; ; tries++) {
       try {
@@ -91,7 +122,7 @@
         );
         if (result.ok) return { status: 201, body: accepted(id) };
         const found = await this.find(id);
-        if (found) return this.known(id, found.record);
+        if (found) return this.known(id, found);
       } catch (error) {
         // The same transaction is tried again: at most one of the two is carried out.
         if (!worthAgain(error) || tries >= TRIES) throw error;
@@ -113,27 +144,28 @@
     }
   }
 
-  private known(id: JobId, record: JobRecord): UserAnswer {
-    const progress = this.progressOf(id) ?? { done: 0, running: 0 };
-    const body = jobStatus(id, record.state, record.spec.tasks, progress);
-    if (record.state !== 'accepted') this.remember(id, body);
-    return { status: 200, body };
+  private bodyOf(id: JobId, { state, spec }: JobRecord): object {
+    return jobStatus(id, state, spec.tasks, this.progressOf(id) ?? { done: 0, running: 0 });
   }
 
-  private remember(id: JobId, body: object): void {
-    this.endedJobs.set(id, body);
-    if (this.endedJobs.size > KEPT_ENDED) {
-      const oldest = this.endedJobs.keys().next().value;
-      if (oldest !== undefined) this.endedJobs.delete(oldest);
-    }
+  private known(id: JobId, { record, stamp }: Found): UserAnswer {
+    const body = this.bodyOf(id, record);
+    this.cache.learn(id, record, stamp, body);
+    return { status: 200, body };
   }
 
   async query(id: string): Promise<UserAnswer> {
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
-    const ended = this.endedJobs.get(id);
+    const ended = this.cache.final(id);
     if (ended) return { status: 200, body: ended };
+    const known = this.cache.known(id);
+    if (known && (await this.confirmations.same(keys.job(id), known.stamp))) {
+      const progress = this.progressOf(id) ?? { done: 0, running: 0 };
+      return { status: 200, body: jobStatus(id, 'accepted', known.tasks, progress) };
+    }
+    if (!known && !this.firstQuestions.take()) return unavailable('asked too often', 2);
     const found = await this.find(id);
-    return found ? this.known(id, found.record) : { status: 404, body: { error: 'no such job' } };
+    return found ? this.known(id, found) : { status: 404, body: { error: 'no such job' } };
   }
 
   /** Durable on the job's record before it is told; the record's stamp decides against done. */
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -2,6 +2,7 @@
 import type { Epoch, GrantId, MemberId, Stamp } from '../model/ids.js';
 import { NO_STAMP } from '../model/ids.js';
 import { atLeast, type Steady, plus, since, sleep } from '../model/time.js';
+import { StateRefused } from '../store/client.js';
 import { epochOf, keys, type LeaderRecord, leaderRecord } from '../store/records.js';
 import type { NodeContext } from './context.js';
 
@@ -11,6 +12,8 @@
 }
 
 const WATCH_MS = 15_000;
+/** A renewal that was refused is tried again after this. */
+const RENEW_AGAIN_MS = 100;
 
 /**
  * Leadership: a key bound to a grant, and a durable epoch raised in the same transaction.
@@ -120,8 +123,10 @@
 
   private async renewing(): Promise<void> {
     const { clock, store } = this.ctx;
+    let wait = this.ttl / 4;
     for (;;) {
-      await sleep(clock, this.ttl / 4);
+      await sleep(clock, wait);
+      wait = this.ttl / 4;
       const grant = this.grant;
       if (grant === null || !this.leading) continue;
       const sentAt = clock.now();
@@ -132,6 +137,8 @@
         else this.lose('the grant has ended');
       } catch (error) {
         this.ctx.log.info({ error: reason(error), ms: since(clock.now(), sentAt) }, 'grant not renewed');
+        // Users may have asked too much of the state service; leadership must not be lost to that.
+        if (error instanceof StateRefused) wait = RENEW_AGAIN_MS;
       }
     }
   }
--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -32,6 +32,8 @@
   private readonly chunkOf = new Map<HostId, number>();
   private readonly rentedAt = new Map<HostId, number>();
   private readonly sizes: number[] = [];
+  /** Records in the state service, ours and those of earlier leaders. */
+  private stored = 0;
   /** What each key was last written with. */
   private readonly written = new Map<string, string>();
   private writing = false;
@@ -43,6 +45,11 @@
     private readonly budget: Budget,
   ) {}
 
+  /** An earlier leader's records: what we do not fill again must not bring machines back that are gone. */
+  found(records: number): void {
+    this.stored = Math.max(this.stored, records);
+  }
+
   /** Whether a writing may begin now. */
   mayWrite(now: Steady): boolean {
     if (this.writing || (this.lastAt !== null && since(now, this.lastAt) < EVERY_MS)) return false;
@@ -75,7 +82,9 @@
 
   private changes(): { key: string; value: unknown; text: string }[] {
     const values = new Map<string, unknown>();
-    for (const [n, machines] of this.chunks().entries()) values.set(keys.fleetChunk(n), { m: machines });
+    const chunks = this.chunks();
+    this.stored = Math.max(this.stored, chunks.length);
+    for (let n = 0; n < this.stored; n++) values.set(keys.fleetChunk(n), { m: chunks[n] ?? [] });
     for (const [key, record] of this.fleet.forecastRecords()) values.set(keys.forecastOf(key), record);
     const changed: { key: string; value: unknown; text: string }[] = [];
     for (const [key, value] of values) {
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -139,7 +139,8 @@
         const fleet = await restoreFleet(this.ctx, this.fleet);
         ledger = loading.ledger;
         for (const job of loading.jobs) this.open(job);
-        for (const { machine, address, at, up } of fleet) {
+        this.record.found(fleet.records);
+        for (const { machine, address, at, up } of fleet.machines) {
           const host = this.fleet.adopt(machine, at, address);
           if (host && up) host.up = true;
         }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -138,6 +138,7 @@
     this.log.info({ front: this.settings.front, answerAloneMs: this.seat.answerAloneMs }, 'listening');
     for (const link of this.links) link.start();
     this.seat.run();
+    void this.users.watch();
     this.typeBook.run();
     this.tellProgress();
     this.summarise();
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -1,19 +1,32 @@
 import type { FleetManager } from '../fleet/manager.js';
 import type { HostId, JobId, Stamp, TypeId, ZoneId } from '../model/ids.js';
 import type { Machine } from '../model/machine.js';
-import type { Steady } from '../model/time.js';
+import { type Steady, sleep } from '../model/time.js';
 import { OpenJob } from '../scheduler/job-book.js';
+import { StateRefused } from '../store/client.js';
 import { decodeJob, keys, parseOpenKey } from '../store/records.js';
 import type { Condition, Row, Write } from '../wire/state.js';
 import type { LeaderContext } from './context.js';
 import type { StoredMachine } from './fleet-record.js';
 
+/** Asked too often is no reason to begin the whole takeover again: this one request waits a moment. */
+async function patiently<T>(ctx: LeaderContext, ask: () => Promise<T>): Promise<T> {
+  for (;;) {
+    try {
+      return await ask();
+    } catch (error) {
+      if (!(error instanceof StateRefused && error.tooMany) || ctx.ended()) throw error;
+      await sleep(ctx.clock, 40 + ctx.random() * 60);
+    }
+  }
+}
+
 async function readAll(ctx: LeaderContext, prefix: string): Promise<{ rows: Row[]; ledger: Stamp }> {
   const rows: Row[] = [];
   let ledger: Stamp | null = null;
   let after: string | undefined;
   for (;;) {
-    const page = await ctx.store.range(prefix, after);
+    const page = await patiently(ctx, () => ctx.store.range(prefix, after));
     // Changes that come between two pages are seen again by a watch from the first page on.
     ledger ??= page.ledger;
     rows.push(...page.rows);
@@ -59,7 +72,7 @@
     const conditions: Condition[] = jobs
       .slice(i, i + most)
       .map((job) => ({ key: keys.job(job.spec.id), stamp: job.stamp }));
-    const result = await ctx.store.commit(conditions, []);
+    const result = await patiently(ctx, () => ctx.store.commit(conditions, []));
     if (!result.ok) changed.push(...result.failed.map((key) => key.slice(keys.jobs.length) as JobId));
   }
   return changed;
@@ -73,9 +86,13 @@
   readonly up: boolean;
 }
 
-export async function restoreFleet(ctx: LeaderContext, fleet: FleetManager): Promise<RestoredMachine[]> {
+export async function restoreFleet(
+  ctx: LeaderContext,
+  fleet: FleetManager,
+): Promise<{ machines: RestoredMachine[]; records: number }> {
   const known: RestoredMachine[] = [];
-  for (const row of (await readAll(ctx, keys.fleet)).rows) {
+  const { rows } = await readAll(ctx, keys.fleet);
+  for (const row of rows) {
     for (const [id, type, zone, spot, address, rentedAt, up] of (row.value as { m: StoredMachine[] }).m) {
       const age = Math.max(0, ctx.clock.wall() - rentedAt);
       known.push({
@@ -89,5 +106,5 @@
   for (const row of (await readAll(ctx, keys.forecast)).rows) {
     fleet.restoreForecast(row.key.slice(keys.forecast.length), row.value);
   }
-  return known;
+  return { machines: known, records: rows.length };
 }
