--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -274,7 +274,7 @@
     const { clock, log } = this.ctx;
     try {
       const result = await this.tryRent(rental);
-      if (result === null || this.ctx.ended()) return;
+      if (result === null || result === 'sold out' || this.ctx.ended()) return;
       const got = result === 'no capacity' ? [] : result.hosts;
       log.info({ name, pool: poolKey(rental), asked: count, got: got.length, why }, 'rented');
       const now = clock.now();
@@ -297,13 +297,14 @@
   }
 
   /** The same name is tried again: a rental without an answer may have been carried out. */
-  private async tryRent(rental: Rental): Promise<Rented | null> {
+  private async tryRent(rental: Rental): Promise<Rented | 'sold out' | null> {
     for (let tries = 1; ; tries++) {
-      this.rentalTurn = this.rentalTurn.then(() => this.turn());
+      // Refused meanwhile, to a rental before this one: nothing has been asked under this name yet.
+      const soldOut = (): boolean => tries === 1 && this.refused(rental, this.ctx.clock.now());
+      this.rentalTurn = this.rentalTurn.then(() => (soldOut() ? undefined : this.turn()));
       await this.rentalTurn;
       if (this.ctx.ended()) return null;
-      // Refused meanwhile, to a rental before this one: nothing has been asked under this name yet.
-      if (tries === 1 && this.refused(rental, this.ctx.clock.now())) return 'no capacity';
+      if (soldOut()) return 'sold out';
       try {
         return await this.ctx.cloud.rent(rental);
       } catch (error) {
