--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -20,7 +20,8 @@
     orders: readonly Order[],
     deadlineMs: number,
   ): Promise<CommandReply>;
-  show(address: string, deadlineMs: number): Promise<Report | null>;
+  /** `everyWay`: through the other controllers as well. */
+  show(address: string, deadlineMs: number, everyWay: boolean): Promise<Report | null>;
 }
 
 /** What a node has at hand, leader or not. */
@@ -48,6 +49,11 @@
   readonly startedAt: Steady;
   readonly jobs: JobBook;
   readonly hosts: HostBook;
+  /**
+   * Whether our grant surely lives. Without it no machine is rented or deleted: behind a cut the
+   * network may hold such calls and deliver them long after another leader has put work there.
+   */
+  sure(): boolean;
   /** Another leadership exists: ours ends at once. */
   deposed(why: string): void;
   ended(): boolean;
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -4,7 +4,7 @@
 import { seriesKey } from '../fleet/plan.js';
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
-import type { Epoch, HostId, JobId, Stamp, TeamId } from '../model/ids.js';
+import type { Epoch, HostId, JobId, MemberId, Stamp, TeamId } from '../model/ids.js';
 import { type JobSpec, Priority } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
@@ -68,6 +68,7 @@
     epochStamp: Stamp,
     /** How long an earlier leader may answer reports after its grant was lost. */
     answerAloneMs: number,
+    sure: () => boolean,
     private readonly onOver: (why: string) => void,
   ) {
     const { clock, settings } = node;
@@ -78,6 +79,7 @@
       startedAt: clock.now(),
       jobs: this.jobs,
       hosts: this.hosts,
+      sure,
       deposed: (why) => this.end(why),
       ended: () => this.over,
       poke: () => this.poke(),
@@ -190,9 +192,11 @@
       this.end('no worker is heard');
       return;
     }
-    this.health.tick(now);
-    this.fleet.tick();
-    this.nudge(now);
+    if (this.ctx.sure()) {
+      this.health.tick(now);
+      this.fleet.tick();
+      this.nudge(now);
+    } else this.health.unsure(now);
     if (this.fleet.takeDirty()) this.fleetDirty = true;
     if (this.fleetDirty && this.record.mayWrite(now)) void this.save();
     this.poke();
@@ -366,7 +370,7 @@
     }
     const machines: MachineView[] = [];
     for (const host of this.hosts.hosts.values()) {
-      if (host.closed || !host.known || host.takenAt !== null) continue;
+      if (host.closed || !host.known || host.takenAt !== null || host.unreached) continue;
       machines.push(machineView(host));
     }
     const guaranteed = guaranteedJobs(open, this.teams);
@@ -474,11 +478,11 @@
   }
 
   /** A worker's report, straight or through another node. */
-  async beat(report: Report, mayAnswer: boolean, mayOrder: boolean): Promise<Answer> {
-    return this.lock.runExclusive(() => this.takeBeat(report, mayAnswer, mayOrder));
+  async beat(report: Report, via: MemberId, mayAnswer: boolean, mayOrder: boolean): Promise<Answer> {
+    return this.lock.runExclusive(() => this.takeBeat(report, via, mayAnswer, mayOrder));
   }
 
-  private takeBeat(report: Report, mayAnswer: boolean, mayOrder: boolean): Answer {
+  private takeBeat(report: Report, via: MemberId, mayAnswer: boolean, mayOrder: boolean): Answer {
     if (this.over || !mayAnswer) return { status: 503 };
     if (report.epoch > this.ctx.epoch) {
       this.end('a worker knows a newer epoch');
@@ -486,9 +490,17 @@
     }
     if (this.hosts.isGone(report.host)) return { status: 503 };
     const now = this.ctx.clock.now();
+    const nothing: Answer = { status: 200, body: ordersBody(this.ctx.epoch, []) };
+    // A machine that we do not know may be long gone, and this a late copy of what it once said: only
+    // a report that knows our epoch was made in our time. A living worker's next one does.
+    if (!this.hosts.hosts.has(report.host) && report.epoch < this.ctx.epoch) {
+      // While we still read who exists, its lease may run from this answer.
+      if (!this.ready) this.health.answeredStranger(now);
+      return nothing;
+    }
     const machine: Machine = { id: report.host, type: report.type, zone: report.zone, spot: report.spot };
     const host = this.fleet.adopt(machine, now);
-    if (!host) return { status: 200, body: ordersBody(this.ctx.epoch, []) };
+    if (!host) return nothing;
     if (host.address === '') host.address = report.address;
     // Reports of earlier epochs may be minutes old: they prove nothing, not even life.
     const fresh = report.epoch === this.ctx.epoch && (!host.known || host.newer(report));
@@ -496,11 +508,14 @@
       host.learnTenure(report);
       if (!host.known) this.dispatcher.wake(host);
     } else {
+      host.reported(report, via, now);
       this.health.heard(host, now);
       this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
     }
-    host.answeredAt = now;
-    if (!fresh || !mayOrder || !this.ready) return { status: 200, body: ordersBody(this.ctx.epoch, []) };
+    // Even a late copy's answer may reach a worker that waits for one: its lease counts from here.
+    if (fresh) host.answered(report, via, now);
+    else host.answeredAt = now;
+    if (!fresh || !mayOrder || !this.ready) return nothing;
     const orders: Order[] = [...ordersFor(host, now), ...clearsFor(host, now)].slice(0, MOST_ORDERS);
     for (const { task } of runsAmong(host, orders)) {
       task.sentTenure ??= host.tenure;
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -4,7 +4,7 @@
 import { CloudClient } from '../cloud/client.js';
 import type { Operators } from '../config/operators.js';
 import { type Log, reason } from '../log/logger.js';
-import type { JobId } from '../model/ids.js';
+import type { JobId, MemberId } from '../model/ids.js';
 import { realClock, type Steady, since } from '../model/time.js';
 import { HttpTarget, parseJson } from '../net/http-client.js';
 import { FrontServer } from '../net/server.js';
@@ -39,6 +39,7 @@
 const PROGRESS_LIVES_MS = 5000;
 /** The state service counts as failing for this node after this long without an answer. */
 const STATE_LOST_MS = 800;
+const CUT_OFF_MS = 2500;
 
 /** One controller: takes users and workers, relays to the leader, and leads when elected. */
 export class Node {
@@ -110,7 +111,7 @@
     this.seat = new Seat(this.ctx, () => this.typeBook.known());
     this.admission = new Admission(clock, { submission: 48, query: 96 });
     const handler: FrontHandler = {
-      up: () => this.ctx.types.size > 0,
+      up: () => this.ctx.types.size > 0 && !this.cutOff(),
       beat: (body) => this.beat(body),
       user: (verb, body) => this.user(verb, body, true),
     };
@@ -123,7 +124,7 @@
       {
         ping: () => this.ping(),
         progress: (payload) => this.takeProgress(payload),
-        ask: (kind, payload) => this.peerAsks(kind, payload),
+        ask: (kind, payload, from) => this.peerAsks(kind, payload, from),
       },
       shares.peers,
       log,
@@ -157,6 +158,17 @@
     return this.stateFailedAt === null || since(this.ctx.clock.now(), this.stateOkAt) < STATE_LOST_MS;
   }
 
+  /**
+   * Neither the state service nor another controller can be reached: users are better served by any
+   * other node. An outage of the state service alone is everybody's: then no node steps back, or the
+   * load balancer would have none left when it is over.
+   */
+  private cutOff(): boolean {
+    if (this.links.length === 0 || this.stateFailedAt === null) return false;
+    const lost = since(this.ctx.clock.now(), this.stateOkAt) > CUT_OFF_MS;
+    return lost && !this.links.some((l) => l.alive);
+  }
+
   private ping(): Ping {
     return {
       member: this.ctx.member,
@@ -170,7 +182,7 @@
   private async beat(body: Buffer): Promise<{ status: number; body: Buffer | null }> {
     const parsed = parseReport(parseJson(body));
     if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
-    const own = await this.seat.beat(parsed.value);
+    const own = await this.seat.beat(parsed.value, this.ctx.member);
     if (own?.status === 200) return { status: 200, body: Buffer.from(JSON.stringify(own.body)) };
     const relayed = await this.relayBeat(body);
     return relayed ?? { status: 503, body: null };
@@ -198,7 +210,7 @@
     return null;
   }
 
-  private async peerAsks(kind: Asked, payload: Buffer): Promise<AnswerFrame> {
+  private async peerAsks(kind: Asked, payload: Buffer, from: MemberId): Promise<AnswerFrame> {
     const nothing: AnswerFrame = { status: 503, body: Buffer.alloc(0) };
     try {
       switch (kind) {
@@ -213,14 +225,17 @@
           return { status: reply.status, body: Buffer.from(JSON.stringify(reply.body ?? null)) };
         }
         case Kind.PassOn:
+        case Kind.Passed:
         case Kind.Beat: {
           if (!this.seat.leader) {
             const link = kind === Kind.PassOn ? this.leaderLink() : undefined;
-            return (await link?.ask(Kind.Beat, payload, RELAY_MS / 2)) ?? nothing;
+            return (await link?.ask(Kind.Passed, payload, RELAY_MS / 2)) ?? nothing;
           }
           const parsed = parseReport(parseJson(payload));
           if (!parsed.ok) return nothing;
-          const answer = await this.seat.beat(parsed.value);
+          // Which controller the worker is with, the one before the last does not tell.
+          const via = kind === Kind.Beat ? from : (`${from} and another` as MemberId);
+          const answer = await this.seat.beat(parsed.value, via);
           if (!answer) return nothing;
           return { status: answer.status, body: Buffer.from(JSON.stringify(answer.body ?? {})) };
         }
--- a/src/cluster/seat.ts
+++ b/src/cluster/seat.ts
@@ -1,4 +1,4 @@
-import type { Epoch } from '../model/ids.js';
+import type { Epoch, MemberId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
 import type { NodeContext } from './context.js';
 import { Election, type Won } from './election.js';
@@ -37,7 +37,8 @@
   }
 
   private lead(won: Won): void {
-    const leader = new Leader(this.ctx, won.epoch, won.epochStamp, this.answerAloneMs, (why) => {
+    const sure = (): boolean => this.election.sure();
+    const leader = new Leader(this.ctx, won.epoch, won.epochStamp, this.answerAloneMs, sure, (why) => {
       if (this.leader === leader) this.leader = null;
       void this.election.resign(why === 'no worker is heard' ? DEAF_PAUSE_MS : 0);
     });
@@ -52,10 +53,10 @@
   }
 
   /** The leader's answer to a report; null: this node does not lead. */
-  async beat(report: Report): Promise<Answer | null> {
+  async beat(report: Report, via: MemberId): Promise<Answer | null> {
     if (!this.leader) return null;
     // Past the grant's sure life a leader only keeps leases alive, and only for a while.
     const sure = this.election.sure();
-    return this.leader.beat(report, sure || this.election.unsureFor() < this.answerAloneMs, sure);
+    return this.leader.beat(report, via, sure || this.election.unsureFor() < this.answerAloneMs, sure);
   }
 }
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -37,6 +37,8 @@
 const MOST_PER_DELETE = 100;
 const RENT_TRIES = 4;
 const FIRST_SLOT = 0.3;
+/** Between two looks whether we surely lead. */
+const UNSURE_MS = 250;
 /** A machine costs this much of its time however soon it goes back (PROTOCOL). */
 const PAID_MS = 60_000;
 /** Between two looks for machines to be emptied; the last one's work has found its place by then. */
@@ -305,6 +307,10 @@
       await this.rentalTurn;
       if (this.ctx.ended()) return null;
       if (soldOut()) return 'sold out';
+      if (!this.ctx.sure()) {
+        await sleep(this.ctx.clock, UNSURE_MS);
+        continue;
+      }
       try {
         return await this.ctx.cloud.rent(rental);
       } catch (error) {
@@ -352,6 +358,10 @@
     while (this.removing.size > 0 && !this.ctx.ended()) {
       const batch = [...this.removing].slice(0, MOST_PER_DELETE);
       await this.turn();
+      if (!this.ctx.sure()) {
+        await sleep(this.ctx.clock, UNSURE_MS);
+        continue;
+      }
       try {
         await this.ctx.cloud.remove(batch);
         for (const id of batch) {
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -11,6 +11,8 @@
   Call = 6,
   /** A worker's report that its taker may pass on to the leader. */
   PassOn = 7,
+  /** A report that its taker had from another controller. */
+  Passed = 8,
 }
 
 export interface Frame {
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { Log } from '../log/logger.js';
+import type { MemberId } from '../model/ids.js';
 import { type Cancel, type Clock, type Steady, since } from '../model/time.js';
 import { splitAddress } from '../net/server.js';
 import {
@@ -135,13 +136,14 @@
   }
 }
 
-const ASKED = new Set([Kind.Beat, Kind.PassOn, Kind.User, Kind.Call]);
-export type Asked = Kind.Beat | Kind.PassOn | Kind.User | Kind.Call;
+const ASKED = new Set([Kind.Beat, Kind.PassOn, Kind.Passed, Kind.User, Kind.Call]);
+export type Asked = Kind.Beat | Kind.PassOn | Kind.Passed | Kind.User | Kind.Call;
 
 export interface PeerHandler {
   ping(): Ping;
   progress(payload: Buffer): void;
-  ask(kind: Asked, payload: Buffer): Promise<AnswerFrame>;
+  /** `from`: who asks, by its own last ping. */
+  ask(kind: Asked, payload: Buffer, from: MemberId): Promise<AnswerFrame>;
 }
 
 /** Listens for the other controllers and answers what they ask. */
@@ -160,17 +162,18 @@
 
   private accept(socket: Socket): void {
     socket.setTimeout(15_000, () => socket.destroy());
-    readFrames(socket, this.log, (frame) => this.take(socket, frame));
+    const peer = { member: '' as MemberId };
+    readFrames(socket, this.log, (frame) => this.take(socket, peer, frame));
   }
 
-  private take(socket: Socket, frame: Frame): void {
+  private take(socket: Socket, peer: { member: MemberId }, frame: Frame): void {
     const { kind, request } = frame;
     if (kind === Kind.Ping) {
-      decodePing(frame.payload);
+      peer.member = decodePing(frame.payload).member as MemberId;
       socket.write(encodeFrame(Kind.Ping, 0, encodePing(this.handler.ping())));
     } else if (kind === Kind.Progress) this.handler.progress(frame.payload);
     else if (ASKED.has(kind)) {
-      void this.handler.ask(kind as Asked, frame.payload).then((answer) => {
+      void this.handler.ask(kind as Asked, frame.payload, peer.member).then((answer) => {
         if (!socket.writable) return;
         socket.write(encodeFrame(Kind.Answer, request, encodeAnswer(answer.status, answer.body)));
       });
--- a/src/peer/routed-caller.ts
+++ b/src/peer/routed-caller.ts
@@ -52,7 +52,8 @@
     }
   }
 
-  async show(address: string, deadlineMs: number): Promise<Report | null> {
+  async show(address: string, deadlineMs: number, everyWay: boolean): Promise<Report | null> {
+    if (!everyWay) return (await this.direct.call('show', address, undefined, deadlineMs)).report;
     try {
       return await Promise.any([
         this.direct.call('show', address, undefined, deadlineMs),
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -101,11 +101,13 @@
       );
       for (const { task, tryNo } of runs) if (task.tryNo === tryNo && task.loose > 0) task.loose--;
       host.unreachable = 0;
+      host.contactAt = this.ctx.clock.now();
       this.restUntil.delete(host.id);
       if (answer.report) this.onReport(host, answer.report);
     } catch (error) {
       // The orders may still arrive, minutes late: the attempts stay loose.
       host.unreachable++;
+      host.failedAt = this.ctx.clock.now();
       this.restUntil.set(host.id, (this.ctx.clock.now() + REST_MS) as Steady);
       this.ctx.log.debug(
         { host: host.id, error: reason(error), ms: since(this.ctx.clock.now(), sentAt) },
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -1,18 +1,44 @@
 import type { LeaderContext } from '../cluster/context.js';
+import type { ZoneId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
-import { atMost, type Steady, plus, since } from '../model/time.js';
+import { atMost, type Millis, ms, type Steady, plus, since } from '../model/time.js';
 import type { Host } from './host-book.js';
 
 const PROBES = 2;
 /** A report's way here. */
 const LATE_MS = 250;
-/** Hearing nobody for this long while machines are up means that the fault is ours. */
-const DEAF_MS = 7000;
+/** How long a worker waits for an answer before it tries another controller (PROTOCOL). */
+const ANSWER_MS = 5000;
+/**
+ * Hearing nobody for as long as so many reports should have taken means that the fault is ours;
+ * but within these bounds.
+ */
+const DEAF_REPORTS = 40;
+const DEAF_LEAST_MS = 2000;
+const DEAF_MOST_MS = 7000;
+/** A tick that comes later than this finds its own process held up: nobody is judged by it. */
+const TICK_LATE_MS = 1000;
+/** Replicas do not run on a machine that hangs: such a machine is asked when it has said nothing for this long. */
+const ASK_AFTER_MS = 2000;
+const MOST_ASKED = 32;
+/** More machines lost at once than this share are no machines' failure, but the network's. */
+const MANY = 0.4;
+const MOST_OF_A_ZONE = 0.8;
+const MANY_MUTE = 0.3;
+/** The part of a lease after which machines behind a cut are given up. */
+const CUT_PATIENCE = 0.7;
 
-/** Watches for silent machines and fences them; notices when it is the leader who is deaf. */
+/**
+ * Watches for machines that are silent, or heard and not reached, and fences them; notices when it
+ * is the leader who is deaf.
+ */
 export class Health {
   private lastHeard: Steady;
-  private readonly silentMs: number;
+  private lastTick: Steady;
+  private strangerAt: Steady;
+  private asked = 0;
+  private readonly silent: Millis;
+  private readonly unreached: Millis;
 
   constructor(
     private readonly ctx: LeaderContext,
@@ -22,44 +48,101 @@
     private readonly leaseOver: (host: Host) => void,
   ) {
     this.lastHeard = ctx.startedAt;
+    this.lastTick = ctx.startedAt;
+    this.strangerAt = ctx.startedAt;
     // A healthy worker's reports lie up to a quarter more than `report_s` apart (PROTOCOL).
     const { silent_s: asked } = ctx.ops.workers;
-    this.silentMs = asked === undefined ? ctx.settings.reportEvery * 1.25 + LATE_MS : asked * 1000;
+    this.silent = ms(asked === undefined ? ctx.settings.reportEvery * 1.25 + LATE_MS : asked * 1000);
+    // One change of controller and two reports: then an answered worker has shown that it is.
+    this.unreached = ms(2 * this.silent + ANSWER_MS);
   }
 
   heard(host: Host, now: Steady): void {
     host.heardAt = now;
-    host.probes = 0;
+    host.metAt ??= now;
     this.lastHeard = now;
+    // One that is heard and not reached stays under suspicion: only a contact clears it.
+    if (this.lost(host, now)) return;
+    host.probes = 0;
     if (host.closed === 'silent' && !host.removing) host.closed = null;
   }
 
+  /** A machine was answered before we had read that it exists. */
+  answeredStranger(now: Steady): void {
+    this.strangerAt = now;
+  }
+
+  /** Nobody is judged while it is not sure that we lead; leases that run out meanwhile still do. */
+  unsure(now: Steady): void {
+    this.lastTick = now;
+    for (const host of this.ctx.hosts.hosts.values()) if (this.leasePassed(host, now)) this.leaseOver(host);
+  }
+
+  private silentFor(host: Host, now: Steady): Millis {
+    // A host that holds a predecessor's tasks and was never heard counts from the takeover.
+    return since(now, host.heardAt ?? this.ctx.startedAt);
+  }
+
+  /** Silent, or heard without a sign that our answers arrive. */
+  private lost(host: Host, now: Steady): boolean {
+    if (this.silentFor(host, now) > this.silent) return true;
+    const contact = host.contactAt ?? host.metAt ?? this.ctx.startedAt;
+    return since(now, contact) > this.unreached;
+  }
+
   /** True: the leader hears none of the machines that are up. */
   deaf(now: Steady): boolean {
+    const held = since(now, this.lastTick);
+    // Held up ourselves, we have not listened either.
+    if (held > TICK_LATE_MS) this.lastHeard = plus(this.lastHeard, held);
     let up = 0;
     for (const host of this.ctx.hosts.hosts.values()) if (host.up || !host.empty) up++;
-    return up >= 2 && since(now, this.lastHeard) > DEAF_MS;
+    if (up < 2) return false;
+    const expected = (this.ctx.settings.reportEvery / up) * DEAF_REPORTS;
+    return since(now, this.lastHeard) > Math.min(DEAF_MOST_MS, Math.max(DEAF_LEAST_MS, expected));
   }
 
   tick(now: Steady): void {
-    const silentMs = this.silentMs;
-    const silent: Host[] = [];
+    const late = since(now, this.lastTick) > TICK_LATE_MS;
+    this.lastTick = now;
+    const lost: Host[] = [];
+    const mute: Host[] = [];
+    const zones = new Map<ZoneId, { up: number; lost: number; asked: number; mute: number }>();
     let up = 0;
     for (const host of this.ctx.hosts.hosts.values()) {
       if (!host.up && host.empty) continue;
       up++;
-      // A host that holds a predecessor's tasks and was never heard counts from the takeover.
-      const heard = host.heardAt ?? this.ctx.startedAt;
-      if (since(now, heard) > silentMs) silent.push(host);
+      const zone = zones.get(host.machine.zone) ?? { up: 0, lost: 0, asked: 0, mute: 0 };
+      zones.set(host.machine.zone, zone);
+      zone.up++;
+      if (late) host.probes = 0;
+      else if (this.lost(host, now)) {
+        lost.push(host);
+        zone.lost++;
+      } else if (this.askedEarly(host)) {
+        zone.asked++;
+        if (host.probes >= PROBES && this.silentFor(host, now) >= ASK_AFTER_MS) {
+          mute.push(host);
+          zone.mute++;
+        } else this.askEarly(host, now);
+      }
+    }
+    for (const host of mute) {
+      // Several at once are judged by their reports: it may be a cut.
+      const zone = zones.get(host.machine.zone);
+      if (!zone || zone.mute > Math.max(2, zone.asked * MANY_MUTE)) continue;
+      host.closed = host.closed ?? 'silent';
+      this.fence(host, 'does not answer');
     }
     // Many at once: more likely a part of the network, or our own. Their reports may come another way.
     // All at once, however few: a deaf leader would fence healthy machines before it gives way.
-    const all = up >= 2 && silent.length === up;
-    const many = all || silent.length > Math.max(3, up * 0.4);
-    for (const host of silent) {
-      const quiet = since(now, host.heardAt ?? this.ctx.startedAt);
+    const all = up >= 2 && lost.length === up;
+    const many = all || lost.length > Math.max(3, up * MANY);
+    for (const host of lost) {
+      const zone = zones.get(host.machine.zone);
+      const cut = many || (zone !== undefined && zone.lost > Math.max(3, zone.up * MOST_OF_A_ZONE));
       if (host.probes < PROBES) this.probe(host);
-      else if (!many || quiet > silentMs * 2.5) {
+      else if (!cut || this.givenUp(host, now)) {
         host.closed = host.closed ?? 'silent';
         this.fence(host, 'silent');
       }
@@ -67,6 +150,15 @@
     }
   }
 
+  /**
+   * Behind a cut the work goes on, and what it completes is kept: its machines are fenced only
+   * shortly before their leases would end it.
+   */
+  private givenUp(host: Host, now: Steady): boolean {
+    const patience = this.ctx.settings.workerLease * CUT_PATIENCE;
+    return since(now, host.answeredAt ?? this.ctx.startedAt) > patience;
+  }
+
   /**
    * The worker's lease has surely run out: its tasks were killed. An earlier leader may have gone
    * on answering for `answerAlone` after our takeover.
@@ -74,10 +166,26 @@
   private leasePassed(host: Host, now: Steady): boolean {
     if (host.empty) return false;
     const alone = plus(this.ctx.startedAt, atMost(this.answerAloneMs));
-    return now > host.leaseEnd(alone, atMost(this.ctx.settings.workerLease) + 1000);
+    const from = this.strangerAt > alone ? this.strangerAt : alone;
+    return now > host.leaseEnd(from, atMost(this.ctx.settings.workerLease) + 1000);
+  }
+
+  /** A machine with replicas is asked between its reports, if direct calls reach it at all. */
+  private askedEarly(host: Host): boolean {
+    if (!host.known || host.address === '' || host.unreachable > 0 || host.removing) return false;
+    for (const task of host.tasks) if (task.job.spec.kind === 'service') return true;
+    return false;
   }
 
-  private probe(host: Host): void {
+  private askEarly(host: Host, now: Steady): void {
+    if (host.probing || this.asked >= MOST_ASKED || this.silentFor(host, now) < ASK_AFTER_MS) return;
+    this.asked++;
+    this.probe(host, () => {
+      this.asked--;
+    });
+  }
+
+  private probe(host: Host, over?: () => void): void {
     if (host.probing) return;
     if (host.address === '') {
       host.probes++;
@@ -86,20 +194,39 @@
     host.probing = true;
     void this.ask(host).finally(() => {
       host.probing = false;
+      over?.();
     });
   }
 
-  /** Probes follow each other at once: every second counts for the replicas on a dead machine. */
+  /**
+   * Probes follow each other at once: every second counts for the replicas on a dead machine. The
+   * last one takes every way: a direct one that fails may be a cut between it and us alone.
+   */
   private async ask(host: Host): Promise<void> {
+    const before = host.heardAt;
     while (host.probes < PROBES && !this.ctx.ended()) {
+      const last = host.probes === PROBES - 1;
       try {
-        const report = await this.ctx.workers.show(host.address, this.ctx.ops.workers.probe_s * 1000);
+        const report = await this.ctx.workers.show(
+          host.address,
+          this.ctx.ops.workers.probe_s * 1000,
+          last || this.silentFor(host, this.ctx.clock.now()) > this.silent,
+        );
         if (!report || report.host !== host.id) throw new Error('not the worker asked for');
-        this.heard(host, this.ctx.clock.now());
+        const now = this.ctx.clock.now();
+        host.contactAt = now;
+        host.unreachable = 0;
+        this.heard(host, now);
         this.onReport(host, report);
         return;
       } catch {
         host.probes++;
+        if (host.heardAt === before || this.lost(host, this.ctx.clock.now())) continue;
+        // It reports and is not reached: from now on its reports alone tell whether it lives.
+        host.unreachable++;
+        host.failedAt = this.ctx.clock.now();
+        host.probes = 0;
+        return;
       }
     }
   }
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -1,4 +1,4 @@
-import type { Counter, HostId, ImageId, JobId, TaskId, Tenure, TryNo } from '../model/ids.js';
+import type { Counter, HostId, ImageId, JobId, MemberId, TaskId, Tenure, TryNo } from '../model/ids.js';
 import { type Room, take } from '../model/job.js';
 import type { Machine, MachineType } from '../model/machine.js';
 import type { Attempt, Report } from '../model/report.js';
@@ -27,6 +27,12 @@
   tenure = 1 as Tenure;
   counter = 0 as Counter;
   heardAt: Steady | null = null;
+  /** When we first heard it under our epoch. */
+  metAt: Steady | null = null;
+  /** When the host last showed that something of ours had reached it. */
+  contactAt: Steady | null = null;
+  /** The last report that we answered, and the controller that it came through. */
+  private answeredReport: { readonly via: MemberId; readonly counter: Counter } | null = null;
   /** When we last answered a report of this host: its lease may run from then. */
   answeredAt: Steady | null = null;
   /** When the cloud takes the machine, by its notice. */
@@ -56,6 +62,8 @@
   commandWanted = false;
   /** Direct calls that brought no answer in a row: orders then wait for reports. */
   unreachable = 0;
+  /** The last of them. */
+  failedAt: Steady | null = null;
 
   constructor(
     readonly machine: Machine,
@@ -110,6 +118,26 @@
     return true;
   }
 
+  /**
+   * A worker that got our answer stays with its controller, one that did not tries another. So a
+   * report that follows the last one through the same controller, with no message between them,
+   * shows that its answer arrived. Reports alone show nothing: a machine may be heard and not reached.
+   */
+  reported(report: Report, via: MemberId, now: Steady): void {
+    const before = this.answeredReport;
+    if (before && before.via === via && report.counter === before.counter + 1) this.contactAt = now;
+  }
+
+  answered(report: Report, via: MemberId, now: Steady): void {
+    this.answeredAt = now;
+    this.answeredReport = { via, counter: report.counter };
+  }
+
+  /** Direct calls fail, and no report has shown since that our answers arrive. */
+  get unreached(): boolean {
+    return this.unreachable >= 2 && (this.contactAt === null || this.contactAt < (this.failedAt ?? 0));
+  }
+
   newer(report: Report): boolean {
     return report.tenure > this.tenure || (report.tenure === this.tenure && report.counter > this.counter);
   }
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -263,7 +263,7 @@
           resolve({ status: 503, epoch: 0 as BeatAnswer['epoch'], orders: [] });
           return;
         }
-        void seat.beat(report).then((answer) => {
+        void seat.beat(report, node as MemberId).then((answer) => {
           const body = answer?.body as { epoch: number; orders: Record<string, unknown>[] } | undefined;
           const orders = (body?.orders ?? []).map((o) => ({
             verb: o['verb'],
