--- a/src/scheduler/patience.ts
+++ b/src/scheduler/patience.ts
@@ -1,6 +1,6 @@
-const START = 1.4;
-const LEAST = 0.7;
-const MOST = 2.5;
+const START = 2.2;
+const LEAST = 1.1;
+const MOST = 4;
 const NEWEST = 0.15;
 
 /**
