--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from '../model/job.js';
+import { type Steady, since } from '../model/time.js';
 import type { Need } from './plan.js';
 
 export interface QueuedWork {
@@ -15,6 +16,23 @@
 const NO_TARGET_MS = 90_000;
 /** Tasks of odd sizes leave gaps, and some work is lost and done again. */
 const PACKED = 0.8;
+/** A queue that is too long for this long is no passing wave. */
+const WAVE_MS = 45_000;
+
+/**
+ * Patience is for waves, which mostly pass before a machine has booted. While the queue stays too
+ * long it runs out: work that will need the machines anyway gets them sooner.
+ */
+export class LateWatch {
+  private since: Steady | null = null;
+
+  left(tooLong: boolean, now: Steady): number {
+    if (!tooLong) this.since = null;
+    else this.since ??= now;
+    return this.since === null ? 1 : Math.max(0, 1 - since(now, this.since) / WAVE_MS);
+  }
+}
+
 /** Renting cannot help sooner. */
 const LEAST_MS = 5000;
 
@@ -22,8 +40,15 @@
  * The part of the queue that the present fleet would not start in time. `cpus` work the queue off
  * one job after the other, behind `busyCpuMs` of work that is already running: the expected frees
  * of the design, counted until each job's own limit instead of one slot.
+ *
+ * `patienceLeft`: the part that is left of the jobs' patience, from 1 to 0.
  */
-export function lateNeeds(queue: readonly QueuedWork[], cpus: number, busyCpuMs: number): Need[] {
+export function lateNeeds(
+  queue: readonly QueuedWork[],
+  cpus: number,
+  busyCpuMs: number,
+  patienceLeft = 1,
+): Need[] {
   const needs: Need[] = [];
   let ahead = busyCpuMs;
   let rate = cpus * PACKED;
@@ -32,7 +57,7 @@
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
     const ready = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
-    const patience = ready * job.patience;
+    const patience = ready * (1 + (job.patience - 1) * patienceLeft);
     const deficit = ahead / patience - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -1,6 +1,6 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { CloudRefused, type Rented } from '../cloud/client.js';
-import { lateNeeds, type QueuedWork } from './backlog.js';
+import { lateNeeds, LateWatch, type QueuedWork } from './backlog.js';
 import { gather, type MovableTask, type PartlyUsed } from './gather.js';
 import { lookOut, type Outlook } from './outlook.js';
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
@@ -81,6 +81,7 @@
   /** Rentals take their turns one after the other: a deletion never waits behind all of them. */
   private rentalTurn: Promise<void> = Promise.resolve();
   private firstSlot = true;
+  private readonly lateWatch = new LateWatch();
   private emptiedAt: Steady | null = null;
   private looked: Outlook | null = null;
 
@@ -141,6 +142,7 @@
   /** The queue's unmet demand, as the last decision round left it. */
   unmet(queue: readonly QueuedWork[]): void {
     this.queue = queue;
+    if (queue.length === 0) this.lateWatch.left(false, this.ctx.clock.now());
     this.rentUnmet();
   }
 
@@ -225,7 +227,10 @@
     );
     const must = rentFor(needs(firm), coming, open, most);
     if (cheap.length > 0) return [...must, ...cheap];
-    const late = lateNeeds(spotWork, this.workingCpus(coming), this.busyCpuMs());
+    const cpus = this.workingCpus(coming);
+    const busy = this.busyCpuMs();
+    const tooLong = lateNeeds(spotWork, cpus, busy, 0).length > 0;
+    const late = lateNeeds(spotWork, cpus, busy, this.lateWatch.left(tooLong, this.ctx.clock.now()));
     const ordinary = open.filter((p) => !p.spot);
     return [...must, ...rentFor(late, [], ordinary, most)];
   }
