--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -20,6 +20,8 @@
 const PER_RECORD = 120;
 /** Changes of this long share one writing: what a record lacks, reports and the list tell. */
 const EVERY_MS = 2000;
+/** Under load starts go first, but not for longer than this. */
+const AT_LEAST_EVERY_MS = 5000;
 /** The share of the budget's burst that is left to starts. */
 const LEFT_FOR_STARTS = 0.4;
 
@@ -52,8 +54,11 @@
 
   /** Whether a writing may begin now. */
   mayWrite(now: Steady): boolean {
-    if (this.writing || (this.lastAt !== null && since(now, this.lastAt) < EVERY_MS)) return false;
-    return this.budget.available() > this.budget.burst * LEFT_FOR_STARTS;
+    if (this.writing) return false;
+    const waited = this.lastAt === null ? Infinity : since(now, this.lastAt);
+    if (waited < EVERY_MS) return false;
+    // A record left behind costs a successor seconds: it looks for machines that are gone.
+    return waited >= AT_LEAST_EVERY_MS || this.budget.available() > this.budget.burst * LEFT_FOR_STARTS;
   }
 
   async save(): Promise<void> {
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -101,7 +101,7 @@
       workers: new RoutedCaller(direct, links, clock),
       random,
       types: new Map(),
-      workerCalls: Math.floor(shares.workers / 2),
+      workerCalls: Math.floor(shares.workers / 4),
     };
     this.typeBook = new TypeBook(this.ctx);
     this.users = new UserService(this.ctx, (id) => this.progressOf(id));
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -8,6 +8,9 @@
 /** A call that brought no answer. The other side may have carried it out, or may do so later. */
 export class NoAnswer extends Error {}
 
+/** Nothing was sent: all of our own sockets for such calls are in use. */
+export class NoSocket extends NoAnswer {}
+
 export interface HttpCaller {
   call(method: string, path: string, body: unknown, deadlineMs: number): Promise<Reply>;
 }
--- a/src/peer/routed-caller.ts
+++ b/src/peer/routed-caller.ts
@@ -2,7 +2,7 @@
 import type { Epoch, Tenure } from '../model/ids.js';
 import type { Order, Report } from '../model/report.js';
 import { type Clock, type Steady, plus } from '../model/time.js';
-import { NoAnswer } from '../net/http-client.js';
+import { NoAnswer, NoSocket } from '../net/http-client.js';
 import { commandBody, readCommandReply, type CommandReply } from '../wire/workers.js';
 import { encodeCall, type CallVerb, Kind } from './frames.js';
 import type { PeerLink } from './link.js';
@@ -47,6 +47,7 @@
     try {
       return await this.direct.call('commands', address, body, deadlineMs);
     } catch (error) {
+      if (error instanceof NoSocket) throw error;
       if (this.links.some((l) => l.alive)) this.detours.set(address, plus(this.clock.now(), DETOUR_MS));
       throw error;
     }
@@ -62,8 +63,10 @@
           return r;
         }),
       ]).then((r) => r.report);
-    } catch {
-      throw new NoAnswer('no controller reaches the worker');
+    } catch (error) {
+      const tried = (error as AggregateError).errors as unknown[];
+      const unsent = tried.find((e) => e instanceof NoSocket);
+      throw unsent ?? new NoAnswer('no controller reaches the worker');
     }
   }
 
--- a/src/workers/caller.ts
+++ b/src/workers/caller.ts
@@ -1,5 +1,5 @@
 import type { CallVerb } from '../peer/frames.js';
-import { HttpTarget, NoAnswer, type Reply } from '../net/http-client.js';
+import { HttpTarget, NoSocket, type Reply } from '../net/http-client.js';
 
 interface Target {
   readonly http: HttpTarget;
@@ -37,7 +37,7 @@
       this.targets.delete(address);
       return;
     }
-    throw new NoAnswer('no socket is free');
+    throw new NoSocket('no socket is free');
   }
 
   async raw(verb: CallVerb, address: string, body: unknown, deadlineMs: number): Promise<Reply> {
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -1,5 +1,6 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { reason } from '../log/logger.js';
+import { NoSocket } from '../net/http-client.js';
 import type { Order, Report } from '../model/report.js';
 import { type Steady, since } from '../model/time.js';
 import type { Task } from '../scheduler/job-book.js';
@@ -105,6 +106,12 @@
       this.restUntil.delete(host.id);
       if (answer.report) this.onReport(host, answer.report);
     } catch (error) {
+      if (error instanceof NoSocket) {
+        // Nothing has left; the host's next report brings the orders if no socket is free before.
+        for (const { task, tryNo } of runs) if (task.tryNo === tryNo && task.loose > 0) task.loose--;
+        host.commandWanted = false;
+        return;
+      }
       // The orders may still arrive, minutes late: the attempts stay loose.
       host.unreachable++;
       host.failedAt = this.ctx.clock.now();
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -1,6 +1,7 @@
 import type { LeaderContext } from '../cluster/context.js';
 import type { ZoneId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
+import { NoSocket } from '../net/http-client.js';
 import { atMost, type Millis, ms, type Steady, plus, since } from '../model/time.js';
 import type { Host } from './host-book.js';
 
@@ -21,6 +22,8 @@
 /** Replicas do not run on a machine that hangs: such a machine is asked when it has said nothing for this long. */
 const ASK_AFTER_MS = 2000;
 const MOST_ASKED = 32;
+/** Probes under way at once, by every way each. */
+const MOST_PROBED = 96;
 /** More machines lost at once than this share are no machines' failure, but the network's. */
 const MANY = 0.4;
 const MOST_OF_A_ZONE = 0.8;
@@ -37,6 +40,7 @@
   private lastTick: Steady;
   private strangerAt: Steady;
   private asked = 0;
+  private probing = 0;
   private readonly silent: Millis;
   private readonly unreached: Millis;
 
@@ -179,6 +183,7 @@
 
   private askEarly(host: Host, now: Steady): void {
     if (host.probing || this.asked >= MOST_ASKED || this.silentFor(host, now) < ASK_AFTER_MS) return;
+    if (this.probing >= MOST_PROBED) return;
     this.asked++;
     this.probe(host, () => {
       this.asked--;
@@ -191,9 +196,12 @@
       host.probes++;
       return;
     }
+    if (this.probing >= MOST_PROBED) return;
     host.probing = true;
+    this.probing++;
     void this.ask(host).finally(() => {
       host.probing = false;
+      this.probing--;
       over?.();
     });
   }
@@ -219,7 +227,9 @@
         this.heard(host, now);
         this.onReport(host, report);
         return;
-      } catch {
+      } catch (error) {
+        // Our own lack of sockets says nothing of the machine.
+        if (error instanceof NoSocket) return;
         host.probes++;
         if (host.heardAt === before || this.lost(host, this.ctx.clock.now())) continue;
         // It reports and is not reached: from now on its reports alone tell whether it lives.
