--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -17,7 +17,15 @@
   up: 0 | 1,
 ];
 
+interface Changed {
+  readonly key: string;
+  readonly value: unknown;
+  readonly text: string;
+}
+
 const PER_RECORD = 120;
+/** All that one transaction may carry is 64 KiB (PROTOCOL). */
+const MAX_BYTES = 48 * 1024;
 /** Changes of this long share one writing: what a record lacks, reports and the list tell. */
 const EVERY_MS = 2000;
 /** Under load starts go first, but not for longer than this. */
@@ -65,10 +73,7 @@
     this.writing = true;
     this.lastAt = this.ctx.clock.now();
     try {
-      const changed = this.changes();
-      const { txnOps } = this.ctx.settings;
-      for (let i = 0; i < changed.length; i += txnOps) {
-        const part = changed.slice(i, i + txnOps);
+      for (const part of this.parts(this.changes())) {
         this.budget.force(part.length);
         const result = await this.ctx.store.commit(
           [{ key: keys.epoch, stamp: this.ctx.epochStamp }],
@@ -85,13 +90,30 @@
     }
   }
 
-  private changes(): { key: string; value: unknown; text: string }[] {
+  /** What fits one transaction each. */
+  private parts(changed: readonly Changed[]): Changed[][] {
+    const parts: Changed[][] = [];
+    let bytes = Infinity;
+    for (const c of changed) {
+      const last = parts[parts.length - 1];
+      if (last && last.length < this.ctx.settings.txnOps && bytes + c.text.length <= MAX_BYTES) {
+        last.push(c);
+        bytes += c.text.length;
+      } else {
+        parts.push([c]);
+        bytes = c.text.length;
+      }
+    }
+    return parts;
+  }
+
+  private changes(): Changed[] {
     const values = new Map<string, unknown>();
     const chunks = this.chunks();
     this.stored = Math.max(this.stored, chunks.length);
     for (let n = 0; n < this.stored; n++) values.set(keys.fleetChunk(n), { m: chunks[n] ?? [] });
     for (const [key, record] of this.fleet.forecastRecords()) values.set(keys.forecastOf(key), record);
-    const changed: { key: string; value: unknown; text: string }[] = [];
+    const changed: Changed[] = [];
     for (const [key, value] of values) {
       const text = JSON.stringify(value);
       if (this.written.get(key) !== text) changed.push({ key, value, text });
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -636,7 +636,7 @@
     try {
       await this.record.save();
     } catch (error) {
-      this.ctx.log.debug({ error: reason(error) }, 'fleet not saved');
+      this.ctx.log.info({ error: reason(error) }, 'fleet not saved');
       this.fleetDirty = true;
     }
   }
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -11,6 +11,18 @@
 
 const LATENCY_MS = 5;
 const DEADLINE_MS = 1000;
+const TXN_OPS = 16;
+const VALUE_BYTES = 16 * 1024;
+const TXN_BYTES = 64 * 1024;
+
+/** What the service answers 400. */
+function malformed(conditions: readonly Condition[], writes: readonly Write[]): string | null {
+  if (writes.length > TXN_OPS) return 'too many writes';
+  if (conditions.length > TXN_OPS * 4) return 'too many conditions';
+  if (writes.some((w) => 'set' in w && JSON.stringify(w.value).length > VALUE_BYTES))
+    return 'a value too long';
+  return JSON.stringify({ conditions, writes }).length > TXN_BYTES ? 'too long' : null;
+}
 
 /** A state service in memory, by the published protocol. */
 export class StandInState {
@@ -23,6 +35,8 @@
   /** Puts and deletes that were asked for, carried out or not. */
   writes = 0;
   requests = 0;
+  /** What it would not even look at. */
+  readonly malformed: string[] = [];
   outage = false;
   /** Nodes that are refused while the others are served. */
   readonly refused = new Set<string>();
@@ -101,6 +115,11 @@
           return { rows, more: false, ledger: this.ledger as Stamp };
         }),
       commit: (conditions, writes) => {
+        const error = malformed(conditions, writes);
+        if (error) {
+          this.malformed.push(error);
+          return Promise.reject(new StateRefused(`state: commit refused ${error}`));
+        }
         const delay = this.delayCommit.get(node);
         if (delay === undefined) return ask(() => this.decide(conditions, writes));
         this.delayCommit.delete(node);
--- a/test/traces/size.test.ts
+++ b/test/traces/size.test.ts
@@ -34,6 +34,8 @@
     await site.submit({ ref: 'j-900000', tasks: 8, team: 'blue', spot: true, runS: 1 }, alive);
     await site.run(6);
     expect(await site.query('j-900000', alive)).toBe('done');
+    // Guards against fleet records that together were too long for one transaction: none was written.
+    expect(site.state.malformed).toEqual([]);
     expect(site.rules.broken).toEqual([]);
   }, 60_000);
 });
