--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -1,7 +1,6 @@
 import { Mutex } from 'async-mutex';
 import { FleetManager } from '../fleet/manager.js';
 import type { QueuedWork } from '../fleet/backlog.js';
-import { seriesKey } from '../fleet/plan.js';
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
 import type { Epoch, HostId, JobId, MemberId, Stamp, TeamId } from '../model/ids.js';
@@ -26,6 +25,7 @@
 import type { LeaderContext, NodeContext } from './context.js';
 import { FleetRecord } from './fleet-record.js';
 import { loadOpenJobs, restoreFleet } from './takeover.js';
+import { jobView, machineView, summaryOf, victims } from './views.js';
 
 export interface Answer {
   readonly status: number;
@@ -649,96 +649,6 @@
   }
 
   summary(): object {
-    let waiting = 0;
-    let held = 0;
-    let up = 0;
-    let cpus = 0;
-    let usedCpus = 0;
-    let runningCpus = 0;
-    for (const job of this.jobs.jobs.values()) {
-      waiting += job.waiting;
-      held += job.heldCount;
-      runningCpus += job.running * job.spec.cpus;
-    }
-    const pools: Record<string, Record<string, number>> = {};
-    for (const host of this.hosts.hosts.values()) {
-      if (!host.up) continue;
-      up++;
-      cpus += host.type.cpus;
-      usedCpus += host.type.cpus - host.free.cpus;
-      const pool = (pools[seriesKey(host.machine.type, host.machine.spot)] ??= {
-        up: 0,
-        empty: 0,
-        free: 0,
-        withReplicas: 0,
-      });
-      let replicas = 0;
-      for (const task of host.tasks) if (task.job.spec.kind === 'service') replicas = 1;
-      pool['up'] = (pool['up'] ?? 0) + 1;
-      pool['empty'] = (pool['empty'] ?? 0) + (host.empty ? 1 : 0);
-      pool['free'] = Math.round((pool['free'] ?? 0) + host.free.cpus);
-      pool['withReplicas'] = (pool['withReplicas'] ?? 0) + replicas;
-    }
-    const rounded = (n: number): number => Math.round(n);
-    return {
-      jobs: this.jobs.jobs.size,
-      waiting,
-      held,
-      hosts: this.hosts.hosts.size,
-      up,
-      cpus,
-      usedCpus: rounded(usedCpus),
-      runningCpus: rounded(runningCpus),
-      pools,
-    };
+    return summaryOf(this.jobs, this.hosts);
   }
 }
-
-const NO_HOSTS: ReadonlySet<HostId> = new Set();
-
-function jobView(job: OpenJob, now: Steady, slackMs: number | null, starving: boolean): JobView {
-  const zones: JobView['zones'] = new Map();
-  // A task on a machine that only its record knows may be in any zone: the job waits.
-  let unknownZone = false;
-  if (job.spec.oneZone || job.spec.spread) {
-    for (const task of job.held()) {
-      if (task.zone === null) unknownZone = true;
-      else zones.set(task.zone, (zones.get(task.zone) ?? 0) + 1);
-    }
-  }
-  return {
-    spec: job.spec,
-    acceptedAt: job.acceptedAt,
-    waiting: job.waiting,
-    zones,
-    avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
-    slackMs,
-    starving,
-    heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
-  };
-}
-
-function victims(host: Host, now: Steady): Victim[] {
-  const list: Victim[] = [];
-  for (const task of host.tasks) {
-    if (task.phase !== 'placed' || task.kill || task.shown === 'saving') continue;
-    const { cpus, gpus, memoryGb, priority, team, checkpointS } = task.job.spec;
-    const ran = task.runningAt === null ? 0 : now - task.runningAt;
-    const lostMs = checkpointS > 0 ? Math.min(ran, checkpointS * 1000) : ran;
-    list.push({ task: task.id, job: task.job.spec.id, team, priority, cpus, gpus, memoryGb, lostMs });
-  }
-  return list.sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
-}
-
-function machineView(host: Host): MachineView {
-  return {
-    id: host.id,
-    type: host.machine.type,
-    zone: host.machine.zone,
-    spot: host.machine.spot,
-    cpus: host.type.cpus,
-    free: { ...host.free },
-    images: host.images,
-    reachable: host.unreachable === 0,
-  };
-}
--- /dev/null
+++ b/src/cluster/views.ts
@@ -0,0 +1,103 @@
+import { seriesKey } from '../fleet/plan.js';
+import type { HostId } from '../model/ids.js';
+import type { Steady } from '../model/time.js';
+import type { JobBook, OpenJob } from '../scheduler/job-book.js';
+import type { JobView, MachineView, Victim } from '../scheduler/place.js';
+import type { Host, HostBook } from '../workers/host-book.js';
+
+const NO_HOSTS: ReadonlySet<HostId> = new Set();
+
+/** A job as placement sees it. */
+export function jobView(job: OpenJob, now: Steady, slackMs: number | null, starving: boolean): JobView {
+  const zones: JobView['zones'] = new Map();
+  // A task on a machine that only its record knows may be in any zone: the job waits.
+  let unknownZone = false;
+  if (job.spec.oneZone || job.spec.spread) {
+    for (const task of job.held()) {
+      if (task.zone === null) unknownZone = true;
+      else zones.set(task.zone, (zones.get(task.zone) ?? 0) + 1);
+    }
+  }
+  return {
+    spec: job.spec,
+    acceptedAt: job.acceptedAt,
+    waiting: job.waiting,
+    zones,
+    avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
+    slackMs,
+    starving,
+    heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
+  };
+}
+
+/** Who could be stopped on a machine, cheapest loss first. */
+export function victims(host: Host, now: Steady): Victim[] {
+  const list: Victim[] = [];
+  for (const task of host.tasks) {
+    if (task.phase !== 'placed' || task.kill || task.shown === 'saving') continue;
+    const { cpus, gpus, memoryGb, priority, team, checkpointS } = task.job.spec;
+    const ran = task.runningAt === null ? 0 : now - task.runningAt;
+    const lostMs = checkpointS > 0 ? Math.min(ran, checkpointS * 1000) : ran;
+    list.push({ task: task.id, job: task.job.spec.id, team, priority, cpus, gpus, memoryGb, lostMs });
+  }
+  return list.sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
+}
+
+/** A machine as placement sees it: its room is a copy, to be handed out. */
+export function machineView(host: Host): MachineView {
+  return {
+    id: host.id,
+    type: host.machine.type,
+    zone: host.machine.zone,
+    spot: host.machine.spot,
+    cpus: host.type.cpus,
+    free: { ...host.free },
+    images: host.images,
+    reachable: host.unreachable === 0,
+  };
+}
+
+/** What the log tells of a leadership every few seconds. */
+export function summaryOf(book: JobBook, hostBook: HostBook): object {
+  let waiting = 0;
+  let held = 0;
+  let up = 0;
+  let cpus = 0;
+  let usedCpus = 0;
+  let runningCpus = 0;
+  for (const job of book.jobs.values()) {
+    waiting += job.waiting;
+    held += job.heldCount;
+    runningCpus += job.running * job.spec.cpus;
+  }
+  const pools: Record<string, Record<string, number>> = {};
+  for (const host of hostBook.hosts.values()) {
+    if (!host.up) continue;
+    up++;
+    cpus += host.type.cpus;
+    usedCpus += host.type.cpus - host.free.cpus;
+    const pool = (pools[seriesKey(host.machine.type, host.machine.spot)] ??= {
+      up: 0,
+      empty: 0,
+      free: 0,
+      withReplicas: 0,
+    });
+    let replicas = 0;
+    for (const task of host.tasks) if (task.job.spec.kind === 'service') replicas = 1;
+    pool['up'] = (pool['up'] ?? 0) + 1;
+    pool['empty'] = (pool['empty'] ?? 0) + (host.empty ? 1 : 0);
+    pool['free'] = Math.round((pool['free'] ?? 0) + host.free.cpus);
+    pool['withReplicas'] = (pool['withReplicas'] ?? 0) + replicas;
+  }
+  return {
+    jobs: book.jobs.size,
+    waiting,
+    held,
+    hosts: hostBook.hosts.size,
+    up,
+    cpus,
+    usedCpus: Math.round(usedCpus),
+    runningCpus: Math.round(runningCpus),
+    pools,
+  };
+}
