--- a/src/scheduler/patience.ts
+++ b/src/scheduler/patience.ts
@@ -1,5 +1,5 @@
-const START = 2.2;
-const LEAST = 1.1;
+const START = 1.5;
+const LEAST = 0.8;
 const MOST = 4;
 const NEWEST = 0.15;
 
