--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -8,11 +8,10 @@
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import type { Team } from '../model/team.js';
-import { type Cancel, ms, type Steady, plus, since, sleep } from '../model/time.js';
+import { type Cancel, type Steady, plus, since, sleep } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
 import { guaranteedJobs, type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
-import { SpotLoss } from '../scheduler/loss.js';
 import { Patience } from '../scheduler/patience.js';
 import { isStarving, Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
@@ -55,7 +54,6 @@
   private readonly lifetimes = new Lifetimes();
   private readonly urgency: Urgency;
   private readonly patience = new Patience();
-  private readonly spotLoss = new SpotLoss();
   private readonly record: FleetRecord;
   private over = false;
   private ready = false;
@@ -190,9 +188,6 @@
 
   private tick(): void {
     const now = this.ctx.clock.now();
-    let spot = 0;
-    for (const host of this.hosts.hosts.values()) if (host.up && host.machine.spot) spot++;
-    this.spotLoss.ran(spot, ms(TICK_MS));
     if (this.health.deaf(now)) {
       this.end('no worker is heard');
       return;
@@ -460,10 +455,8 @@
 
   private jobView(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    const runMs = this.runMs(job.spec);
-    const slackMs = this.urgency.next(job.spec, age, runMs)?.slackMs ?? null;
-    const sure = this.spotLoss.avoid(job.waiting, runMs, slackMs);
-    return jobView(job, now, slackMs, isStarving(job, age, now), sure);
+    const slackMs = this.urgency.next(job.spec, age, this.runMs(job.spec))?.slackMs ?? null;
+    return jobView(job, now, slackMs, isStarving(job, age, now));
   }
 
   /** Committed: only now may run orders leave. */
@@ -622,8 +615,6 @@
   }
 
   private hostGone(host: Host): void {
-    if (host.machine.spot && host.up && (host.closed === 'silent' || host.takenAt !== null))
-      this.spotLoss.taken();
     const lost = loseAll(host, this.ctx.clock.now());
     if (lost.length > 0)
       this.ctx.log.info(
--- a/src/cluster/views.ts
+++ b/src/cluster/views.ts
@@ -8,13 +8,7 @@
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
 
 /** A job as placement sees it. */
-export function jobView(
-  job: OpenJob,
-  now: Steady,
-  slackMs: number | null,
-  starving: boolean,
-  sure: boolean,
-): JobView {
+export function jobView(job: OpenJob, now: Steady, slackMs: number | null, starving: boolean): JobView {
   const zones: JobView['zones'] = new Map();
   // A task on a machine that only its record knows may be in any zone: the job waits.
   let unknownZone = false;
@@ -32,7 +26,6 @@
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
     slackMs,
     starving,
-    sure,
     heldBack: unknownZone || (job.notBefore !== null && job.notBefore > now),
   };
 }
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -37,8 +37,6 @@
   readonly heldBack: boolean;
   /** How long it may still wait; null: no target is left. */
   readonly slackMs: number | null;
-  /** Lost tasks could not be done again in time: ordinary machines come first even for spot work. */
-  readonly sure: boolean;
   /** It has waited so long without a start that it goes before all but production work. */
   readonly starving: boolean;
 }
@@ -138,9 +136,6 @@
 /** The part of a starving job's tasks that may go ahead of other work. */
 const STARVING_SHARE = 0.25;
 
-/** Work that may use spot machines, such work that had better not, and work that may not. */
-type ShelfKind = 'spot' | 'sure' | 'firm';
-
 interface Place {
   readonly m: MachineView;
   /** Its free CPUs when the shelf was last put in order. */
@@ -152,7 +147,7 @@
 
 /**
  * The order in which first-fit looks at machines (ours): reachable ones first; spot ones for work
- * that may use them (last, where a lost task could not be done again in time); then, for such work, the fuller ones, so that whole machines become idle and
+ * that may use them; then, for such work, the fuller ones, so that whole machines become idle and
  * can be given back, and of equally full ones those that have the image. Other work looks for its
  * image first, then for small machines: replicas stay long, and must not keep a big one.
  *
@@ -165,11 +160,11 @@
 
   constructor(
     machines: readonly MachineView[],
-    private readonly kind: ShelfKind,
+    private readonly forSpot: boolean,
     private readonly least: Resources,
   ) {
     this.places = machines
-      .filter((m) => (kind !== 'firm' || !m.spot) && fits(least, m.free))
+      .filter((m) => (forSpot || !m.spot) && fits(least, m.free))
       .map((m) => ({ m, free: m.free.cpus }));
   }
 
@@ -180,7 +175,7 @@
 
   /** Room was made on a machine that may have had none. */
   reopen(m: MachineView): void {
-    if ((this.kind !== 'firm' || !m.spot) && !this.places.some((p) => p.m === m)) {
+    if ((this.forSpot || !m.spot) && !this.places.some((p) => p.m === m)) {
       this.places.push({ m, free: m.free.cpus });
     }
     this.sorted = false;
@@ -191,9 +186,9 @@
     this.sorted = true;
     this.places = this.places.filter((p) => fits(this.least, p.m.free));
     for (const p of this.places) p.free = p.m.free.cpus;
-    const spot = (m: MachineView): number => (m.spot === (this.kind === 'spot') ? 0 : 1);
+    const spot = (m: MachineView): number => (m.spot ? 0 : 1);
     this.places.sort(
-      this.kind !== 'firm'
+      this.forSpot
         ? (a, b) => reach(a.m) - reach(b.m) || spot(a.m) - spot(b.m) || a.free - b.free || byId(a.m, b.m)
         : (a, b) => reach(a.m) - reach(b.m) || a.m.cpus - b.m.cpus || a.free - b.free || byId(a.m, b.m),
     );
@@ -204,8 +199,7 @@
     this.settle();
     const { places } = this;
     const alike = (a: Place, b: Place): boolean =>
-      a.m.reachable === b.m.reachable &&
-      (this.kind === 'firm' || (a.m.spot === b.m.spot && a.free === b.free));
+      a.m.reachable === b.m.reachable && (!this.forSpot || (a.m.spot === b.m.spot && a.free === b.free));
     for (let from = 0; from < places.length;) {
       const first = places[from] as Place;
       let to = from + 1;
@@ -263,22 +257,16 @@
 class Placing {
   readonly plan: Plan = { starts: [], stops: [], unmet: [] };
   private readonly used = new Map<TeamId, TeamUse>();
-  private readonly shelves = new Map<ShelfKind, Shelf>();
-  private readonly least: Resources;
+  private readonly shelves: Record<'spot' | 'firm', Shelf>;
   private stoppable: { m: MachineView; victims: Victim[] }[] | null = null;
 
   constructor(private readonly now: Snapshot) {
     for (const [team, u] of now.use) this.used.set(team, { ...u });
-    this.least = smallest(now.jobs);
-  }
-
-  private shelf(kind: ShelfKind): Shelf {
-    let shelf = this.shelves.get(kind);
-    if (!shelf) {
-      shelf = new Shelf(this.now.machines, kind, this.least);
-      this.shelves.set(kind, shelf);
-    }
-    return shelf;
+    const least = smallest(now.jobs);
+    this.shelves = {
+      spot: new Shelf(now.machines, true, least),
+      firm: new Shelf(now.machines, false, least),
+    };
   }
 
   place(job: JobView): void {
@@ -309,14 +297,14 @@
     mine.gpus += spec.gpus;
     job.zones.set(m.zone, (job.zones.get(m.zone) ?? 0) + 1);
     job.waiting--;
-    for (const shelf of this.shelves.values()) shelf.touch();
+    this.shelves.spot.touch();
+    this.shelves.firm.touch();
   }
 
   private firstFit(job: JobView, mine: TeamUse, open: number, which: (m: MachineView) => boolean): number {
     if (open <= 0) return open;
     const { spec } = job;
-    const kind = spec.spot ? (job.sure ? 'sure' : 'spot') : 'firm';
-    for (const m of this.shelf(kind).inOrder(spec.image)) {
+    for (const m of this.shelves[spec.spot ? 'spot' : 'firm'].inOrder(spec.image)) {
       if (!which(m) || !allowed(spec, m) || job.avoid.has(m.id)) continue;
       while (open > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) {
         this.start(job, mine, m);
@@ -362,7 +350,8 @@
         give(m.free, v);
       }
       this.start(job, mine, m);
-      for (const shelf of this.shelves.values()) shelf.reopen(m);
+      this.shelves.spot.reopen(m);
+      this.shelves.firm.reopen(m);
       open--;
       const again = offerOf(job.spec, m, from, may);
       if (again) offers[best] = again;
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -6,7 +6,7 @@
 import type { HostId, ImageId, JobId, TaskId, TeamId, TypeId, ZoneId } from '../../src/model/ids.js';
 import { type JobSpec, Priority } from '../../src/model/job.js';
 import type { Team } from '../../src/model/team.js';
-import { seconds, type Steady, type WallTime } from '../../src/model/time.js';
+import type { Steady, WallTime } from '../../src/model/time.js';
 import {
   guaranteedJobs,
   type JobView,
@@ -18,7 +18,6 @@
 } from '../../src/scheduler/place.js';
 import type { TeamUse } from '../../src/scheduler/job-book.js';
 import { plainPlace, structuredCloneOf } from './plain-place.js';
-import { SpotLoss } from '../../src/scheduler/loss.js';
 import { isStarving, Urgency } from '../../src/scheduler/urgency.js';
 import { TYPES } from '../standins/site.js';
 
@@ -55,7 +54,6 @@
   heldBack: false,
   slackMs: 10_000,
   starving: false,
-  sure: false,
   ...more,
 });
 
@@ -199,7 +197,6 @@
           acceptedAt: draw(1000) as WallTime,
           waiting: 1 + draw(tasks),
           slackMs: draw(3) ? draw(90_000) : null,
-          sure: draw(3) === 0,
         },
       );
     });
@@ -238,22 +235,8 @@
     const jobs = Array.from({ length: 200 }, (_, i) => job({ id: `j-${i}` as JobId, tasks: 50 }));
     const plan = place(jobs, machines, new Map([team('red', 0, null)]), new Map());
     expect(plan.unmet).toHaveLength(200);
-    // one look for the one order that is asked for
-    expect(looks).toBeLessThanOrEqual(machines.length);
-  });
-
-  it('keeps work off spot machines that could not be done again in time, once they are seen to be taken', () => {
-    const loss = new SpotLoss();
-    expect(loss.avoid(90, 60_000, 20_000)).toBe(false);
-    loss.ran(100, seconds(360));
-    for (let i = 0; i < 60; i++) loss.taken();
-    expect(loss.avoid(90, 60_000, 20_000)).toBe(true);
-    expect(loss.avoid(90, 60_000, 90_000)).toBe(false);
-    expect(loss.avoid(2, 60_000, 20_000)).toBe(false);
-    const both = [machine('ordinary'), machine('spot', { spot: true })];
-    const tight = job({ tasks: 5, team: 'blue' as TeamId }, { sure: true });
-    const hosts = place([tight], both, TEAMS, new Map()).starts.map((s) => s.host);
-    expect(hosts).toEqual(['ordinary', 'ordinary', 'ordinary', 'ordinary', 'spot']);
+    // one look for each of the two orders
+    expect(looks).toBeLessThanOrEqual(2 * machines.length);
   });
 
   it('lets a job begin that has waited unserved, with a part of its tasks', () => {
--- a/test/unit/plain-place.ts
+++ b/test/unit/plain-place.ts
@@ -20,11 +20,11 @@
 }
 
 /** The documented order, sorted in full for every job. */
-function machineOrder(spec: JobSpec, sure: boolean, machines: readonly MachineView[]): MachineView[] {
+function machineOrder(spec: JobSpec, machines: readonly MachineView[]): MachineView[] {
   const image = (m: MachineView): number => (m.images.has(spec.image) ? 0 : 1);
   const key = (m: MachineView): (number | string)[] =>
     spec.spot
-      ? [m.reachable ? 0 : 1, m.spot === !sure ? 0 : 1, m.free.cpus, image(m), m.id]
+      ? [m.reachable ? 0 : 1, m.spot ? 0 : 1, m.free.cpus, image(m), m.id]
       : [m.reachable ? 0 : 1, image(m), m.cpus, m.free.cpus, m.id];
   return machines
     .filter((m) => allowed(spec, m))
@@ -78,7 +78,7 @@
       left--;
     };
     const firstFit = (which: (m: MachineView) => boolean): void => {
-      for (const m of machineOrder(spec, job.sure, now.machines)) {
+      for (const m of machineOrder(spec, now.machines)) {
         if (!which(m) || job.avoid.has(m.id)) continue;
         while (left > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) start(m);
       }
