--- a/test/traces/hardships.test.ts
+++ b/test/traces/hardships.test.ts
@@ -110,6 +110,24 @@
     await expectTrace('leader-alone', site);
   });
 
+  it('as follower sends them on within their lease, and users find another node', async () => {
+    const site = await begun();
+    await site.submit({ ref: 'j-000001', kind: 'service', tasks: 6 });
+    await until(site, () => site.tasksOn('j-000001') === 6);
+    // Every worker begins with the first node; it leads or follows.
+    site.crash('node-0');
+    await site.run(6);
+    site.start('node-0');
+    const follower = site.nodes.find((n) => n !== site.leader && n !== 'node-0') as string;
+    site.trace(`network    leaves ${follower} its workers only`);
+    site.state.refused.add(follower);
+    site.alone.add(follower);
+    await site.run(45);
+    expect(site.tasksOn('j-000001')).toBe(6);
+    expect(await site.query('j-000001', site.leader as string)).toBe('pending');
+    await expectTrace('follower-alone', site);
+  });
+
   it('has no machine deleted while it cannot know that it leads', async () => {
     const site = await begun();
     await site.submit({ ref: 'j-000001', kind: 'service', tasks: 6 });
