--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -18,7 +18,9 @@
 const DEAF_LEAST_MS = 2000;
 const DEAF_MOST_MS = 7000;
 /** A tick that comes later than this finds its own process held up: nobody is judged by it. */
-const TICK_LATE_MS = 1000;
+const TICK_LATE_MS = 700;
+/** A probe that took so many times its deadline tells of our own process. */
+const HELD_UP = 1.25;
 /** Replicas do not run on a machine that hangs: such a machine is asked when it has said nothing for this long. */
 const ASK_AFTER_MS = 2000;
 const MOST_ASKED = 32;
@@ -214,10 +216,12 @@
     const before = host.heardAt;
     while (host.probes < PROBES && !this.ctx.ended()) {
       const last = host.probes === PROBES - 1;
+      const began = this.ctx.clock.now();
+      const deadline = this.ctx.ops.workers.probe_s * 1000;
       try {
         const report = await this.ctx.workers.show(
           host.address,
-          this.ctx.ops.workers.probe_s * 1000,
+          deadline,
           last || this.silentFor(host, this.ctx.clock.now()) > this.silent,
         );
         if (!report || report.host !== host.id) throw new Error('not the worker asked for');
@@ -230,6 +234,8 @@
       } catch (error) {
         // Our own lack of sockets says nothing of the machine.
         if (error instanceof NoSocket) return;
+        // Nor does a deadline that we noticed late: the answer may lie unread, as after a takeover.
+        if (since(this.ctx.clock.now(), began) > deadline * HELD_UP) return;
         host.probes++;
         if (host.heardAt === before || this.lost(host, this.ctx.clock.now())) continue;
         // It reports and is not reached: from now on its reports alone tell whether it lives.
