--- /dev/null
+++ b/test/unit/health.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from 'vitest';
+import type { LeaderContext } from '../../src/cluster/context.js';
+import { defaultOperators } from '../../src/config/operators.js';
+import type { HostId, TypeId, ZoneId } from '../../src/model/ids.js';
+import { seconds } from '../../src/model/time.js';
+import { NoAnswer } from '../../src/net/http-client.js';
+import { Health } from '../../src/workers/health.js';
+import { Host, HostBook } from '../../src/workers/host-book.js';
+import { VirtualClock } from '../standins/clock.js';
+import { TYPES } from '../standins/site.js';
+
+/** Three machines, one of them silent; whether it is fenced when a probe fails after `failsMs`. */
+async function fenced(failsMs: number): Promise<boolean> {
+  const clock = new VirtualClock();
+  const hosts = new HostBook();
+  for (const name of ['a', 'b', 'c']) {
+    const machine = { id: name as HostId, type: 'small' as TypeId, zone: 'north' as ZoneId, spot: false };
+    const host = new Host(machine, TYPES[0] as (typeof TYPES)[0], clock.now());
+    host.up = true;
+    host.known = true;
+    host.address = `${name}:1`;
+    hosts.add(host);
+  }
+  let fence = false;
+  const ctx = {
+    clock,
+    hosts,
+    startedAt: clock.now(),
+    ops: defaultOperators(),
+    settings: { reportEvery: seconds(3), workerLease: seconds(20) },
+    ended: () => false,
+    workers: {
+      show: () =>
+        new Promise((_, reject) => clock.after(failsMs, () => reject(new NoAnswer('deadline passed')))),
+    },
+  } as unknown as LeaderContext;
+  const health = new Health(
+    ctx,
+    0,
+    () => {},
+    () => {
+      fence = true;
+    },
+    () => {},
+  );
+  for (let tick = 0; tick < 24; tick++) {
+    await clock.advance(500);
+    for (const id of ['b', 'c']) {
+      const host = hosts.hosts.get(id as HostId) as Host;
+      host.contactAt = clock.now();
+      health.heard(host, clock.now());
+    }
+    health.tick(clock.now());
+  }
+  return fence;
+}
+
+describe('a silent machine', () => {
+  it('is fenced when it does not answer in time', async () => {
+    expect(await fenced(800)).toBe(true);
+  });
+
+  it('is not accused when the deadline was noticed late: its answer may lie unread', async () => {
+    expect(await fenced(2000)).toBe(false);
+  });
+});
