--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -1,7 +1,7 @@
 import type { Cloud } from '../cloud/client.js';
 import type { Operators } from '../config/operators.js';
 import type { Log } from '../log/logger.js';
-import type { Epoch, HostId, JobId, MemberId, Stamp, Tenure, TypeId } from '../model/ids.js';
+import type { Epoch, HostId, JobId, MemberId, Stamp, Tenure, Token, TypeId } from '../model/ids.js';
 import type { MachineType } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import type { Clock, Steady } from '../model/time.js';
@@ -15,7 +15,7 @@
 export interface WorkerCaller {
   command(
     address: string,
-    epoch: Epoch,
+    token: Token,
     tenure: Tenure,
     orders: readonly Order[],
     deadlineMs: number,
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -3,7 +3,17 @@
 import type { QueuedWork } from '../fleet/backlog.js';
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
-import type { Epoch, HostId, JobId, MemberId, Stamp, TeamId } from '../model/ids.js';
+import {
+  type Epoch,
+  epochOfToken,
+  type HostId,
+  type JobId,
+  type MemberId,
+  type Round,
+  type Stamp,
+  type TeamId,
+  tokenOf,
+} from '../model/ids.js';
 import { type JobSpec, Priority } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
@@ -17,10 +27,10 @@
 import { Committer } from '../store/committer.js';
 import { decodeJob, keys } from '../store/records.js';
 import { ordersBody } from '../wire/workers.js';
-import { Dispatcher, runsAmong } from '../workers/dispatcher.js';
+import { Dispatcher, markSent } from '../workers/dispatcher.js';
 import { Health } from '../workers/health.js';
 import { type Host, HostBook } from '../workers/host-book.js';
-import { clearsFor, ordersFor } from '../workers/orders.js';
+import { clearsFor, needsRaise, ordersFor } from '../workers/orders.js';
 import { applyReport, loseAll, type Told } from '../workers/reports.js';
 import type { LeaderContext, NodeContext } from './context.js';
 import { FleetRecord } from './fleet-record.js';
@@ -484,26 +494,27 @@
 
   private takeBeat(report: Report, via: MemberId, mayAnswer: boolean, mayOrder: boolean): Answer {
     if (this.over || !mayAnswer) return { status: 503 };
-    if (report.epoch > this.ctx.epoch) {
+    const seen = epochOfToken(report.token);
+    if (seen > this.ctx.epoch) {
       this.end('a worker knows a newer epoch');
       return { status: 503 };
     }
     if (this.hosts.isGone(report.host)) return { status: 503 };
     const now = this.ctx.clock.now();
-    const nothing: Answer = { status: 200, body: ordersBody(this.ctx.epoch, []) };
+    const stranger: Answer = { status: 200, body: ordersBody(tokenOf(this.ctx.epoch, 0 as Round), []) };
     // A machine that we do not know may be long gone, and this a late copy of what it once said: only
     // a report that knows our epoch was made in our time. A living worker's next one does.
-    if (!this.hosts.hosts.has(report.host) && report.epoch < this.ctx.epoch) {
+    if (!this.hosts.hosts.has(report.host) && seen < this.ctx.epoch) {
       // While we still read who exists, its lease may run from this answer.
       if (!this.ready) this.health.answeredStranger(now);
-      return nothing;
+      return stranger;
     }
     const machine: Machine = { id: report.host, type: report.type, zone: report.zone, spot: report.spot };
     const host = this.fleet.adopt(machine, now);
-    if (!host) return nothing;
+    if (!host) return stranger;
     if (host.address === '') host.address = report.address;
     // Reports of earlier epochs may be minutes old: they prove nothing, not even life.
-    const fresh = report.epoch === this.ctx.epoch && (!host.known || host.newer(report));
+    const fresh = seen === this.ctx.epoch && (!host.known || host.newer(report));
     if (!fresh) {
       host.learnTenure(report);
       if (!host.known) this.dispatcher.wake(host);
@@ -515,24 +526,25 @@
     // Even a late copy's answer may reach a worker that waits for one: its lease counts from here.
     if (fresh) host.answered(report, via, now);
     else host.answeredAt = now;
-    if (!fresh || !mayOrder || !this.ready) return nothing;
-    const orders: Order[] = [...ordersFor(host, now), ...clearsFor(host, now)].slice(0, MOST_ORDERS);
-    for (const { task } of runsAmong(host, orders)) {
-      task.sentTenure ??= host.tenure;
-      task.answeredAt = now;
-    }
-    return { status: 200, body: ordersBody(this.ctx.epoch, orders) };
+    const ordering = fresh && mayOrder && this.ready;
+    if (ordering && needsRaise(host, host.token(this.ctx.epoch))) host.raise();
+    const token = host.token(this.ctx.epoch);
+    if (!ordering) return { status: 200, body: ordersBody(token, []) };
+    const orders: Order[] = [...ordersFor(host, now), ...clearsFor(host, token)].slice(0, MOST_ORDERS);
+    markSent(host, orders, token);
+    return { status: 200, body: ordersBody(token, orders) };
   }
 
   private async directReport(host: Host, report: Report): Promise<void> {
     await this.lock.runExclusive(() => {
       if (this.over || report.host !== host.id) return;
-      if (report.epoch > this.ctx.epoch) {
+      const seen = epochOfToken(report.token);
+      if (seen > this.ctx.epoch) {
         this.end('a worker knows a newer epoch');
         return;
       }
       const now = this.ctx.clock.now();
-      if (report.epoch === this.ctx.epoch && host.newer(report)) this.health.heard(host, now);
+      if (seen === this.ctx.epoch && host.newer(report)) this.health.heard(host, now);
       this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
       const another = host.learnTenure(report);
       if (another || (host.known && ordersFor(host, now).length > 0)) this.dispatcher.wake(host);
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -14,8 +14,11 @@
 /** Revision of a key of the state service; 0: the key does not exist. */
 export type Stamp = Branded<number, 'Stamp'>;
 export type GrantId = Branded<number, 'GrantId'>;
-/** The workers' token. Raised by every takeover. */
+/** A leadership. Raised by every takeover. */
 export type Epoch = Branded<number, 'Epoch'>;
+/** What workers compare: the epoch, and within it a round of its own for each machine. */
+export type Token = Branded<number, 'Token'>;
+export type Round = Branded<number, 'Round'>;
 export type Tenure = Branded<number, 'Tenure'>;
 export type Counter = Branded<number, 'Counter'>;
 /** Number of an attempt at a task. Never used twice. */
@@ -26,6 +29,13 @@
 
 export const NO_STAMP = 0 as Stamp;
 
+/** Rounds of one machine in one epoch: at two a second more than three months of one leadership. */
+const ROUNDS = 2 ** 24;
+export const LAST_ROUND = (ROUNDS - 1) as Round;
+
+export const tokenOf = (epoch: Epoch, round: Round): Token => (epoch * ROUNDS + round) as Token;
+export const epochOfToken = (token: Token): Epoch => Math.floor(token / ROUNDS) as Epoch;
+
 const JOB_ID = /^j-\d{1,20}$/;
 const TASK_ID = /^(j-\d{1,20})\/(\d{1,9})$/;
 
--- a/src/model/report.ts
+++ b/src/model/report.ts
@@ -1,4 +1,4 @@
-import type { Counter, Epoch, HostId, TaskId, Tenure, TryNo, TypeId, ZoneId } from './ids.js';
+import type { Counter, HostId, TaskId, Tenure, Token, TryNo, TypeId, ZoneId } from './ids.js';
 import type { Millis } from './time.js';
 
 export type AttemptState = 'fetching' | 'running' | 'saving' | 'exited';
@@ -19,7 +19,8 @@
   readonly spot: boolean;
   readonly tenure: Tenure;
   readonly counter: Counter;
-  readonly epoch: Epoch;
+  /** The highest token that the worker has seen. */
+  readonly token: Token;
   readonly notice: Millis | null;
   readonly attempts: readonly Attempt[];
 }
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -1,4 +1,15 @@
-import type { HostId, JobId, Stamp, TaskId, TaskIndex, TeamId, Tenure, TryNo, ZoneId } from '../model/ids.js';
+import type {
+  HostId,
+  JobId,
+  Stamp,
+  TaskId,
+  TaskIndex,
+  TeamId,
+  Tenure,
+  Token,
+  TryNo,
+  ZoneId,
+} from '../model/ids.js';
 import { NO_STAMP, taskId } from '../model/ids.js';
 import type { JobSpec } from '../model/job.js';
 import type { AttemptState } from '../model/report.js';
@@ -27,10 +38,8 @@
   placedAt: Steady | null = null;
   /** The host's tenure when a run order first left; null: none has left under our epoch. */
   sentTenure: Tenure | null = null;
-  /** When a run order last left in a report's answer. */
-  answeredAt: Steady | null = null;
-  /** Direct run orders that have not been answered: they may be carried out late. */
-  loose = 0;
+  /** The token that a run order last left with; null: none has left under our epoch. */
+  sentToken: Token | null = null;
   /** Placed by an earlier epoch: gone once a report under ours lacks it. */
   inherited = false;
   kill: Kill | null = null;
@@ -187,8 +196,7 @@
     task.shown = null;
     task.runningAt = null;
     task.sentTenure = null;
-    task.answeredAt = null;
-    task.loose = 0;
+    task.sentToken = null;
     task.inherited = false;
     task.kill = null;
   }
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod/mini';
-import type { Counter, Epoch, HostId, TaskId, Tenure, TryNo, TypeId, ZoneId } from '../model/ids.js';
+import type { Counter, HostId, TaskId, Tenure, Token, TryNo, TypeId, ZoneId } from '../model/ids.js';
 import type { Attempt, AttemptState, Order, Report } from '../model/report.js';
 import { seconds } from '../model/time.js';
 import { amount, count, firstIssue, word } from './common.js';
@@ -51,7 +51,7 @@
       spot: w.reclaimable,
       tenure: w.tenure as Tenure,
       counter: w.counter as Counter,
-      epoch: w.epoch as Epoch,
+      token: w.epoch as Token,
       notice: w.warningS == null ? null : seconds(w.warningS),
       attempts,
     },
@@ -63,12 +63,12 @@
   return o.verb === 'kill' ? { ...base, drainS: o.graceS } : base;
 }
 
-export function ordersBody(epoch: Epoch, orders: readonly Order[]): object {
-  return { epoch, orders: orders.map(order) };
+export function ordersBody(token: Token, orders: readonly Order[]): object {
+  return { epoch: token, orders: orders.map(order) };
 }
 
-export function commandBody(epoch: Epoch, tenure: Tenure, orders: readonly Order[]): object {
-  return { epoch, tenure, orders: orders.map(order) };
+export function commandBody(token: Token, tenure: Tenure, orders: readonly Order[]): object {
+  return { epoch: token, tenure, orders: orders.map(order) };
 }
 
 export interface CommandReply {
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -1,9 +1,9 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { reason } from '../log/logger.js';
+import type { Token } from '../model/ids.js';
 import { NoSocket } from '../net/http-client.js';
 import type { Order, Report } from '../model/report.js';
 import { type Steady, since } from '../model/time.js';
-import type { Task } from '../scheduler/job-book.js';
 import type { Host } from './host-book.js';
 import { ordersFor } from './orders.js';
 
@@ -83,24 +83,14 @@
   }
 
   private async send(host: Host, orders: Order[]): Promise<void> {
-    const runs = runsAmong(host, orders);
-    for (const { task } of runs) {
-      task.sentTenure ??= host.tenure;
-      task.loose++;
-    }
+    const token = host.token(this.ctx.epoch);
+    markSent(host, orders, token);
     host.commandInFlight = true;
     host.commandWanted = false;
     this.inFlight++;
     const sentAt = this.ctx.clock.now();
     try {
-      const answer = await this.ctx.workers.command(
-        host.address,
-        this.ctx.epoch,
-        host.tenure,
-        orders,
-        COMMAND_MS,
-      );
-      for (const { task, tryNo } of runs) if (task.tryNo === tryNo && task.loose > 0) task.loose--;
+      const answer = await this.ctx.workers.command(host.address, token, host.tenure, orders, COMMAND_MS);
       host.unreachable = 0;
       host.contactAt = this.ctx.clock.now();
       this.restUntil.delete(host.id);
@@ -108,11 +98,10 @@
     } catch (error) {
       if (error instanceof NoSocket) {
         // Nothing has left; the host's next report brings the orders if no socket is free before.
-        for (const { task, tryNo } of runs) if (task.tryNo === tryNo && task.loose > 0) task.loose--;
         host.commandWanted = false;
         return;
       }
-      // The orders may still arrive, minutes late: the attempts stay loose.
+      // The orders may still arrive, minutes late: until the host's token is raised.
       host.unreachable++;
       host.failedAt = this.ctx.clock.now();
       this.restUntil.set(host.id, (this.ctx.clock.now() + REST_MS) as Steady);
@@ -129,12 +118,14 @@
   }
 }
 
-/** The tasks whose run orders are among these. */
-export function runsAmong(host: Host, orders: readonly Order[]): { task: Task; tryNo: Task['tryNo'] }[] {
-  const ids = new Set<string>();
-  for (const order of orders) if (order.verb === 'run') ids.add(order.task);
-  if (ids.size === 0) return [];
-  const runs: { task: Task; tryNo: Task['tryNo'] }[] = [];
-  for (const task of host.tasks) if (ids.has(task.id)) runs.push({ task, tryNo: task.tryNo });
-  return runs;
+/** Remembers which run orders leave, in which session and with which token. */
+export function markSent(host: Host, orders: readonly Order[], token: Token): void {
+  const runs = new Set<string>();
+  for (const order of orders) if (order.verb === 'run') runs.add(order.task);
+  if (runs.size === 0) return;
+  for (const task of host.tasks) {
+    if (!runs.has(task.id)) continue;
+    task.sentTenure ??= host.tenure;
+    task.sentToken = token;
+  }
 }
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -1,4 +1,18 @@
-import type { Counter, HostId, ImageId, JobId, MemberId, TaskId, Tenure, TryNo } from '../model/ids.js';
+import {
+  type Counter,
+  type Epoch,
+  type HostId,
+  type ImageId,
+  type JobId,
+  LAST_ROUND,
+  type MemberId,
+  type Round,
+  type TaskId,
+  type Tenure,
+  type Token,
+  tokenOf,
+  type TryNo,
+} from '../model/ids.js';
 import { type Room, take } from '../model/job.js';
 import type { Machine, MachineType } from '../model/machine.js';
 import type { Attempt, Report } from '../model/report.js';
@@ -12,10 +26,8 @@
   /** The outcome is durable once this chunk has reached `version`; null: nothing waits to be written. */
   readonly chunk: Chunk | null;
   readonly version: number;
-  /** A direct run order may still arrive: clearing would let it start the attempt again. */
-  readonly loose: boolean;
-  /** No run order in a report's answer can be on its way after this. */
-  readonly quietAt: Steady;
+  /** A run order with this token, or a copy of it, may still arrive; null: only with earlier epochs' ones. */
+  readonly sentToken: Token | null;
 }
 
 export class Host {
@@ -58,6 +70,10 @@
   placeholder = false;
   /** The cloud's list shows it as running. */
   listed = false;
+  /** Raised when run orders have to lose their force; see `clearsFor`. */
+  private round = 0 as Round;
+  /** Something that we count as being here can only be proven gone under a higher token. */
+  doubted = false;
   commandInFlight = false;
   commandWanted = false;
   /** Direct calls that brought no answer in a row: orders then wait for reports. */
@@ -98,10 +114,24 @@
     return free;
   }
 
+  /** What orders to this host carry. */
+  token(epoch: Epoch): Token {
+    return tokenOf(epoch, this.round);
+  }
+
+  /** From the next answer on the worker refuses every order that left before. */
+  raise(): boolean {
+    if (this.round >= LAST_ROUND) return false;
+    this.round = (this.round + 1) as Round;
+    this.doubted = false;
+    return true;
+  }
+
   /** Takes over from the placeholder of the same machine. */
   inherit(old: Host): void {
     this.closed = old.closed;
     this.removing = old.removing;
+    this.round = old.round;
     for (const task of old.tasks) {
       task.zone = this.machine.zone;
       this.put(task);
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -1,15 +1,11 @@
+import type { Token } from '../model/ids.js';
 import type { Order } from '../model/report.js';
-import { type Steady, plus } from '../model/time.js';
-import type { Host } from './host-book.js';
+import type { Steady } from '../model/time.js';
+import type { EndedAttempt, Host } from './host-book.js';
 
-/** A worker drops a report's answer 4 s after sending the report. */
-const ANSWER_LIVES_MS = 4000;
 /** A cancelled task whose start may be on its way is tombstoned only this long; then its host is fenced. */
 export const TOMBSTONE_MS = 15_000;
 
-export const answerQuietAt = (answeredAt: Steady | null, now: Steady): Steady =>
-  answeredAt === null ? now : plus(answeredAt, ANSWER_LIVES_MS * 1.25);
-
 /**
  * The orders that a host needs now, by what it last showed.
  *
@@ -38,13 +34,26 @@
   return orders;
 }
 
-/** `clear` leaves only in report answers, and only when no run order can arrive after it. */
-export function clearsFor(host: Host, now: Steady): Order[] {
-  const orders: Order[] = [];
-  for (const ended of host.ended.values()) {
-    if (ended.loose || ended.quietAt > now) continue;
-    if (ended.chunk && ended.chunk.durable < ended.version) continue;
-    orders.push({ verb: 'clear', task: ended.task, tryNo: ended.tryNo });
-  }
-  return orders;
+/** Ended attempts whose outcome is durable: the worker need not keep them. */
+function settled(host: Host): EndedAttempt[] {
+  return [...host.ended.values()].filter(({ chunk, version }) => !chunk || chunk.durable >= version);
+}
+
+/**
+ * `clear` leaves only in report answers, and only under a higher token than any that a run order of
+ * the attempt left with. A worker forgets what it clears: a run order that arrives afterwards, late
+ * or as a copy of one that was carried out, would start the attempt again. Under the higher token,
+ * which the worker takes over with the `clear` itself, it is refused.
+ */
+export function clearsFor(host: Host, token: Token): Order[] {
+  return settled(host)
+    .filter(({ sentToken }) => sentToken === null || sentToken < token)
+    .map(({ task, tryNo }) => ({ verb: 'clear', task, tryNo }));
+}
+
+/** Whether the host's token should be raised before it is answered. */
+export function needsRaise(host: Host, token: Token): boolean {
+  // Orders on their way would be refused: the next report is soon enough.
+  if (host.commandInFlight) return false;
+  return host.doubted || settled(host).some(({ sentToken }) => sentToken !== null && sentToken >= token);
 }
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,10 +1,8 @@
-import type { Epoch } from '../model/ids.js';
-import { splitTaskId } from '../model/ids.js';
+import { type Epoch, epochOfToken, splitTaskId, type Token } from '../model/ids.js';
 import type { Attempt, Report } from '../model/report.js';
 import type { Steady } from '../model/time.js';
 import type { JobBook, Task } from '../scheduler/job-book.js';
 import { type EndedAttempt, type Host } from './host-book.js';
-import { answerQuietAt } from './orders.js';
 
 /** What a report told that others want to know. */
 export interface Told {
@@ -26,7 +24,7 @@
  */
 export function applyReport(host: Host, report: Report, epoch: Epoch, jobs: JobBook, now: Steady): Told {
   const told: Told = { changed: false, finished: [], failed: [], lost: [], started: [] };
-  if (report.epoch !== epoch || !host.newer(report)) return told;
+  if (epochOfToken(report.token) !== epoch || !host.newer(report)) return told;
 
   const newTenure = host.known && report.tenure > host.tenure;
   if (!host.known || !host.up || newTenure) told.changed = true;
@@ -53,7 +51,7 @@
     const task = current.get(key);
     if (task) show(host, task, attempt, now, told);
     else if (attempt.state !== 'exited') strays.push(attempt);
-    else if (!host.ended.has(key)) host.ended.set(key, endedStray(attempt, jobs, now));
+    else if (!host.ended.has(key)) host.ended.set(key, endedStray(attempt, jobs, host.token(epoch)));
   }
   host.strays = strays;
   for (const key of host.ended.keys()) if (!shown.has(key)) host.ended.delete(key);
@@ -61,6 +59,7 @@
   for (const [key, task] of current) {
     if (shown.has(key) || task.phase !== 'placed') continue;
     if (provenGone(task, report)) lose(host, task, now, told);
+    else if (task.shown !== null) host.doubted = true;
   }
   host.idleSince = host.empty ? (host.idleSince ?? now) : null;
   return told;
@@ -73,8 +72,8 @@
   if (task.sentTenure === null) return task.kill !== null;
   // Orders of an earlier session are refused, and the session's tasks were killed.
   if (report.tenure > task.sentTenure) return true;
-  // It was there and is not any more. A late run order could still start it again.
-  return task.shown !== null && task.loose === 0;
+  // Every run order that left, and every copy of one, is refused from now on.
+  return task.sentToken === null || report.token > task.sentToken;
 }
 
 function show(host: Host, task: Task, attempt: Attempt, now: Steady, told: Told): void {
@@ -94,8 +93,7 @@
 
 function exit(host: Host, task: Task, attempt: Attempt, now: Steady, told: Told): void {
   const ranMs = task.runningAt === null ? null : now - task.runningAt;
-  const loose = task.loose > 0;
-  const quietAt = answerQuietAt(task.answeredAt, now);
+  const { sentToken } = task;
   host.drop(task);
   told.changed = true;
   if (attempt.cause === 'done') {
@@ -114,14 +112,16 @@
     tryNo: attempt.tryNo,
     chunk,
     version: chunk.version,
-    loose,
-    quietAt,
+    sentToken,
   };
   host.ended.set(attemptKey(attempt), ended);
 }
 
-/** An ended attempt that is not the current one of its task: nothing of it is still wanted. */
-function endedStray(attempt: Attempt, jobs: JobBook, now: Steady): EndedAttempt {
+/**
+ * An ended attempt that is not the current one of its task: nothing of it is still wanted. What run
+ * orders it had is not known any more: any of ours may have been one.
+ */
+function endedStray(attempt: Attempt, jobs: JobBook, sentToken: Token): EndedAttempt {
   const id = splitTaskId(attempt.task);
   const job = id ? jobs.jobs.get(id.job) : undefined;
   const chunk = job && id ? job.chunkOf(id.index) : null;
@@ -130,8 +130,7 @@
     tryNo: attempt.tryNo,
     chunk,
     version: chunk?.version ?? 0,
-    loose: false,
-    quietAt: answerQuietAt(now, now),
+    sentToken,
   };
 }
 
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -12,13 +12,15 @@
   MemberId,
   TaskId,
   TeamId,
+  Tenure,
+  Token,
   TryNo,
   TypeId,
   ZoneId,
 } from '../../src/model/ids.js';
 import { splitTaskId } from '../../src/model/ids.js';
 import type { Machine, MachineType } from '../../src/model/machine.js';
-import type { Report } from '../../src/model/report.js';
+import type { Order, Report } from '../../src/model/report.js';
 import { seconds } from '../../src/model/time.js';
 import { NoAnswer } from '../../src/net/http-client.js';
 import { readSettings, type Settings } from '../../src/wire/settings.js';
@@ -115,6 +117,7 @@
   readonly oneWay = new Set<HostId>();
   /** Nodes that reach no other controller. */
   readonly alone = new Set<string>();
+  private repeating: number | null = null;
   private readonly heldOrders: { pair: string; run: () => void }[] = [];
 
   /** Direct calls to workers under way, at most so far. */
@@ -228,8 +231,13 @@
         else this.clock.after(2, arrive);
       });
     return {
-      command: (addr, epoch, tenure, orders, deadline) =>
-        reach(addr, deadline, (w) => w.command(epoch, tenure, orders)),
+      command: (addr, token, tenure, orders, deadline) =>
+        reach(addr, deadline, (w) => {
+          const after = this.repeating;
+          if (after !== null && orders.length > 0)
+            this.clock.after(after * 1000, () => this.repeat(w, token, tenure, orders));
+          return w.command(token, tenure, orders);
+        }),
       show: (addr, deadline) => reach(addr, deadline, (w) => w.show()),
     };
   }
@@ -256,6 +264,19 @@
     });
   }
 
+  /** From now on the network delivers every command to a worker once more, so many seconds later. */
+  repeatCommands(s: number): void {
+    this.repeating = s;
+    this.trace(`network    delivers commands once more, ${s} s later`);
+  }
+
+  private repeat(worker: StandInWorker, token: Token, tenure: Tenure, orders: readonly Order[]): void {
+    worker.whenAwake(() => {
+      const { executed } = worker.command(token, tenure, orders);
+      this.trace(`${worker.machine.id} ${executed ? 'carries out' : 'refuses'} a copy of ${orders.length}`);
+    });
+  }
+
   // Machines
 
   private machineUp(machine: Machine): void {
@@ -319,7 +340,7 @@
         const reached = !this.oneWay.has(worker.machine.id);
         if (!seat) {
           if (!reached) return;
-          resolve({ status: 503, epoch: 0 as BeatAnswer['epoch'], orders: [] });
+          resolve({ status: 503, token: 0 as BeatAnswer['token'], orders: [] });
           return;
         }
         void seat.beat(report, node as MemberId).then((answer) => {
@@ -330,12 +351,12 @@
             tryNo: o['try'],
             graceS: o['drainS'],
           }));
-          const epoch = (body?.epoch ?? 0) as BeatAnswer['epoch'];
+          const token = (body?.epoch ?? 0) as BeatAnswer['token'];
           if (!reached) return;
           this.clock.after(2, () =>
             resolve({
               status: answer?.status ?? 503,
-              epoch,
+              token,
               orders: orders as unknown as BeatAnswer['orders'],
             }),
           );
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -1,4 +1,4 @@
-import type { Counter, Epoch, ImageId, JobId, TaskId, Tenure, TryNo } from '../../src/model/ids.js';
+import type { Counter, ImageId, JobId, TaskId, Tenure, Token, TryNo } from '../../src/model/ids.js';
 import { splitTaskId } from '../../src/model/ids.js';
 import type { Machine } from '../../src/model/machine.js';
 import type { Attempt, AttemptState, Order, Report } from '../../src/model/report.js';
@@ -16,7 +16,7 @@
 
 export interface BeatAnswer {
   readonly status: number;
-  readonly epoch: Epoch;
+  readonly token: Token;
   readonly orders: readonly Order[];
 }
 
@@ -39,7 +39,7 @@
 export class StandInWorker {
   private tenure = 1;
   private counter = 0;
-  private epoch = 0;
+  private token = 0;
   private node = 0;
   private lastAnsweredSent: number;
   private readonly here = new Map<TaskId, Here>();
@@ -113,7 +113,7 @@
       spot: this.machine.spot,
       tenure: this.tenure as Tenure,
       counter: this.counter as Counter,
-      epoch: this.epoch as Epoch,
+      token: this.token as Token,
       notice: this.notice as Report['notice'],
       attempts,
     };
@@ -134,18 +134,18 @@
       this.lastSent = this.clock.now() - this.reportMs + 1000;
       return;
     }
-    if (this.clock.now() - sent > 4000 || tenure !== this.tenure || answer.epoch < this.epoch) return;
-    if (answer.epoch > this.epoch) this.dirty = true;
-    this.epoch = answer.epoch;
+    if (this.clock.now() - sent > 4000 || tenure !== this.tenure || answer.token < this.token) return;
+    if (answer.token > this.token) this.dirty = true;
+    this.token = answer.token;
     this.lastAnsweredSent = sent;
     this.execute(answer.orders);
   }
 
   /** POST /commands; a hanging machine carries it out when it goes on. */
-  command(epoch: Epoch, tenure: Tenure, orders: readonly Order[]): { executed: boolean; report: Report } {
-    if (epoch < this.epoch || tenure !== this.tenure) return { executed: false, report: this.snapshot() };
-    if (epoch > this.epoch) this.dirty = true;
-    this.epoch = epoch;
+  command(token: Token, tenure: Tenure, orders: readonly Order[]): { executed: boolean; report: Report } {
+    if (token < this.token || tenure !== this.tenure) return { executed: false, report: this.snapshot() };
+    if (token > this.token) this.dirty = true;
+    this.token = token;
     this.execute(orders);
     return { executed: true, report: this.snapshot() };
   }
--- a/test/traces/hardships.test.ts
+++ b/test/traces/hardships.test.ts
@@ -86,6 +86,28 @@
   });
 });
 
+describe('repeats of requests that were carried out', () => {
+  it('of commands start nothing again, however late, before and after a clear', async () => {
+    const site = await begun();
+    site.repeatCommands(9);
+    await site.submit({ ref: 'j-000001', kind: 'service', tasks: 2 });
+    await site.submit({ ref: 'j-000002', tasks: 4, runS: 5 });
+    await until(site, () => site.tasksOn('j-000001') === 2 && site.tasksOn('j-000002') === 4);
+    // Stopped for production work and started again elsewhere: the first attempts are cleared by then.
+    const sick = site.worker(site.hostOf('j-000001/0'));
+    sick.sick = true;
+    await site.submit({ ref: 'j-000003', tasks: 3, runS: 12, team: 'blue' });
+    await site.run(7);
+    sick.sick = false;
+    await site.submit({ ref: 'j-000004', tasks: 2, runS: 60, team: 'blue' });
+    await until(site, () => site.tasksOn('j-000004') === 2);
+    expect(await site.cancel('j-000004')).toBe('cancelled');
+    await site.run(50);
+    expect(await site.query('j-000003')).toBe('done');
+    await expectTrace('repeated-commands', site);
+  });
+});
+
 describe('a controller with its workers and nobody else', () => {
   it('as leader gives them up to the one that follows', async () => {
     const site = await begun();
