--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -4,7 +4,7 @@
 import { reason } from '../log/logger.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import { fits } from '../model/job.js';
-import { sleep } from '../model/time.js';
+import { since, sleep } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { teamRoom } from '../scheduler/place.js';
 import { StateRefused, StateUnknown } from '../store/client.js';
@@ -25,6 +25,11 @@
 /** The share of the state service's requests that first questions about jobs may use, by all nodes. */
 const FIRST_QUESTIONS = 0.4;
 const WATCH_MS = 20_000;
+/**
+ * What was read so long ago is not told any more: the process may have stood still since, and the user may
+ * have heard something newer from another node. A user waits 2 s for it anyway (PROTOCOL).
+ */
+const TOLD_WITHIN_MS = 1500;
 
 export const unavailable = (error: string, retryAfter = 1): UserAnswer => ({
   status: 503,
@@ -155,6 +160,13 @@
   }
 
   async query(id: string): Promise<UserAnswer> {
+    const askedAt = this.ctx.clock.now();
+    const answer = await this.look(id);
+    const late = since(this.ctx.clock.now(), askedAt) > TOLD_WITHIN_MS;
+    return late && answer.status === 200 ? unavailable('answered too late') : answer;
+  }
+
+  private async look(id: string): Promise<UserAnswer> {
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
     const ended = this.cache.final(id);
     if (ended) return { status: 200, body: ended };
--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -1,9 +1,9 @@
 import type { FleetManager } from '../fleet/manager.js';
-import type { HostId } from '../model/ids.js';
+import { type HostId, NO_STAMP, type Stamp } from '../model/ids.js';
 import { type Steady, since } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
 import { keys } from '../store/records.js';
-import type { Write } from '../wire/state.js';
+import type { Row, Write } from '../wire/state.js';
 import type { Host } from '../workers/host-book.js';
 import type { LeaderContext } from './context.js';
 
@@ -46,6 +46,8 @@
   private stored = 0;
   /** What each key was last written with. */
   private readonly written = new Map<string, string>();
+  /** Each write replaces what we know: one of our own that is applied late, or once more, changes nothing. */
+  private readonly stamps = new Map<string, Stamp>();
   private writing = false;
   private lastAt: Steady | null = null;
 
@@ -56,8 +58,9 @@
   ) {}
 
   /** An earlier leader's records: what we do not fill again must not bring machines back that are gone. */
-  found(records: number): void {
-    this.stored = Math.max(this.stored, records);
+  found(records: readonly Row[]): void {
+    for (const { key, stamp } of records) this.stamps.set(key, stamp);
+    this.stored = Math.max(this.stored, records.filter((r) => r.key.startsWith(keys.fleet)).length);
   }
 
   /** Whether a writing may begin now. */
@@ -76,20 +79,39 @@
       for (const part of this.parts(this.changes())) {
         this.budget.force(part.length);
         const result = await this.ctx.store.commit(
-          [{ key: keys.epoch, stamp: this.ctx.epochStamp }],
+          [
+            { key: keys.epoch, stamp: this.ctx.epochStamp },
+            ...part.map(({ key }) => ({ key, stamp: this.stamps.get(key) ?? NO_STAMP })),
+          ],
           part.map((c): Write => ({ set: c.key, value: c.value })),
         );
         if (!result.ok) {
-          this.ctx.deposed('the fleet record found a newer epoch');
+          await this.resolve(result.failed);
           return;
         }
-        for (const { key, text } of part) this.written.set(key, text);
+        for (const { key, text } of part) {
+          this.written.set(key, text);
+          this.stamps.set(key, result.stamp);
+        }
       }
     } finally {
       this.writing = false;
     }
   }
 
+  private async resolve(failed: readonly string[]): Promise<void> {
+    if (failed.includes(keys.epoch)) {
+      this.ctx.deposed('the fleet record found a newer epoch');
+      return;
+    }
+    // A write of ours that brought no answer was carried out after all.
+    for (const key of failed) {
+      this.stamps.set(key, (await this.ctx.store.get(key))?.stamp ?? NO_STAMP);
+      this.written.delete(key);
+    }
+    throw new Error('a record had another stamp');
+  }
+
   /** What fits one transaction each. */
   private parts(changed: readonly Changed[]): Changed[][] {
     const parts: Changed[][] = [];
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -89,7 +89,7 @@
 export async function restoreFleet(
   ctx: LeaderContext,
   fleet: FleetManager,
-): Promise<{ machines: RestoredMachine[]; records: number }> {
+): Promise<{ machines: RestoredMachine[]; records: Row[] }> {
   const known: RestoredMachine[] = [];
   const { rows } = await readAll(ctx, keys.fleet);
   for (const row of rows) {
@@ -103,8 +103,9 @@
       });
     }
   }
-  for (const row of (await readAll(ctx, keys.forecast)).rows) {
+  const forecasts = (await readAll(ctx, keys.forecast)).rows;
+  for (const row of forecasts) {
     fleet.restoreForecast(row.key.slice(keys.forecast.length), row.value);
   }
-  return { machines: known, records: rows.length };
+  return { machines: known, records: [...rows, ...forecasts] };
 }
--- a/src/net/server.ts
+++ b/src/net/server.ts
@@ -15,10 +15,17 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
+/**
+ * From this part of the sockets on, connections end with their answers: more workers than there are
+ * sockets then take turns, where kept connections would shut some of them out until their leases end.
+ */
+const CROWDED = 0.75;
+
 /** One listening address: `net` accepts and limits, node:http's parser reads, the listener answers. */
 export class FrontServer {
   private readonly net: Server;
   private readonly http: HttpServer;
+  private open = 0;
 
   constructor(
     listener: RequestListener,
@@ -33,7 +40,10 @@
         connectionsCheckingInterval: 5000,
         maxHeaderSize: 16 * 1024,
       },
-      listener,
+      (req, res) => {
+        if (this.open > limits.sockets * CROWDED) res.shouldKeepAlive = false;
+        listener(req, res);
+      },
     );
     this.http.on('clientError', (_error, socket) => {
       if (socket.writable)
@@ -46,7 +56,9 @@
   }
 
   private accept(socket: Socket): void {
+    this.open++;
     socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.open--);
     this.http.emit('connection', socket);
   }
 
--- a/test/unit/sockets.test.ts
+++ b/test/unit/sockets.test.ts
@@ -21,14 +21,14 @@
   });
 }
 
-async function front(handler: Partial<FrontHandler>): Promise<string> {
+async function front(handler: Partial<FrontHandler>, idleMs = 2000): Promise<string> {
   const whole: FrontHandler = {
     up: () => true,
     beat: () => Promise.resolve({ status: 503, body: null }),
     user: (verb, body) => Promise.resolve({ status: 200, body: { verb, text: body.toString() } }),
     ...handler,
   };
-  const limits = { sockets: 10, headersMs: 2000, requestMs: 2000, idleMs: 2000 };
+  const limits = { sockets: 10, headersMs: 2000, requestMs: 2000, idleMs };
   const server = new FrontServer(frontListener(whole), limits, silentLog);
   const address = await freeAddress();
   await server.listen(address);
@@ -61,6 +61,31 @@
     expect((await target(address).call('GET', '/up', undefined, 5000)).status).toBe(200);
   });
 
+  it('answers more workers than it has sockets for, in turns', async () => {
+    let inside = 0;
+    let most = 0;
+    const beat = async (): Promise<{ status: number; body: null }> => {
+      most = Math.max(most, ++inside);
+      await new Promise((resolve) => setImmediate(resolve));
+      inside--;
+      return { status: 200, body: null };
+    };
+    const address = await front({ beat }, 60_000);
+    // Ten sockets, 40 workers that keep their connections and come at the same moment, three times each.
+    const report = async (worker: HttpTarget): Promise<number> => {
+      for (;;) {
+        const reply = await worker.call('POST', '/agent/beat', {}, 5000).catch(() => null);
+        if (reply) return reply.status;
+      }
+    };
+    const workers = Array.from({ length: 40 }, () => target(address));
+    const answers = await Promise.all(
+      workers.map(async (w) => [await report(w), await report(w), await report(w)]),
+    );
+    expect(answers.flat().every((status) => status === 200)).toBe(true);
+    expect(most).toBeLessThanOrEqual(10);
+  });
+
   it('answers what is no HTTP with 400', async () => {
     const address = await front({});
     const text = await new Promise<string>((resolve) => {
