--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -458,14 +458,14 @@
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt) + this.fleet.slowestBoot();
     const target = this.urgency.next(job.spec, age, this.runMs(job.spec));
     return {
-      slackMs: target?.slackMs ?? null,
+      slackMs: this.urgency.slack(job.spec, age, this.runMs(job.spec)),
       patience: this.patience.factor(job.spec.jobClass, target?.allowed ?? 0.1),
     };
   }
 
   private jobView(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    const slackMs = this.urgency.next(job.spec, age, this.runMs(job.spec))?.slackMs ?? null;
+    const slackMs = this.urgency.slack(job.spec, age, this.runMs(job.spec));
     return jobView(job, now, slackMs, isStarving(job, age, now));
   }
 
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -41,6 +41,8 @@
  */
 export class Urgency {
   private readonly finished = new Map<string, Target[]>();
+  /** When tasks should have started, by class. */
+  private readonly started = new Map<string, Target[]>();
   private readonly deadline = new Map<string, number>();
 
   constructor(objectives: readonly Objective[]) {
@@ -48,8 +50,9 @@
       if (o.jobClass === null) continue;
       const allowed = 1 - (o.share ?? DEFAULT_SHARE);
       if (o.kind === 'deadline') this.deadline.set(o.jobClass, allowed);
-      if (o.kind !== 'finished' || o.within === null) continue;
-      this.finished.set(o.jobClass, [...(this.finished.get(o.jobClass) ?? []), { ms: o.within, allowed }]);
+      const by = o.kind === 'finished' ? this.finished : o.kind === 'wait' ? this.started : null;
+      if (by === null || o.within === null) continue;
+      by.set(o.jobClass, [...(by.get(o.jobClass) ?? []), { ms: o.within, allowed }]);
     }
   }
 
@@ -68,7 +71,7 @@
     return !within || ageMs + expectedRunMs * LONGER + FETCH_MS <= within.ms;
   }
 
-  /** The first target that still can be met; null: nothing is asked of the job any more. */
+  /** The first target for the job's end that still can be met; null: no such target is left. */
   next(spec: JobSpec, ageMs: number, expectedRunMs: number): NextTarget | null {
     for (const target of this.targets(spec)) {
       const slackMs = target.ms - ageMs - expectedRunMs * LONGER - FETCH_MS;
@@ -76,4 +79,20 @@
     }
     return null;
   }
+
+  /**
+   * Until the job's waiting tasks should start, for its end or for their start, whichever comes first:
+   * a job that has lost one target for its end would otherwise wait for the next one's sake past
+   * the time at which all tasks of its class should have begun. Null: nothing is asked of it any more.
+   */
+  slack(spec: JobSpec, ageMs: number, expectedRunMs: number): number | null {
+    let least = this.next(spec, ageMs, expectedRunMs)?.slackMs ?? null;
+    // Replicas go first in any case, and of them the oldest.
+    const starts = spec.kind === 'array' ? this.started.get(spec.jobClass) : undefined;
+    for (const { ms } of starts ?? []) {
+      const slackMs = ms - ageMs - FETCH_MS;
+      if (slackMs > 0 && (least === null || slackMs < least)) least = slackMs;
+    }
+    return least;
+  }
 }
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -254,6 +254,7 @@
   const urgency = new Urgency([
     { kind: 'finished', jobClass: 'batch', within: 60_000 as never, share: 0.9 },
     { kind: 'finished', jobClass: 'batch', within: 120_000 as never, share: 0.95 },
+    { kind: 'wait', jobClass: 'batch', within: 50_000 as never, share: 0.99 },
   ]);
 
   it('give way to the next one when they cannot be met any more', () => {
@@ -262,6 +263,14 @@
     expect(urgency.next(spec({}), 20_000, 30_000)?.slackMs).toBe(58_500);
     expect(urgency.next(spec({}), 100_000, 30_000)).toBeNull();
   });
+
+  it('for the start count as well, until they too are lost', () => {
+    expect(urgency.slack(spec({}), 0, 30_000)).toBe(18_500);
+    // The end at 120 s alone would let it wait for 58.5 s more, until 78.5 s after its submission.
+    expect(urgency.slack(spec({}), 20_000, 30_000)).toBe(26_000);
+    expect(urgency.slack(spec({}), 47_000, 30_000)).toBe(31_500);
+    expect(urgency.slack(spec({}), 100_000, 30_000)).toBeNull();
+  });
 });
 
 describe('renting', () => {
