--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -21,7 +21,7 @@
 
 const TRIES = 3;
 /** Questions that come within this are asked in one request. */
-const TOGETHER_MS = 25;
+const TOGETHER_MS = 100;
 /** The share of the state service's requests that first questions about jobs may use, by all nodes. */
 const FIRST_QUESTIONS = 0.4;
 const WATCH_MS = 20_000;
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -12,10 +12,10 @@
 const REST_MS = 3000;
 const MOST_ORDERS = 200;
 /**
- * First contacts under way at once. A new leader has every worker to meet; their reports come by
- * themselves, and orders to those that it knows must not queue behind the rest.
+ * The part of the calls that may be first contacts. A new leader has every worker to meet; their reports
+ * come by themselves, and orders to those that it knows must not queue behind the rest.
  */
-const MOST_CONTACTS = 24;
+const CONTACTS_SHARE = 0.25;
 
 /** Sends orders straight to the workers, one call at a time to each, so many at once. */
 export class Dispatcher {
@@ -62,7 +62,7 @@
   /** An empty command tells a worker our epoch and brings its report. */
   private meet(): void {
     for (const host of this.strangers) {
-      if (this.contacts >= MOST_CONTACTS || this.inFlight >= this.most) return;
+      if (this.contacts >= Math.max(1, this.most * CONTACTS_SHARE) || this.inFlight >= this.most) return;
       this.strangers.delete(host);
       // It may have reported by itself meanwhile.
       if (host.known || host.commandInFlight || !this.mayCall(host)) continue;
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -23,9 +23,8 @@
 const HELD_UP = 1.25;
 /** Replicas do not run on a machine that hangs: such a machine is asked when it has said nothing for this long. */
 const ASK_AFTER_MS = 2000;
-const MOST_ASKED = 32;
-/** Probes under way at once, by every way each. */
-const MOST_PROBED = 96;
+/** The part of the direct calls that such early questions may be. */
+const ASKED_SHARE = 0.5;
 /** More machines lost at once than this share are no machines' failure, but the network's. */
 const MANY = 0.4;
 const MOST_OF_A_ZONE = 0.8;
@@ -184,8 +183,13 @@
   }
 
   private askEarly(host: Host, now: Steady): void {
-    if (host.probing || this.asked >= MOST_ASKED || this.silentFor(host, now) < ASK_AFTER_MS) return;
-    if (this.probing >= MOST_PROBED) return;
+    if (
+      host.probing ||
+      this.asked >= Math.max(1, this.ctx.workerCalls * ASKED_SHARE) ||
+      this.silentFor(host, now) < ASK_AFTER_MS
+    )
+      return;
+    if (this.probing >= this.ctx.workerCalls) return;
     this.asked++;
     this.probe(host, () => {
       this.asked--;
@@ -198,7 +202,7 @@
       host.probes++;
       return;
     }
-    if (this.probing >= MOST_PROBED) return;
+    if (this.probing >= this.ctx.workerCalls) return;
     host.probing = true;
     this.probing++;
     void this.ask(host).finally(() => {
--- a/test/unit/health.test.ts
+++ b/test/unit/health.test.ts
@@ -29,6 +29,7 @@
     ops: defaultOperators(),
     settings: { reportEvery: seconds(3), workerLease: seconds(20) },
     ended: () => false,
+    workerCalls: 64,
     workers: {
       show: () =>
         new Promise((_, reject) => clock.after(failsMs, () => reject(new NoAnswer('deadline passed')))),
