--- a/test/standins/clock.ts
+++ b/test/standins/clock.ts
@@ -6,11 +6,14 @@
   run: (() => void) | null;
 }
 
-/** Time that moves only when a test moves it. Timers of one moment run in the order they were set. */
+/** Timers of one moment run in the order they were set. */
+const sooner = (a: Timer, b: Timer): boolean => a.at < b.at || (a.at === b.at && a.order < b.order);
+
+/** Time that moves only when a test moves it. */
 export class VirtualClock implements Clock {
   private time = 0;
   private order = 0;
-  /** Soonest last. */
+  /** A binary heap, the soonest first: sites at size have tens of thousands of timers. */
   private readonly timers: Timer[] = [];
 
   now(): Steady {
@@ -23,27 +26,43 @@
 
   after(d: number, run: () => void): () => void {
     const timer: Timer = { at: this.time + Math.max(0, d), order: this.order++, run };
-    // Of one moment the later set runs later: it goes before all that are due then or sooner.
-    let low = 0;
-    let high = this.timers.length;
-    while (low < high) {
-      const mid = (low + high) >>> 1;
-      if ((this.timers[mid] as Timer).at > timer.at) low = mid + 1;
-      else high = mid;
+    const { timers } = this;
+    let i = timers.push(timer) - 1;
+    while (i > 0) {
+      const parent = (i - 1) >>> 1;
+      if (!sooner(timer, timers[parent] as Timer)) break;
+      timers[i] = timers[parent] as Timer;
+      i = parent;
     }
-    this.timers.splice(low, 0, timer);
+    timers[i] = timer;
     return () => {
       timer.run = null;
     };
   }
 
+  private takeFirst(): void {
+    const { timers } = this;
+    const last = timers.pop();
+    if (!last || timers.length === 0) return;
+    let i = 0;
+    for (;;) {
+      let child = 2 * i + 1;
+      if (child >= timers.length) break;
+      if (child + 1 < timers.length && sooner(timers[child + 1] as Timer, timers[child] as Timer)) child++;
+      if (!sooner(timers[child] as Timer, last)) break;
+      timers[i] = timers[child] as Timer;
+      i = child;
+    }
+    timers[i] = last;
+  }
+
   async advance(ms: number): Promise<void> {
     const until = this.time + ms;
     for (;;) {
       await settle();
-      const next = this.timers[this.timers.length - 1];
+      const next = this.timers[0];
       if (!next || next.at > until) break;
-      this.timers.pop();
+      this.takeFirst();
       this.time = next.at;
       next.run?.();
     }
