--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -60,16 +60,16 @@
   },
 ];
 
-const NODES = ['node-0', 'node-1', 'node-2'];
 const LEASE_S = 20;
 
 interface Size {
   /** CPUs that each team may use. */
   readonly limit: { red: number; blue: number };
   readonly reportS: number;
+  readonly nodes: number;
 }
 
-const SMALL: Size = { limit: { red: 24, blue: 40 }, reportS: 3 };
+const SMALL: Size = { limit: { red: 24, blue: 40 }, reportS: 3, nodes: 3 };
 
 function settingsOf(member: string, size: Size): Settings {
   return readSettings({
@@ -102,7 +102,7 @@
   readonly clock = new VirtualClock();
   readonly state = new StandInState(this.clock);
   readonly cloud: StandInCloud;
-  readonly nodes = NODES;
+  readonly nodes: readonly string[];
   readonly workers = new Map<HostId, StandInWorker>();
   readonly rules = new RuleChecker((text) => this.trace(`BROKEN     ${text}`));
   private readonly running = new Map<string, Running>();
@@ -125,6 +125,7 @@
   private calls = 0;
 
   constructor(private readonly size = SMALL) {
+    this.nodes = Array.from({ length: size.nodes }, (_, n) => `node-${n}`);
     const generator = xoroshiro128plus(7);
     this.random = () => uniformFloat64(generator);
     this.cloud = new StandInCloud(
@@ -172,7 +173,7 @@
   }
 
   startAll(): void {
-    for (const name of NODES) this.start(name);
+    for (const name of this.nodes) this.start(name);
   }
 
   crash(name: string): void {
@@ -190,7 +191,8 @@
   /** Of several the one with the newest epoch, as a node hears of them that reaches the others. */
   private leaderSeenFrom(node: string | null): string | undefined {
     const epoch = (name: string): number => this.running.get(name)?.seat.leader?.epoch ?? 0;
-    return NODES.filter((name) => epoch(name) > 0)
+    return this.nodes
+      .filter((name) => epoch(name) > 0)
       .filter((name) => name === node || !(this.alone.has(name) || (node !== null && this.alone.has(node))))
       .sort((a, b) => epoch(b) - epoch(a))[0];
   }
--- a/test/traces/size.test.ts
+++ b/test/traces/size.test.ts
@@ -2,21 +2,25 @@
 import { Site } from '../standins/site.js';
 
 /** What is asked of the state service, the cloud and the workers must follow what happens, not what exists. */
-describe('a site of 1,500 machines', () => {
+describe('a site of 2,000 machines and five controllers', () => {
   it('fills up, runs hundreds of jobs, and a successor takes it over', async () => {
-    const site = new Site({ limit: { red: 7000, blue: 7000 }, reportS: 6 });
+    const site = new Site({ limit: { red: 9000, blue: 9000 }, reportS: 6, nodes: 5 });
     site.startAll();
     await site.run(1);
     let jobs = 0;
+    const services: string[] = [];
     const submit = (tasks: number, more: object): Promise<number> =>
       site.submit({ ref: `j-${String(jobs++).padStart(6, '0')}`, tasks, ...more }, 'node-2');
-    for (let i = 0; i < 120; i++) await submit(i % 4 === 0 ? 4 : 2, { kind: 'service', team: 'red' });
-    for (let i = 0; i < 130; i++) {
+    for (let i = 0; i < 160; i++) {
+      services.push(`j-${String(jobs).padStart(6, '0')}`);
+      await submit(i % 4 === 0 ? 4 : 2, { kind: 'service', team: 'red' });
+    }
+    for (let i = 0; i < 175; i++) {
       await submit(40, { team: i % 2 === 0 ? 'red' : 'blue', spot: true, runS: 15 + (i % 20) });
     }
     await site.run(60);
-    expect(site.cloud.machines.size).toBeGreaterThan(1300);
-    expect(site.rules.starts).toBeGreaterThan(4500);
+    expect(site.cloud.machines.size).toBeGreaterThan(1800);
+    expect(site.rules.starts).toBeGreaterThan(6500);
     // Starts, ends, closings, fleet and forecast records together.
     expect(site.state.writes / site.rules.starts).toBeLessThan(0.35);
     expect(site.mostCalls).toBeLessThanOrEqual(64);
@@ -34,6 +38,17 @@
     await site.submit({ ref: 'j-900000', tasks: 8, team: 'blue', spot: true, runS: 1 }, alive);
     await site.run(6);
     expect(await site.query('j-900000', alive)).toBe('done');
+
+    // 15% of the machines end at one moment, 300 of them: what is lost of the replicas runs again.
+    const replicas = (): number => services.reduce((sum, ref) => sum + site.tasksOn(ref), 0);
+    const all = replicas();
+    const hosts = [...site.workers.keys()].filter((_, i) => i % 20 < 3);
+    for (const host of hosts) site.takeAway(host);
+    expect(replicas()).toBeLessThan(all);
+    let seconds = 0;
+    for (; seconds < 60 && replicas() < all; seconds++) await site.run(1);
+    expect(seconds).toBeLessThanOrEqual(12);
+    expect(site.mostCalls).toBeLessThanOrEqual(2 * 64);
     // Guards against fleet records that together were too long for one transaction: none was written.
     expect(site.state.malformed).toEqual([]);
     expect(site.rules.broken).toEqual([]);
