--- a/test/standins/clock.ts
+++ b/test/standins/clock.ts
@@ -78,6 +78,8 @@
 /** The clock of one process: nothing of it runs after the process was killed. */
 export class ProcessClock implements Clock {
   alive = true;
+  private still = false;
+  private readonly due: (() => void)[] = [];
 
   constructor(private readonly base: Clock) {}
 
@@ -90,8 +92,23 @@
   }
 
   after(d: number, run: () => void): () => void {
-    return this.base.after(d, () => {
-      if (this.alive) run();
-    });
+    return this.base.after(d, () => this.whenRunning(run));
+  }
+
+  /** Runs now, or when the process that stands still goes on; never once it was killed. */
+  whenRunning(run: () => void): void {
+    if (this.still) this.due.push(run);
+    else if (this.alive) run();
+  }
+
+  /** The process stands still while its clock runs on. */
+  stop(): void {
+    this.still = true;
+  }
+
+  /** All that fell due meanwhile runs at once. */
+  goOn(): void {
+    this.still = false;
+    for (const run of this.due.splice(0)) if (this.alive) run();
   }
 }
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -184,6 +184,18 @@
     this.trace(`${name}     crashes`);
   }
 
+  /** The process stands still for so long while its clock runs on, then goes on with whatever it did. */
+  standStill(name: string, s: number): void {
+    const clock = this.running.get(name)?.clock;
+    if (!clock) return;
+    this.trace(`${name}     stands still`);
+    clock.stop();
+    this.clock.after(s * 1000, () => {
+      this.trace(`${name}     goes on`);
+      clock.goOn();
+    });
+  }
+
   get leader(): string | undefined {
     return this.leaderSeenFrom(null);
   }
@@ -197,6 +209,10 @@
       .sort((a, b) => epoch(b) - epoch(a))[0];
   }
 
+  leads(node: string): boolean {
+    return this.running.get(node)?.seat.leader != null;
+  }
+
   /** Machines in the leader's book. */
   get fleetSize(): number {
     const summary = this.running.get(this.leader ?? '')?.seat.leader?.summary() as
@@ -335,35 +351,41 @@
         if (!cut(node)) this.clock.after(2, () => resolve(null));
         return;
       }
-      this.clock.after(3, () => {
-        // A follower passes the report on to whoever leads.
-        const own = this.running.get(node)?.seat;
-        const seat = own?.leader ? own : this.running.get(this.leaderSeenFrom(node) ?? '')?.seat;
-        const reached = !this.oneWay.has(worker.machine.id);
-        if (!seat) {
-          if (!reached) return;
-          resolve({ status: 503, token: 0 as BeatAnswer['token'], orders: [] });
-          return;
-        }
-        void seat.beat(report, node as MemberId).then((answer) => {
-          const body = answer?.body as { epoch: number; orders: Record<string, unknown>[] } | undefined;
-          const orders = (body?.orders ?? []).map((o) => ({
-            verb: o['verb'],
-            task: o['shard'],
-            tryNo: o['try'],
-            graceS: o['drainS'],
-          }));
-          const token = (body?.epoch ?? 0) as BeatAnswer['token'];
-          if (!reached) return;
-          this.clock.after(2, () =>
-            resolve({
-              status: answer?.status ?? 503,
-              token,
-              orders: orders as unknown as BeatAnswer['orders'],
-            }),
-          );
-        });
-      });
+      const clock = this.running.get(node)?.clock;
+      this.clock.after(3, () =>
+        clock?.whenRunning(() => {
+          // A follower passes the report on to whoever leads.
+          const own = this.running.get(node)?.seat;
+          const leads = own?.leader ? node : this.leaderSeenFrom(node);
+          const leader = this.running.get(leads ?? '');
+          const reached = !this.oneWay.has(worker.machine.id);
+          if (!leader) {
+            if (!reached) return;
+            resolve({ status: 503, token: 0 as BeatAnswer['token'], orders: [] });
+            return;
+          }
+          const take = async (): Promise<void> => {
+            const answer = await leader.seat.beat(report, node as MemberId);
+            const body = answer?.body as { epoch: number; orders: Record<string, unknown>[] } | undefined;
+            const orders = (body?.orders ?? []).map((o) => ({
+              verb: o['verb'],
+              task: o['shard'],
+              tryNo: o['try'],
+              graceS: o['drainS'],
+            }));
+            const token = (body?.epoch ?? 0) as BeatAnswer['token'];
+            if (!reached) return;
+            this.clock.after(2, () =>
+              resolve({
+                status: answer?.status ?? 503,
+                token,
+                orders: orders as unknown as BeatAnswer['orders'],
+              }),
+            );
+          };
+          leader.clock.whenRunning(() => void take());
+        }),
+      );
     });
   }
 
--- a/test/traces/hardships.test.ts
+++ b/test/traces/hardships.test.ts
@@ -173,6 +173,46 @@
   });
 });
 
+describe('a controller that stands still while its clocks run on', () => {
+  it('as leader, with decisions, orders and deletions under way, finds that another leads', async () => {
+    const site = await begun();
+    await site.submit({ ref: 'j-000001', kind: 'service', tasks: 4 });
+    await site.submit({ ref: 'j-000002', tasks: 4, runS: 25, team: 'blue' });
+    await until(site, () => site.tasksOn('j-000001') === 4 && site.tasksOn('j-000002') === 4);
+    const old = site.leader as string;
+    const other = site.nodes.find((n) => n !== old) as string;
+    // A start is being committed, a machine has just died, a report is about to be answered.
+    await site.submit({ ref: 'j-000003', kind: 'service', tasks: 2, team: 'blue' }, other);
+    site.takeAway(site.hostOf('j-000001/0'));
+    await site.run(1.9);
+    site.standStill(old, 14);
+    await site.run(1);
+    expect(await site.cancel('j-000002', other)).toBe('cancelled');
+    await site.run(12);
+    const follows = site.nodes.filter((n) => n !== old && site.leads(n));
+    expect(follows.length).toBe(1);
+    await site.run(20);
+    // No flap: the one that has followed still leads.
+    expect(site.leader).toBe(follows[0]);
+    expect(site.tasksOn('j-000001')).toBe(4);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    expect(site.tasksOn('j-000003')).toBe(2);
+    expect(await site.query('j-000002', old)).toBe('cancelled');
+    await expectTrace('standing-still', site);
+  });
+
+  it('gives no answer that was read before it stood still', async () => {
+    const site = await begun();
+    await site.submit({ ref: 'j-000001', kind: 'service' });
+    await until(site, () => site.tasksOn('j-000001') === 1);
+    const slow = site.nodes.find((n) => n !== site.leader) as string;
+    const asked = site.query('j-000001', slow);
+    // What the state service answers lies unread meanwhile.
+    site.clock.after(3, () => site.standStill(slow, 1.9));
+    expect(await asked).toBe('503');
+  });
+});
+
 describe('controllers that are back at once', () => {
   it('a leader, within a fraction of a second, and again during its own election', async () => {
     const site = await begun();
