--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -45,8 +45,11 @@
 const TICK_MS = 500;
 const WATCH_MS = 20_000;
 const MOST_ORDERS = 250;
-/** Decisions that follow each other closely are made together. */
-const DECIDE_MS = 15;
+/**
+ * What asks for a decision within this is decided together: at size that also means fewer transactions,
+ * and fewer calls to machines that get several tasks.
+ */
+const DECIDE_MS = 40;
 /** The pause after a decision, in times of what it took. */
 const DECIDE_PAUSE = 3;
 
@@ -65,6 +68,8 @@
   private readonly urgency: Urgency;
   private readonly patience = new Patience();
   private readonly record: FleetRecord;
+  /** Jobs within their teams' guarantees, for the jobs that there were then. */
+  private guaranteed: { readonly version: number; readonly jobs: Set<JobId> } | null = null;
   private over = false;
   private ready = false;
   private poked = false;
@@ -383,7 +388,10 @@
       if (host.closed || !host.known || host.takenAt !== null || host.unreached) continue;
       machines.push(machineView(host));
     }
-    const guaranteed = guaranteedJobs(open, this.teams);
+    if (this.guaranteed?.version !== this.jobs.version) {
+      this.guaranteed = { version: this.jobs.version, jobs: guaranteedJobs(open, this.teams) };
+    }
+    const guaranteed = this.guaranteed.jobs;
     const plan = place({
       jobs: waiting,
       machines,
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -52,7 +52,8 @@
 const HEARING_MS = 15_000;
 /** Unmet demand is turned into this many rentals at a time, so that each knows the last one's refusal. */
 const MOST_PENDING = 2;
-/** The pause after looking what to rent, in times of what it took. */
+/** The pause after looking what to rent: at least this, or so many times what it took. */
+const RENT_PAUSE_MS = 150;
 const RENT_PAUSE = 10;
 
 interface PendingRental {
@@ -206,7 +207,7 @@
     const wishes = this.wishes(most);
     for (const wish of wishes.slice(0, MOST_PENDING - this.pending.size)) this.rent(wish, 'queue');
     const now = this.ctx.clock.now();
-    this.lookAgainAt = plus(now, since(now, began) * RENT_PAUSE);
+    this.lookAgainAt = plus(now, Math.max(RENT_PAUSE_MS, since(now, began) * RENT_PAUSE));
   }
 
   /**
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -22,6 +22,15 @@
 const DIAL_MS = 1500;
 const MOST_UNSENT = 4 << 20;
 
+/** Frames of one turn of the loop leave in one write: each write costs a system call. */
+function writeFrame(socket: Socket, frame: Buffer): void {
+  if (socket.writableCorked === 0) {
+    socket.cork();
+    setImmediate(() => socket.uncork());
+  }
+  socket.write(frame);
+}
+
 function readFrames(socket: Socket, log: Log, take: (frame: Frame) => void): void {
   const reader = new FrameReader();
   socket.on('data', (bytes) => {
@@ -106,7 +115,7 @@
 
   send(kind: Kind, request: number, payload: Buffer): boolean {
     if (!this.open || !this.socket || this.socket.writableLength > MOST_UNSENT) return false;
-    this.socket.write(encodeFrame(kind, request, payload));
+    writeFrame(this.socket, encodeFrame(kind, request, payload));
     return true;
   }
 
@@ -170,12 +179,12 @@
     const { kind, request } = frame;
     if (kind === Kind.Ping) {
       peer.member = decodePing(frame.payload).member as MemberId;
-      socket.write(encodeFrame(Kind.Ping, 0, encodePing(this.handler.ping())));
+      writeFrame(socket, encodeFrame(Kind.Ping, 0, encodePing(this.handler.ping())));
     } else if (kind === Kind.Progress) this.handler.progress(frame.payload);
     else if (ASKED.has(kind)) {
       void this.handler.ask(kind as Asked, frame.payload, peer.member).then((answer) => {
         if (!socket.writable) return;
-        socket.write(encodeFrame(Kind.Answer, request, encodeAnswer(answer.status, answer.body)));
+        writeFrame(socket, encodeFrame(Kind.Answer, request, encodeAnswer(answer.status, answer.body)));
       });
     }
   }
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -285,6 +285,8 @@
   private readonly ended = new Set<JobId>();
   /** Chunks with changes that are not durable yet. */
   readonly dirty = new Set<Chunk>();
+  /** Raised whenever a job joins or leaves what is unfinished. */
+  version = 0;
   /** Jobs whose records wait to be closed. */
   readonly over = new Set<OpenJob>();
 
@@ -292,12 +294,15 @@
     if (this.jobs.has(job.spec.id) || this.ended.has(job.spec.id)) return false;
     this.jobs.set(job.spec.id, job);
     job.book = this;
+    this.version++;
     for (const chunk of job.chunks.values()) if (chunk.dirty) this.dirty.add(chunk);
     this.changed(job);
     return true;
   }
 
   changed(job: OpenJob): void {
+    if (!job.over && !job.cancelled) return;
+    this.version++;
     if (job.over) this.over.add(job);
   }
 
@@ -308,6 +313,7 @@
       for (const chunk of job.chunks.values()) this.dirty.delete(chunk);
       job.book = null;
     }
+    this.version++;
     this.jobs.delete(id);
     this.ended.add(id);
     if (this.ended.size > 20_000) {
