--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -3,6 +3,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { Node } from '../cluster/node.js';
 import { BadSettings, loadOperators, loadSettings } from '../config/operators.js';
+import { tooSmall } from '../config/limits.js';
 import { openLog, reason } from '../log/logger.js';
 
 interface Options {
@@ -26,6 +27,7 @@
   const settings = loadSettings(options.config);
   const operators = loadOperators(options.operators);
   const log = openLog(settings.member);
+  for (const line of tooSmall(settings)) log.error({ field: line }, 'settings are too small');
   const generator = xoroshiro128plus(Date.now() ^ (process.pid << 12));
   const random = (): number => uniformFloat64(generator);
   // One odd answer from outside must never end the process.
@@ -37,6 +39,7 @@
 function check(options: Options): void {
   const settings = loadSettings(options.config);
   loadOperators(options.operators);
+  for (const line of tooSmall(settings)) process.stderr.write(`plumyoke: warning: ${line}\n`);
   process.stdout.write(`${settings.member}: settings are valid\n`);
 }
 
--- /dev/null
+++ b/src/config/limits.ts
@@ -0,0 +1,36 @@
+import { shareSockets } from '../net/sockets.js';
+import type { Settings } from '../wire/settings.js';
+
+/** What the program itself takes: the heap of `deploy/service.toml` and the runtime beside it. */
+const PROCESS_MB = 130;
+/** Users, health checks and a few workers at once. */
+const LEAST_FRONT = 64;
+/** Renewals, watches and one decision a second. */
+const LEAST_STATE_RPS = 10;
+/** A start and an acceptance a second. */
+const LEAST_WRITE_RPS = 4;
+/** A worker that gets no answer tries the next controller 5 s later (PROTOCOL). */
+const NEXT_CONTROLLER_S = 5;
+
+/**
+ * Settings with which no service can be held, one line each, naming the field. The program serves as
+ * well as it can all the same: a node that refused to start would help nobody.
+ */
+export function tooSmall(settings: Settings): string[] {
+  const lines: string[] = [];
+  const least = (field: string, is: number, needed: number, why: string): void => {
+    if (is < needed) lines.push(`${field}: ${is} is little, ${needed} is the least ${why}`);
+  };
+  const { sockets, siblings } = settings;
+  const others = Math.ceil(sockets - shareSockets(sockets, siblings.length).front);
+  least('facts.resources.sockets', sockets, others + LEAST_FRONT, 'that leaves workers and users room');
+  if (settings.memoryMb !== null)
+    least('facts.resources.memory_mb', settings.memoryMb, PROCESS_MB, 'that the program fits');
+  least('facts.state.rps', settings.stateRps, LEAST_STATE_RPS, 'that leadership and decisions need');
+  least('facts.state.write_rps', settings.stateWriteRps, LEAST_WRITE_RPS, 'that starts need');
+  const { reportEvery, workerLease, cancelWithin } = settings;
+  const twoReports = (2 * reportEvery) / 1000 + NEXT_CONTROLLER_S;
+  least('facts.workers.lease_s', workerLease / 1000, twoReports, 'that survives one lost controller');
+  least('facts.workers.cancel_s', cancelWithin / 1000, workerLease / 1000 + 1, 'that a lease can end within');
+  return lines;
+}
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -78,6 +78,7 @@
   readonly cloudRps: number;
   readonly listLag: Millis;
   readonly sockets: number;
+  readonly memoryMb: number | null;
 }
 
 /** Throws an error whose message is one line naming the field. */
@@ -121,5 +122,6 @@
     cloudRps: f.cloud.rps,
     listLag: seconds(f.cloud.list_lag_s),
     sockets: f.resources?.sockets ?? 1000,
+    memoryMb: f.resources?.memory_mb ?? null,
   };
 }
--- a/test/unit/wire.test.ts
+++ b/test/unit/wire.test.ts
@@ -10,6 +10,7 @@
   Kind,
 } from '../../src/peer/frames.js';
 import { decodeChunk, encodeChunk } from '../../src/store/records.js';
+import { tooSmall } from '../../src/config/limits.js';
 import { readSettings } from '../../src/wire/settings.js';
 import { parseSubmission } from '../../src/wire/users.js';
 import { parseReport } from '../../src/wire/workers.js';
@@ -125,4 +126,32 @@
     expect(() => readOperators({ forecast: { slot_s: -1 } })).toThrow(/^forecast\.slot_s: /);
     expect(() => readOperators({ fleet: { give_back: 1 } })).toThrow(/give_back/);
   });
+
+  it('with which no service can be held are told of, field by field', () => {
+    const sized = (resources: object, workers: object): string[] =>
+      tooSmall(
+        readSettings({
+          member: 'a',
+          site: 'north',
+          front: '127.0.0.1:1',
+          cluster_listen: '127.0.0.1:2',
+          endpoints: { cloud: '127.0.0.1:3', state: '127.0.0.1:4' },
+          facts: {
+            teams: [],
+            workers: { report_s: 6, lease_s: 34, cancel_s: 59, ...workers },
+            state: { rps: 100, write_rps: 25, value_kb: 16, txn_ops: 16 },
+            cloud: { rps: 4, list_lag_s: 4 },
+            resources,
+          },
+        }),
+      );
+    expect(sized({ sockets: 1200, memory_mb: 146 }, {})).toEqual([]);
+    const lines = sized({ sockets: 80, memory_mb: 64 }, { lease_s: 12, cancel_s: 10 });
+    expect(lines.map((line) => line.split(':')[0])).toEqual([
+      'facts.resources.sockets',
+      'facts.resources.memory_mb',
+      'facts.workers.lease_s',
+      'facts.workers.cancel_s',
+    ]);
+  });
 });
