--- a/src/cluster/views.ts
+++ b/src/cluster/views.ts
@@ -82,12 +82,10 @@
       free: 0,
       withReplicas: 0,
     });
-    let replicas = 0;
-    for (const task of host.tasks) if (task.job.spec.kind === 'service') replicas = 1;
     pool['up'] = (pool['up'] ?? 0) + 1;
     pool['empty'] = (pool['empty'] ?? 0) + (host.empty ? 1 : 0);
     pool['free'] = Math.round((pool['free'] ?? 0) + host.free.cpus);
-    pool['withReplicas'] = (pool['withReplicas'] ?? 0) + replicas;
+    pool['withReplicas'] = (pool['withReplicas'] ?? 0) + (host.hasReplicas ? 1 : 0);
   }
   return {
     jobs: book.jobs.size,
--- a/src/fleet/outlook.ts
+++ b/src/fleet/outlook.ts
@@ -55,8 +55,8 @@
         ownFrees += lifetimes.endsWithin(spec.jobClass, 0, slot / 2, spec.estimateS * 1000) * spec.cpus;
       } else bump(frees, key, ends / Math.max(1, perMachine(spec, host.type)));
       if (host.machine.spot || !spec.spot) idle -= spec.cpus;
-      if (spec.kind === 'service') replicasOn.add(host.machine.type);
     }
+    if (host.hasReplicas) replicasOn.add(host.machine.type);
     if (host.closed) continue;
     spotIdle += Math.max(0, host.free.cpus);
     bump(reserves, key, Math.max(0, idle) / host.type.cpus);
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -178,8 +178,7 @@
   /** A machine with replicas is asked between its reports, if direct calls reach it at all. */
   private askedEarly(host: Host): boolean {
     if (!host.known || host.address === '' || host.unreachable > 0 || host.removing) return false;
-    for (const task of host.tasks) if (task.job.spec.kind === 'service') return true;
-    return false;
+    return host.hasReplicas;
   }
 
   private askEarly(host: Host, now: Steady): void {
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -189,6 +189,11 @@
     return this.held.size === 0;
   }
 
+  get hasReplicas(): boolean {
+    for (const task of this.held) if (task.job.spec.kind === 'service') return true;
+    return false;
+  }
+
   leaseEnd(start: Steady, lease: number): Steady {
     const from = this.answeredAt !== null && this.answeredAt > start ? this.answeredAt : start;
     return plus(from, lease);
