--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -8,16 +8,10 @@
 import type { Condition, Write } from '../wire/state.js';
 import { since, sleep } from '../model/time.js';
 
-/**
- * Progress without a new start may wait this long for company: it only saves repeated work, and a worker
- * keeps every outcome until it is durable.
- */
-const LAZY_MS = 1000;
-/**
- * While starts and closings need the writes, progress waits up to this long. With 200 arrays open, once
- * in 5 s each was all that the state service allows: starts waited behind it.
- */
-const LAZIEST_MS = 12_000;
+/** Progress without a new start may wait this long for company: it only saves repeated work. */
+const LAZY_MS = 400;
+/** While starts and closings need the writes, progress waits up to this long. */
+const LAZIEST_MS = 5000;
 /** The share of the budget's burst that is kept for starts. */
 const KEPT_FOR_STARTS = 0.5;
 const MAX_BYTES = 48 * 1024;
