--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -23,7 +23,18 @@
 /** Questions that come within this are asked in one request. */
 const TOGETHER_MS = 100;
 /** The share of the state service's requests that first questions about jobs may use, by all nodes. */
-const FIRST_QUESTIONS = 0.4;
+const FIRST_QUESTIONS = 0.25;
+/**
+ * The share of the state service's changes that users may use, by all nodes. When hundreds of jobs come at
+ * once, all the changes and, with the tries, all the requests went to them: a leader's renewals were
+ * refused until its grant ended, and nobody could take over for seconds.
+ */
+const USERS_WRITES = 0.65;
+/** Jobs that come together are taken together, up to the changes of so many seconds. */
+const USERS_BURST_S = 2;
+/** What one acceptance and one cancellation write. */
+const ACCEPT_WRITES = 2;
+const CANCEL_WRITES = 1;
 const WATCH_MS = 20_000;
 /**
  * What was read so long ago is not told any more: the process may have stood still since, and the user may
@@ -37,6 +48,9 @@
   retryAfter,
 });
 
+/** This node has used up its share of what the state service takes; another one may have some left. */
+export class Busy extends Error {}
+
 interface Found {
   readonly record: JobRecord;
   readonly stamp: Stamp;
@@ -50,15 +64,20 @@
   private readonly cache = new JobCache();
   private readonly confirmations: Confirmations;
   private readonly firstQuestions: Budget;
+  private readonly writes: Budget;
 
   constructor(
     private readonly ctx: NodeContext,
     private readonly progressOf: (id: JobId) => Progress | null,
+    /** Controllers that draw on the state service's limits, this one included. */
+    private readonly sharers: () => number = () => 1,
   ) {
     const { clock, settings, store } = ctx;
     this.confirmations = new Confirmations(clock, store, settings.txnOps * 4, TOGETHER_MS);
     const rate = (settings.stateRps * FIRST_QUESTIONS) / (settings.siblings.length + 1);
     this.firstQuestions = new Budget(clock, rate, rate);
+    const writes = settings.stateWriteRps * USERS_WRITES;
+    this.writes = new Budget(clock, writes, writes * USERS_BURST_S);
   }
 
   /** Sees every job's record change, so that most questions need only a confirmation. */
@@ -77,7 +96,7 @@
     }
   }
 
-  /** May throw StateRefused or StateUnknown: the caller then asks another node or answers 503. */
+  /** May throw StateRefused, StateUnknown or Busy: the caller then asks another node or answers 503. */
   async submit(body: unknown): Promise<UserAnswer> {
     const ref = (body as { ref?: unknown } | null | undefined)?.ref;
     const parsed = parseSubmission(body);
@@ -117,6 +136,8 @@
     if (ended) return { status: 200, body: ended };
     const value = encodeJob({ spec, state: 'accepted', acceptedAt: this.ctx.clock.wall() });
     for (let tries = 1; ; tries++) {
+      // Every node takes its share of what all may write: this one's acceptances cost as many times more.
+      if (!this.writes.take(ACCEPT_WRITES * this.sharers())) throw new Busy();
       try {
         const result = await this.ctx.store.commit(
           [{ key: keys.job(id), stamp: NO_STAMP }],
@@ -189,6 +210,8 @@
       if (!found) return { status: 404, body: { error: 'no such job' } };
       const { record } = found;
       if (record.state !== 'accepted') return told(record.state);
+      // Cancellations go before submissions.
+      this.writes.force(CANCEL_WRITES * this.sharers());
       try {
         const result = await this.ctx.store.commit(
           [{ key: keys.job(id), stamp: found.stamp }],
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -1,6 +1,6 @@
 import { Admission } from '../api/admission.js';
 import { type FrontHandler, frontListener } from '../api/front.js';
-import { unavailable, type UserAnswer, UserService } from '../api/users.js';
+import { Busy, unavailable, type UserAnswer, UserService } from '../api/users.js';
 import { CloudClient } from '../cloud/client.js';
 import type { Operators } from '../config/operators.js';
 import { type Log, reason } from '../log/logger.js';
@@ -104,7 +104,11 @@
       workerCalls: Math.floor(shares.workers / 4),
     };
     this.typeBook = new TypeBook(this.ctx);
-    this.users = new UserService(this.ctx, (id) => this.progressOf(id));
+    this.users = new UserService(
+      this.ctx,
+      (id) => this.progressOf(id),
+      () => 1 + links.filter((l) => l.alive).length,
+    );
     this.seat = new Seat(this.ctx, () => this.typeBook.known());
     this.admission = new Admission(clock, { submission: 48, query: 96 });
     const handler: FrontHandler = {
@@ -234,9 +238,14 @@
       }
       return await this.answerUser(verb, body);
     } catch (error) {
-      if (!(error instanceof StateRefused || error instanceof StateUnknown)) throw error;
+      const busy = error instanceof Busy;
+      if (!(busy || error instanceof StateRefused || error instanceof StateUnknown)) throw error;
+      // Asked too often is meant for all nodes: another one would only ask once more.
+      if (error instanceof StateRefused && error.tooMany) return unavailable('asked too often', 2);
       const forwarded = mayForward ? await this.forward(verb, body) : null;
-      return forwarded ?? unavailable('state service not reached');
+      return (
+        forwarded ?? (busy ? unavailable('asked too often', 2) : unavailable('state service not reached'))
+      );
     } finally {
       this.admission.leave(rank);
     }
@@ -255,7 +264,8 @@
 
   /** The state service may refuse this node alone: another one can then answer. */
   private async forward(verb: UserVerb, body: Buffer): Promise<UserAnswer | null> {
-    const link = this.links.find((l) => l.alive && l.ping?.stateOk);
+    const able = this.links.filter((l) => l.alive && l.ping?.stateOk);
+    const link = able[Math.floor(this.ctx.random() * able.length)];
     if (!link) return null;
     const answer = await link.ask(Kind.User, encodeUser(verb, body), FORWARD_MS);
     if (!answer || answer.status === 503) return null;
