--- a/test/standins/clock.ts
+++ b/test/standins/clock.ts
@@ -109,6 +109,6 @@
   /** All that fell due meanwhile runs at once. */
   goOn(): void {
     this.still = false;
-    for (const run of this.due.splice(0)) if (this.alive) run();
+    for (const run of this.due.splice(0)) this.whenRunning(run);
   }
 }
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -401,10 +401,8 @@
 
   async submit(wish: JobWish, node = 'node-0'): Promise<number> {
     const body = this.describe(wish, node);
-    const id = wish.ref as JobId;
     const answer = await this.ask(node, `submits ${wish.ref}`, (users) => users.submit(body));
-    if (answer.status === 201 || answer.status === 200) this.rules.accepted(id);
-    return answer.status;
+    return this.submitted(wish, answer.status);
   }
 
   /** The same for one of many users at once: time moves on without it. */
@@ -414,8 +412,12 @@
       .get(node)
       ?.users.submit(body)
       .catch(() => null);
-    if (answer?.status === 201 || answer?.status === 200) this.rules.accepted(wish.ref as JobId);
-    return answer?.status ?? 503;
+    return this.submitted(wish, answer?.status ?? 503);
+  }
+
+  private submitted(wish: JobWish, status: number): number {
+    if (status === 201 || status === 200) this.rules.accepted(wish.ref as JobId);
+    return status;
   }
 
   get accepted(): number {
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -1,6 +1,6 @@
 import type { GrantId, Stamp } from '../../src/model/ids.js';
 import type { Clock } from '../../src/model/time.js';
-import { type Budget } from '../../src/net/budget.js';
+import type { Budget } from '../../src/net/budget.js';
 import { type Committed, StateRefused, type StateStore, StateUnknown } from '../../src/store/client.js';
 import type { Change, Condition, Page, Row, Write } from '../../src/wire/state.js';
 
--- a/test/traces/size.test.ts
+++ b/test/traces/size.test.ts
@@ -10,13 +10,13 @@
     let jobs = 0;
     const services: string[] = [];
     /** As a user does: what is refused for being too much at once is asked again later. */
-    const submit = async (tasks: number, more: object): Promise<void> => {
+    const submit = async (tasks: number, more: object): Promise<string> => {
       const ref = `j-${String(jobs++).padStart(6, '0')}`;
       while ((await site.submit({ ref, tasks, ...more }, `node-${jobs % 5}`)) === 503) await site.run(1);
+      return ref;
     };
     for (let i = 0; i < 160; i++) {
-      services.push(`j-${String(jobs).padStart(6, '0')}`);
-      await submit(i % 4 === 0 ? 4 : 2, { kind: 'service', team: 'red' });
+      services.push(await submit(i % 4 === 0 ? 4 : 2, { kind: 'service', team: 'red' }));
     }
     for (let i = 0; i < 175; i++) {
       await submit(40, { team: i % 2 === 0 ? 'red' : 'blue', spot: true, runS: 55 + (i % 20) });
