The gap: confirmed cancellations are told to every controller; answering is bounded by what is known

Cause looked for: a cancellation reached the leader only by its watch of job/.

- the confirming controller tells all others before the user; a leader kills for it, sure or not.
- answering is bounded by two proofs (Answering): that nobody else led, that no unknown cancellation was confirmed.
While all others say so, work goes on beneath an outage however long; one that doesn't answer, is of an older version or was started again proves nothing: then D as before
- no start leaves while the grant isn't sure, by direct calls too; a start on its way to a cancelled task is refused by a raised token
- a host that keeps a cancelled task at 40% of cancel_s is deleted by an unsure leader as well

--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -1,10 +1,12 @@
+import type { ToldCancellation } from '../cluster/cancellations.js';
 import type { NodeContext } from '../cluster/context.js';
 import type { JobId, Stamp } from '../model/ids.js';
 import { isJobId, NO_STAMP } from '../model/ids.js';
 import { reason } from '../log/logger.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import { fits } from '../model/job.js';
-import { since, sleep } from '../model/time.js';
+import { ms, since, sleep } from '../model/time.js';
+import type { Change } from '../wire/state.js';
 import { Budget } from '../net/budget.js';
 import { teamRoom } from '../scheduler/place.js';
 import { StateRefused, StateUnknown } from '../store/client.js';
@@ -88,7 +90,7 @@
         after ??= (await this.ctx.store.range(keys.epoch)).ledger;
         const read = await this.ctx.store.changes(keys.jobs, after, WATCH_MS);
         after = read?.ledger ?? null;
-        if (read) this.cache.take(read.changes, (id, record) => this.bodyOf(id, record));
+        if (read) this.take(read.changes);
       } catch (error) {
         this.ctx.log.debug({ error: reason(error) }, 'jobs not watched');
         await sleep(this.ctx.clock, 300 + this.ctx.random() * 300);
@@ -96,6 +98,15 @@
     }
   }
 
+  private take(changes: readonly Change[]): void {
+    const cancelled: ToldCancellation[] = [];
+    this.cache.take(changes, (id, record) => {
+      if (record.state === 'cancelled') cancelled.push({ id, age: ms(0) });
+      return this.bodyOf(id, record);
+    });
+    this.ctx.cancellations.learn(cancelled);
+  }
+
   /** May throw StateRefused, StateUnknown or Busy: the caller then asks another node or answers 503. */
   async submit(body: unknown): Promise<UserAnswer> {
     const ref = (body as { ref?: unknown } | null | undefined)?.ref;
@@ -177,6 +188,7 @@
   private known(id: JobId, { record, stamp }: Found): UserAnswer {
     const body = this.bodyOf(id, record);
     this.cache.learn(id, record, stamp, body);
+    if (record.state === 'cancelled') this.ctx.cancellations.learn([{ id, age: ms(0) }]);
     return { status: 200, body };
   }
 
@@ -201,6 +213,12 @@
     return found ? this.known(id, found) : { status: 404, body: { error: 'no such job' } };
   }
 
+  /** Every other controller hears of it before the user does, the leader among them. */
+  private toldCancelled(id: JobId): UserAnswer {
+    this.ctx.cancellations.learn([{ id, age: ms(0) }]);
+    return { status: 200, body: { ref: id, status: 'cancelled' } };
+  }
+
   /** Durable on the job's record before it is told; the record's stamp decides against done. */
   async cancel(id: string): Promise<UserAnswer> {
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
@@ -209,6 +227,7 @@
       const found = await this.find(id);
       if (!found) return { status: 404, body: { error: 'no such job' } };
       const { record } = found;
+      if (record.state === 'cancelled') return this.toldCancelled(id);
       if (record.state !== 'accepted') return told(record.state);
       // Cancellations go before submissions.
       this.writes.force(CANCEL_WRITES * this.sharers());
@@ -217,7 +236,7 @@
           [{ key: keys.job(id), stamp: found.stamp }],
           [{ set: keys.job(id), value: encodeJob({ ...record, state: 'cancelled' }) }],
         );
-        if (result.ok) return told('cancelled');
+        if (result.ok) return this.toldCancelled(id);
       } catch (error) {
         if (!worthAgain(error) || tries > TRIES) throw error;
         await sleep(this.ctx.clock, 60 * tries + this.ctx.random() * 60);
--- /dev/null
+++ b/src/cluster/cancellations.ts
@@ -0,0 +1,78 @@
+import type { JobId } from '../model/ids.js';
+import { type Clock, type Millis, type Steady, since } from '../model/time.js';
+
+/** A cancellation that was told to a user, and how long ago the teller learned of it. */
+export interface ToldCancellation {
+  readonly id: JobId;
+  readonly age: Millis;
+}
+
+/** Those older than so many times their limit have been carried out or broken. */
+const KEPT_LIMITS = 3;
+const MOST_KEPT = 20_000;
+
+/**
+ * The confirmed cancellations that this process has lately heard of, whoever confirmed them: by its own
+ * answers, by watching the records, or from another controller. A confirmed cancellation is final. So what
+ * stands here may be acted upon, by a `kill`, without the state service and without a sure grant.
+ */
+export class Cancellations {
+  private readonly learned = new Map<JobId, Steady>();
+  private readonly listeners: ((ids: readonly JobId[]) => void)[] = [];
+  private readonly kept: number;
+
+  constructor(
+    private readonly clock: Clock,
+    cancelWithin: Millis,
+  ) {
+    this.kept = cancelWithin * KEPT_LIMITS;
+  }
+
+  onLearned(listener: (ids: readonly JobId[]) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** True: this is news. */
+  learn(told: readonly ToldCancellation[]): boolean {
+    const now = this.clock.now();
+    const news: JobId[] = [];
+    for (const { id, age } of told) {
+      if (this.learned.has(id)) continue;
+      this.learned.set(id, (now - age) as Steady);
+      news.push(id);
+    }
+    if (news.length === 0) return false;
+    this.forget(now);
+    for (const tell of this.listeners) tell(news);
+    return true;
+  }
+
+  has(id: JobId): boolean {
+    return this.learned.has(id);
+  }
+
+  /** Since when it is known to be cancelled. */
+  at(id: JobId): Steady | undefined {
+    return this.learned.get(id);
+  }
+
+  /** All of them, or those of these jobs. */
+  list(which: Iterable<JobId> = this.learned.keys()): ToldCancellation[] {
+    const now = this.clock.now();
+    this.forget(now);
+    const told: ToldCancellation[] = [];
+    for (const id of which) {
+      const at = this.learned.get(id);
+      if (at !== undefined) told.push({ id, age: since(now, at) });
+    }
+    return told;
+  }
+
+  private forget(now: Steady): void {
+    for (const [id, at] of this.learned) {
+      // In the order in which they came; ages of others' may differ by the time that their telling took.
+      if (since(now, at) <= this.kept && this.learned.size <= MOST_KEPT) return;
+      this.learned.delete(id);
+    }
+  }
+}
--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -1,3 +1,4 @@
+import type { Cancellations } from './cancellations.js';
 import type { Cloud } from '../cloud/client.js';
 import type { Operators } from '../config/operators.js';
 import type { Log } from '../log/logger.js';
@@ -6,6 +7,7 @@
 import type { Order, Report } from '../model/report.js';
 import type { Clock, Steady } from '../model/time.js';
 import type { JobBook } from '../scheduler/job-book.js';
+import type { CancellationsWord } from '../peer/frames.js';
 import type { StateStore } from '../store/client.js';
 import type { Settings } from '../wire/settings.js';
 import type { CommandReply } from '../wire/workers.js';
@@ -24,6 +26,15 @@
   show(address: string, deadlineMs: number, everyWay: boolean): Promise<Report | null>;
 }
 
+/** What the other controllers say of confirmed cancellations. */
+export interface Siblings {
+  /**
+   * Asks each of them. Null for one that doesn't answer or can't say: each sibling of the settings has
+   * its place in the list, whether or not it was ever heard.
+   */
+  cancellations(deadlineMs: number): Promise<(CancellationsWord | null)[]>;
+}
+
 /** What a node has at hand, leader or not. */
 export interface NodeContext {
   readonly member: MemberId;
@@ -39,6 +50,8 @@
   readonly types: Map<TypeId, MachineType>;
   /** Direct calls to workers that may be under way at once. */
   readonly workerCalls: number;
+  readonly cancellations: Cancellations;
+  readonly siblings: Siblings;
 }
 
 /** What the parts of one leadership share. */
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -1,7 +1,7 @@
 import { reason } from '../log/logger.js';
 import type { Epoch, GrantId, MemberId, Stamp } from '../model/ids.js';
 import { NO_STAMP } from '../model/ids.js';
-import { atLeast, type Steady, plus, since, sleep } from '../model/time.js';
+import { atLeast, type Millis, ms, type Steady, plus, since, sleep } from '../model/time.js';
 import { StateRefused } from '../store/client.js';
 import { epochOf, keys, type LeaderRecord, leaderRecord } from '../store/records.js';
 import type { NodeContext } from './context.js';
@@ -44,8 +44,8 @@
   }
 
   /** How long ago the grant stopped being sure. */
-  unsureFor(): number {
-    return this.sureUntil === null ? Infinity : Math.max(0, this.ctx.clock.now() - this.sureUntil);
+  unsureFor(): Millis {
+    return ms(this.sureUntil === null ? Infinity : Math.max(0, this.ctx.clock.now() - this.sureUntil));
   }
 
   run(): void {
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -18,7 +18,7 @@
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import type { Team } from '../model/team.js';
-import { type Cancel, type Steady, plus, since, sleep } from '../model/time.js';
+import { type Cancel, ms, type Steady, plus, since, sleep } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
 import { guaranteedJobs, type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
@@ -30,8 +30,9 @@
 import { Dispatcher, markSent } from '../workers/dispatcher.js';
 import { Health } from '../workers/health.js';
 import { type Host, HostBook } from '../workers/host-book.js';
-import { clearsFor, needsRaise, ordersFor } from '../workers/orders.js';
+import { clearsFor, killsOf, mustForget, needsRaise, ordersFor } from '../workers/orders.js';
 import { applyReport, loseAll, type Told } from '../workers/reports.js';
+import { aloneMs, Answering, type Grant, watchedUpTo } from './answering.js';
 import type { LeaderContext, NodeContext } from './context.js';
 import { FleetRecord } from './fleet-record.js';
 import { loadOpenJobs, restoreFleet } from './takeover.js';
@@ -43,8 +44,11 @@
 }
 
 const TICK_MS = 500;
-const WATCH_MS = 20_000;
+/** Each answer of the watch tells that nothing is missed up to then: see `Answering`. */
+const WATCH_MS = 5000;
 const MOST_ORDERS = 250;
+/** The part of a cancellation's limit after which a host that keeps its task is fenced. */
+const CANCEL_PATIENCE = 0.4;
 /**
  * What asks for a decision within this is decided together: at size that also means fewer transactions,
  * and fewer calls to machines that get several tasks.
@@ -63,6 +67,7 @@
   private readonly dispatcher: Dispatcher;
   private readonly health: Health;
   private readonly teams: Map<TeamId, Team>;
+  private readonly answering: Answering;
   private readonly lock = new Mutex();
   private readonly lifetimes = new Lifetimes();
   private readonly urgency: Urgency;
@@ -81,9 +86,7 @@
     node: NodeContext,
     epoch: Epoch,
     epochStamp: Stamp,
-    /** How long an earlier leader may answer reports after its grant was lost. */
-    answerAloneMs: number,
-    sure: () => boolean,
+    grant: Grant,
     private readonly onOver: (why: string) => void,
   ) {
     const { clock, settings } = node;
@@ -94,7 +97,7 @@
       startedAt: clock.now(),
       jobs: this.jobs,
       hosts: this.hosts,
-      sure,
+      sure: () => grant.sure(),
       deposed: (why) => this.end(why),
       ended: () => this.over,
       poke: () => this.poke(),
@@ -102,6 +105,9 @@
       dispatch: (id) => this.wake(id),
       empty: (id) => this.emptyOut(id),
     };
+    this.answering = new Answering(node, grant, (newer) => {
+      if (newer > epoch) this.end('another node leads a newer epoch');
+    });
     this.urgency = new Urgency(settings.objectives);
     this.teams = new Map(settings.teams.map((t) => [t.id, t]));
     const stateBudget = new Budget(clock, settings.stateWriteRps * 0.7, settings.stateWriteRps * 0.7);
@@ -128,7 +134,7 @@
     this.dispatcher = new Dispatcher(this.ctx, onReport, node.workerCalls);
     this.health = new Health(
       this.ctx,
-      answerAloneMs,
+      aloneMs(node),
       onReport,
       (host, why) => this.fleet.remove(host, why),
       (host) => this.leaseOver(host),
@@ -151,6 +157,7 @@
   async start(): Promise<void> {
     let ledger: Stamp | null = null;
     while (!this.over && ledger === null) {
+      const began = this.ctx.clock.now();
       try {
         const loading = await loadOpenJobs(this.ctx);
         const fleet = await restoreFleet(this.ctx, this.fleet);
@@ -163,6 +170,7 @@
         }
         this.attachHeld();
         for (const id of loading.cancelled) this.cancel(id);
+        this.answering.knew(began);
       } catch (error) {
         this.ctx.log.info({ error: reason(error) }, 'takeover waits for the state service');
         await sleep(this.ctx.clock, 200);
@@ -207,26 +215,38 @@
       this.end('no worker is heard');
       return;
     }
+    this.fenceCancelled(now);
     if (this.ctx.sure()) {
       this.health.tick(now);
       this.fleet.tick();
       this.nudge(now);
-    } else this.health.unsure(now);
+    } else {
+      this.health.unsure(now);
+      void this.answering.ask();
+    }
     if (this.fleet.takeDirty()) this.fleetDirty = true;
     if (this.fleetDirty && this.record.mayWrite(now)) void this.save();
     this.poke();
   }
 
-  /** Repeats what has not been carried out yet. */
-  private nudge(now: Steady): void {
+  /**
+   * A host that keeps a cancelled task is fenced well before the cancellation's limit, sure or not: a
+   * machine that hangs goes on with the task otherwise, and while the state service is out nobody is sure.
+   */
+  private fenceCancelled(now: Steady): void {
+    const limit = this.ctx.settings.cancelWithin * CANCEL_PATIENCE;
     for (const host of this.hosts.hosts.values()) {
       for (const task of host.tasks) {
-        // A host that keeps a cancelled task is fenced well before the cancellation's limit.
-        const limit = this.ctx.settings.cancelWithin * 0.4;
-        if (task.kill?.why === 'cancelled' && since(now, task.kill.at) > limit) {
-          this.fleet.remove(host, 'cancelled task not gone');
-        }
+        if (task.kill?.why !== 'cancelled' || since(now, task.kill.at) <= limit) continue;
+        this.fleet.remove(host, 'cancelled task not gone', true);
+        break;
       }
+    }
+  }
+
+  /** Repeats what has not been carried out yet. */
+  private nudge(now: Steady): void {
+    for (const host of this.hosts.hosts.values()) {
       if (host.takenAt !== null) this.drainNoticed(host, now);
       if (!host.known && host.address !== '' && (host.listed || host.up || !host.empty)) {
         this.dispatcher.wake(host);
@@ -248,7 +268,8 @@
 
   private open(job: OpenJob): void {
     if (!this.jobs.add(job)) return;
-    if (job.tasks.size === 0) this.fleet.demanded(job);
+    if (this.ctx.cancellations.has(job.spec.id)) this.cancel(job.spec.id);
+    else if (job.tasks.size === 0) this.fleet.demanded(job);
   }
 
   /** Every task that may be on a machine holds its place there, known machine or not. */
@@ -277,6 +298,7 @@
     let after = from;
     while (!this.over) {
       try {
+        const sentAt = this.ctx.clock.now();
         const read = await this.ctx.store.changes(keys.jobs, after, WATCH_MS);
         if (this.over) return;
         if (read === null) {
@@ -287,6 +309,8 @@
         await this.lock.runExclusive(() => {
           for (const change of read.changes) this.jobChanged(change.key, change.value, change.stamp);
         });
+        const now = this.ctx.clock.now();
+        this.answering.knew(watchedUpTo(sentAt, WATCH_MS, read.changes.length > 0, now));
       } catch (error) {
         this.ctx.log.debug({ error: reason(error) }, 'watch interrupted');
         await sleep(this.ctx.clock, 100 + this.ctx.random() * 150);
@@ -295,9 +319,11 @@
   }
 
   private async resync(): Promise<Stamp> {
+    const began = this.ctx.clock.now();
     const loading = await loadOpenJobs(this.ctx);
     for (const job of loading.jobs) this.open(job);
     for (const id of loading.cancelled) this.cancel(id);
+    this.answering.knew(began);
     this.poke();
     return loading.ledger;
   }
@@ -312,10 +338,18 @@
     } else if (record.state === 'cancelled') this.cancel(id);
   }
 
+  /** Confirmed to a user: told by another controller, or seen in the record. */
+  cancelled(ids: readonly JobId[]): void {
+    if (!this.over) void this.lock.runExclusive(() => ids.forEach((id) => this.cancel(id)));
+  }
+
   private cancel(id: JobId): void {
+    this.ctx.cancellations.learn([{ id, age: ms(0) }]);
     const job = this.jobs.jobs.get(id);
     if (!job || job.cancelled) return;
     const now = this.ctx.clock.now();
+    // Counted from when it was first heard of here, not from our takeover.
+    const at = this.ctx.cancellations.at(id) ?? now;
     job.cancelled = true;
     const wake = new Set<Host>();
     for (const task of [...job.held()]) {
@@ -328,7 +362,7 @@
         if (job.spec.kind === 'service' && task.runningAt !== null) {
           this.lifetimes.add(job.spec.jobClass, now - task.runningAt);
         }
-        task.kill = { graceS: 0, why: 'cancelled', at: now };
+        task.kill = { graceS: 0, why: 'cancelled', at };
         if (host) wake.add(host);
       }
     }
@@ -496,12 +530,13 @@
   }
 
   /** A worker's report, straight or through another node. */
-  async beat(report: Report, via: MemberId, mayAnswer: boolean, mayOrder: boolean): Promise<Answer> {
-    return this.lock.runExclusive(() => this.takeBeat(report, via, mayAnswer, mayOrder));
+  async beat(report: Report, via: MemberId): Promise<Answer> {
+    return this.lock.runExclusive(() => this.takeBeat(report, via));
   }
 
-  private takeBeat(report: Report, via: MemberId, mayAnswer: boolean, mayOrder: boolean): Answer {
-    if (this.over || !mayAnswer) return { status: 503 };
+  private takeBeat(report: Report, via: MemberId): Answer {
+    // Past the grant's sure life a leader only keeps leases alive, and only for a while.
+    if (this.over || !this.answering.may(this.ctx.clock.now())) return { status: 503 };
     const seen = epochOfToken(report.token);
     if (seen > this.ctx.epoch) {
       this.end('a worker knows a newer epoch');
@@ -509,7 +544,9 @@
     }
     if (this.hosts.isGone(report.host)) return { status: 503 };
     const now = this.ctx.clock.now();
-    const stranger: Answer = { status: 200, body: ordersBody(tokenOf(this.ctx.epoch, 0 as Round), []) };
+    // Of no use to anybody whoever leads, and safe to say without being sure: an attempt is never used again.
+    const unwanted = killsOf(report, (id) => this.ctx.cancellations.has(id));
+    const stranger: Answer = { status: 200, body: ordersBody(tokenOf(this.ctx.epoch, 0 as Round), unwanted) };
     // A machine that we do not know may be long gone, and this a late copy of what it once said: only
     // a report that knows our epoch was made in our time. A living worker's next one does.
     if (!this.hosts.hosts.has(report.host) && seen < this.ctx.epoch) {
@@ -534,11 +571,12 @@
     // Even a late copy's answer may reach a worker that waits for one: its lease counts from here.
     if (fresh) host.answered(report, via, now);
     else host.answeredAt = now;
-    const ordering = fresh && mayOrder && this.ready;
-    if (ordering && needsRaise(host, host.token(this.ctx.epoch))) host.raise();
+    const ordering = fresh && this.ctx.sure() && this.ready;
+    if (ordering ? needsRaise(host, host.token(this.ctx.epoch)) : mustForget(host, this.ctx.epoch))
+      host.raise();
     const token = host.token(this.ctx.epoch);
-    if (!ordering) return { status: 200, body: ordersBody(token, []) };
-    const orders: Order[] = [...ordersFor(host, now), ...clearsFor(host, token)].slice(0, MOST_ORDERS);
+    if (!ordering) return { status: 200, body: ordersBody(token, unwanted) };
+    const orders: Order[] = [...ordersFor(host, now, true), ...clearsFor(host, token)].slice(0, MOST_ORDERS);
     markSent(host, orders, token);
     return { status: 200, body: ordersBody(token, orders) };
   }
@@ -555,7 +593,8 @@
       if (seen === this.ctx.epoch && host.newer(report)) this.health.heard(host, now);
       this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
       const another = host.learnTenure(report);
-      if (another || (host.known && ordersFor(host, now).length > 0)) this.dispatcher.wake(host);
+      if (another || (host.known && ordersFor(host, now, this.ctx.sure()).length > 0))
+        this.dispatcher.wake(host);
     });
   }
 
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -11,13 +11,17 @@
 import { shareSockets } from '../net/sockets.js';
 import {
   type AnswerFrame,
+  type CancellationsWord,
   decodeCall,
+  decodeCancellations,
   decodeProgress,
   decodeUser,
+  encodeCancellations,
   encodeProgress,
   encodeUser,
   Kind,
   type Ping,
+  SPEAKS,
   type UserVerb,
 } from '../peer/frames.js';
 import { type Asked, PeerLink, PeerServer } from '../peer/link.js';
@@ -27,6 +31,7 @@
 import type { Settings } from '../wire/settings.js';
 import { parseReport, readCommandReply } from '../wire/workers.js';
 import { WorkerTargets } from '../workers/caller.js';
+import { Cancellations } from './cancellations.js';
 import type { NodeContext } from './context.js';
 import { Reach } from './reach.js';
 import { Seat } from './seat.js';
@@ -53,6 +58,7 @@
   private progress = new Map<JobId, Progress>();
   private progressAt: Steady | null = null;
   private readonly reach: Reach;
+  private readonly startedAt: Steady;
 
   constructor(
     private readonly settings: Settings,
@@ -64,6 +70,8 @@
     const shares = shareSockets(settings.sockets, settings.siblings.length);
     this.targets = new WorkerTargets(shares.workers);
     this.reach = new Reach(clock);
+    this.startedAt = clock.now();
+    const cancellations = new Cancellations(clock, settings.cancelWithin);
     const store = new StateClient(
       new HttpTarget(settings.stateAddress, shares.state),
       new HttpTarget(settings.stateAddress, shares.watches),
@@ -81,6 +89,8 @@
           (ping) => {
             if (ping.leading !== null) this.seat.heardOf(ping.leading);
           },
+          // Whatever it missed while there was no connection.
+          (link) => this.tellCancellations([link]),
         ),
     );
     this.links = links;
@@ -102,6 +112,8 @@
       random,
       types: new Map(),
       workerCalls: Math.floor(shares.workers / 4),
+      cancellations,
+      siblings: { cancellations: (deadlineMs) => this.askCancellations(deadlineMs) },
     };
     this.typeBook = new TypeBook(this.ctx);
     this.users = new UserService(
@@ -110,6 +122,10 @@
       () => 1 + links.filter((l) => l.alive).length,
     );
     this.seat = new Seat(this.ctx, () => this.typeBook.known());
+    cancellations.onLearned((ids) => {
+      this.seat.leader?.cancelled(ids);
+      this.tellCancellations(this.links, ids);
+    });
     this.admission = new Admission(clock, { submission: 48, query: 96 });
     const handler: FrontHandler = {
       up: () => this.ctx.types.size > 0 && !this.reach.cutOff(this.links),
@@ -151,9 +167,38 @@
       member: this.ctx.member,
       stateOk: this.reach.stateOk,
       leading: this.seat.leader?.epoch ?? null,
+      speaks: SPEAKS,
+    };
+  }
+
+  // Cancellations
+
+  private cancellationsWord(which?: readonly JobId[]): CancellationsWord {
+    const { clock, cancellations } = this.ctx;
+    return {
+      upFor: since(clock.now(), this.startedAt),
+      leading: this.seat.leader?.epoch ?? null,
+      told: cancellations.list(which),
     };
   }
 
+  private tellCancellations(to: readonly PeerLink[], which?: readonly JobId[]): void {
+    const speaking = to.filter((l) => l.speaks);
+    if (speaking.length === 0) return;
+    const payload = encodeCancellations(this.cancellationsWord(which));
+    for (const link of speaking) link.send(Kind.Cancelled, 0, payload);
+  }
+
+  private askCancellations(deadlineMs: number): Promise<(CancellationsWord | null)[]> {
+    const payload = encodeCancellations(this.cancellationsWord());
+    return Promise.all(
+      this.links.map(async (link) => {
+        const answer = link.speaks ? await link.ask(Kind.Cancelled, payload, deadlineMs) : null;
+        return answer?.status === 200 ? decodeCancellations(answer.body) : null;
+      }),
+    );
+  }
+
   // Workers
 
   private async beat(body: Buffer): Promise<{ status: number; body: Buffer | null }> {
@@ -199,6 +244,10 @@
           const answer = await this.user(verb, Buffer.from(body), false);
           return { status: answer.status, body: Buffer.from(JSON.stringify(answer)) };
         }
+        case Kind.Cancelled: {
+          this.ctx.cancellations.learn(decodeCancellations(payload).told);
+          return { status: 200, body: encodeCancellations(this.cancellationsWord()) };
+        }
         case Kind.Call: {
           const call = decodeCall(payload);
           const reply = await this.targets.raw(call.verb, call.address, call.body, call.deadlineMs);
--- a/src/cluster/seat.ts
+++ b/src/cluster/seat.ts
@@ -1,30 +1,28 @@
 import type { Epoch, MemberId } from '../model/ids.js';
+import type { Millis } from '../model/time.js';
 import type { Report } from '../model/report.js';
+import { aloneMs } from './answering.js';
 import type { NodeContext } from './context.js';
 import { Election, type Won } from './election.js';
 import { type Answer, Leader } from './leader.js';
 
 /** After hearing no worker, a node leaves the leadership to others for this long. */
 const DEAF_PAUSE_MS = 15_000;
-/** Between the end of a worker's lease and the limit of a cancellation. */
-const CANCEL_MARGIN_MS = 5000;
 
 /** A node's part in leadership: it stands for election and, while elected, leads. */
 export class Seat {
   readonly election: Election;
   leader: Leader | null = null;
   /** How long a leader that lost its grant may go on answering reports, without orders. */
-  readonly answerAloneMs: number;
+  readonly answerAloneMs: Millis;
 
   constructor(
     private readonly ctx: NodeContext,
     /** Resolves once the node knows what a leader needs. */
     private readonly prepared: () => Promise<void>,
   ) {
-    const { settings, ops } = ctx;
     // A worker that an old leader still answers must lose its tasks within a cancellation's limit.
-    const room = settings.cancelWithin - settings.workerLease - CANCEL_MARGIN_MS;
-    this.answerAloneMs = Math.max(0, Math.min(ops.cluster.answer_alone_s * 1000, room));
+    this.answerAloneMs = aloneMs(ctx);
     this.election = new Election(
       ctx,
       (won) => this.lead(won),
@@ -37,8 +35,7 @@
   }
 
   private lead(won: Won): void {
-    const sure = (): boolean => this.election.sure();
-    const leader = new Leader(this.ctx, won.epoch, won.epochStamp, this.answerAloneMs, sure, (why) => {
+    const leader = new Leader(this.ctx, won.epoch, won.epochStamp, this.election, (why) => {
       if (this.leader === leader) this.leader = null;
       void this.election.resign(why === 'no worker is heard' ? DEAF_PAUSE_MS : 0);
     });
@@ -55,8 +52,6 @@
   /** The leader's answer to a report; null: this node does not lead. */
   async beat(report: Report, via: MemberId): Promise<Answer | null> {
     if (!this.leader) return null;
-    // Past the grant's sure life a leader only keeps leases alive, and only for a while.
-    const sure = this.election.sure();
-    return this.leader.beat(report, via, sure || this.election.unsureFor() < this.answerAloneMs, sure);
+    return this.leader.beat(report, via);
   }
 }
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -71,6 +71,8 @@
   private readonly refusedInSlot = new Set<string>();
   private readonly pending = new Map<string, PendingRental>();
   private readonly removing = new Set<HostId>();
+  /** Of those, the ones that go even while it is not sure that we lead. */
+  private readonly mustGo = new Set<HostId>();
   private slotEnds: Steady;
   private rentals = 0;
   private queue: readonly QueuedWork[] = [];
@@ -354,7 +356,8 @@
   }
 
   /** The fast fence: once the cloud has answered, the machine and everything on it are gone. */
-  remove(host: Host, why: string): void {
+  remove(host: Host, why: string, unsureToo = false): void {
+    if (unsureToo) this.mustGo.add(host.id);
     if (host.removing) return;
     host.removing = true;
     host.closed ??= 'returning';
@@ -365,9 +368,10 @@
 
   private async flushRemovals(): Promise<void> {
     while (this.removing.size > 0 && !this.ctx.ended()) {
-      const batch = [...this.removing].slice(0, MOST_PER_DELETE);
       await this.turn();
-      if (!this.ctx.sure()) {
+      const may = this.ctx.sure() ? this.removing : this.mustGo;
+      const batch = [...may].slice(0, MOST_PER_DELETE);
+      if (batch.length === 0) {
         await sleep(this.ctx.clock, UNSURE_MS);
         continue;
       }
@@ -375,6 +379,7 @@
         await this.ctx.cloud.remove(batch);
         for (const id of batch) {
           this.removing.delete(id);
+          this.mustGo.delete(id);
           const host = this.ctx.hosts.hosts.get(id);
           this.ctx.hosts.remove(id);
           if (host) this.onGone(host);
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -1,4 +1,6 @@
+import type { ToldCancellation } from '../cluster/cancellations.js';
 import { type Epoch, isJobId, type JobId } from '../model/ids.js';
+import { type Millis, ms } from '../model/time.js';
 
 /** The binary frames that our own processes exchange: u32 length, u8 kind, u32 request, payload. */
 export enum Kind {
@@ -13,6 +15,8 @@
   PassOn = 7,
   /** A report that its taker had from another controller. */
   Passed = 8,
+  /** Confirmed cancellations; sent only to a peer that has shown that it knows this kind (`Ping.speaks`). */
+  Cancelled = 9,
 }
 
 export interface Frame {
@@ -23,6 +27,7 @@
 }
 
 const HEADER = 9;
+const MOST_U32 = 0xffff_ffff;
 export const MAX_PAYLOAD = 1 << 20;
 
 export class BadFrame extends Error {}
@@ -57,19 +62,28 @@
   }
 }
 
+/**
+ * What this program understands beyond the kinds 1 to 8. A reader closes the connection on a kind that
+ * it doesn't know, so later kinds go only to a peer whose pings say that it has them. A ping without
+ * the number, from before it was there, counts as 0; older readers leave the extra byte unread.
+ */
+export const SPEAKS = 1;
+
 export interface Ping {
   readonly member: string;
   readonly stateOk: boolean;
   readonly leading: Epoch | null;
+  readonly speaks: number;
 }
 
 export function encodePing(ping: Ping): Buffer {
   const name = Buffer.from(ping.member, 'utf8');
-  const out = Buffer.allocUnsafe(10 + name.length);
+  const out = Buffer.allocUnsafe(11 + name.length);
   out.writeUInt8(ping.stateOk ? 1 : 0, 0);
   out.writeBigUInt64BE(BigInt(ping.leading ?? 0), 1);
   out.writeUInt8(name.length, 9);
   name.copy(out, 10);
+  out.writeUInt8(ping.speaks, 10 + name.length);
   return out;
 }
 
@@ -82,6 +96,7 @@
     stateOk: payload.readUInt8(0) === 1,
     leading: epoch === 0 ? null : (epoch as Epoch),
     member: payload.toString('utf8', 10, 10 + length),
+    speaks: payload.length > 10 + length ? payload.readUInt8(10 + length) : 0,
   };
 }
 
@@ -156,6 +171,52 @@
   return jobs;
 }
 
+/** What a controller says of confirmed cancellations, and of itself as it says so. */
+export interface CancellationsWord {
+  /** How long its process has been up: what was told before that, it doesn't know. */
+  readonly upFor: Millis;
+  readonly leading: Epoch | null;
+  readonly told: readonly ToldCancellation[];
+}
+
+/** u32 up for ms, u64 epoch led (0: none); per job: u8 name length, name, u32 age in ms. */
+export function encodeCancellations(word: CancellationsWord): Buffer {
+  const head = Buffer.allocUnsafe(12);
+  head.writeUInt32BE(Math.min(MOST_U32, Math.floor(word.upFor)), 0);
+  head.writeBigUInt64BE(BigInt(word.leading ?? 0), 4);
+  const parts: Buffer[] = [head];
+  let size = head.length;
+  for (const { id, age } of word.told) {
+    const part = Buffer.allocUnsafe(5 + id.length);
+    part.writeUInt8(id.length, 0);
+    part.write(id, 1, 'ascii');
+    part.writeUInt32BE(Math.min(MOST_U32, Math.max(0, Math.floor(age))), 1 + id.length);
+    size += part.length;
+    if (size > MAX_PAYLOAD) break;
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
+}
+
+export function decodeCancellations(payload: Buffer): CancellationsWord {
+  if (payload.length < 12) throw new BadFrame('a short list of cancellations');
+  const epoch = Number(payload.readBigUInt64BE(4));
+  const told: ToldCancellation[] = [];
+  for (let at = 12; at < payload.length;) {
+    const length = payload.readUInt8(at);
+    if (at + 5 + length > payload.length) throw new BadFrame('a short list of cancellations');
+    const id = payload.toString('ascii', at + 1, at + 1 + length);
+    if (!isJobId(id)) throw new BadFrame('a list of cancellations with a bad name');
+    told.push({ id, age: ms(payload.readUInt32BE(at + 1 + length)) });
+    at += 5 + length;
+  }
+  return {
+    upFor: ms(payload.readUInt32BE(0)),
+    leading: epoch === 0 ? null : (epoch as Epoch),
+    told,
+  };
+}
+
 export type CallVerb = 'show' | 'commands';
 
 /** u8 verb, u16 deadline in ms, u8 address length, address, JSON body. */
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -14,6 +14,7 @@
   FrameReader,
   Kind,
   type Ping,
+  SPEAKS,
 } from './frames.js';
 
 const PING_MS = 500;
@@ -61,6 +62,8 @@
     private readonly log: Log,
     private readonly myPing: () => Ping,
     private readonly onPing: (ping: Ping) => void,
+    /** The other side has shown that it understands `SPEAKS`: on this connection for the first time. */
+    private readonly onSpeaks: (link: PeerLink) => void = () => {},
   ) {}
 
   start(): void {
@@ -104,8 +107,10 @@
   private take(frame: Frame): void {
     this.lastHeard = this.clock.now();
     if (frame.kind === Kind.Ping) {
+      const before = this.ping?.speaks ?? 0;
       this.ping = decodePing(frame.payload);
       this.onPing(this.ping);
+      if (before < SPEAKS && this.speaks) this.onSpeaks(this);
     } else if (frame.kind === Kind.Answer) {
       const done = this.waiting.get(frame.request);
       this.waiting.delete(frame.request);
@@ -119,6 +124,11 @@
     return true;
   }
 
+  /** The other side knows the kinds that came with `SPEAKS`. */
+  get speaks(): boolean {
+    return this.alive && (this.ping?.speaks ?? 0) >= SPEAKS;
+  }
+
   /** Heard within the last moments. */
   get alive(): boolean {
     return this.open && this.ping !== null;
@@ -145,8 +155,8 @@
   }
 }
 
-const ASKED = new Set([Kind.Beat, Kind.PassOn, Kind.Passed, Kind.User, Kind.Call]);
-export type Asked = Kind.Beat | Kind.PassOn | Kind.Passed | Kind.User | Kind.Call;
+const ASKED = new Set([Kind.Beat, Kind.PassOn, Kind.Passed, Kind.User, Kind.Call, Kind.Cancelled]);
+export type Asked = Kind.Beat | Kind.PassOn | Kind.Passed | Kind.User | Kind.Call | Kind.Cancelled;
 
 export interface PeerHandler {
   ping(): Ping;
@@ -183,7 +193,8 @@
     } else if (kind === Kind.Progress) this.handler.progress(frame.payload);
     else if (ASKED.has(kind)) {
       void this.handler.ask(kind as Asked, frame.payload, peer.member).then((answer) => {
-        if (!socket.writable) return;
+        // What is only told (request 0) needs no answer.
+        if (request === 0 || !socket.writable) return;
         writeFrame(socket, encodeFrame(Kind.Answer, request, encodeAnswer(answer.status, answer.body)));
       });
     }
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -55,7 +55,7 @@
       this.waiting.add(host);
       return;
     }
-    const orders = ordersFor(host, this.ctx.clock.now()).slice(0, MOST_ORDERS);
+    const orders = ordersFor(host, this.ctx.clock.now(), this.ctx.sure()).slice(0, MOST_ORDERS);
     if (orders.length > 0) void this.send(host, orders);
   }
 
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -1,5 +1,5 @@
-import type { Token } from '../model/ids.js';
-import type { Order } from '../model/report.js';
+import { type Epoch, type JobId, splitTaskId, type Token } from '../model/ids.js';
+import type { Order, Report } from '../model/report.js';
 import type { Steady } from '../model/time.js';
 import type { EndedAttempt, Host } from './host-book.js';
 
@@ -13,8 +13,16 @@
  * given up on. When such a task has to go, `run` and `kill` leave together: the attempt then
  * stands as ended on the host, and a late `run` does nothing.
  */
-export function ordersFor(host: Host, now: Steady): Order[] {
+export function ordersFor(host: Host, now: Steady, sure: boolean): Order[] {
   const orders: Order[] = [];
+  if (!sure) {
+    // A cancelled task is of no use whoever leads; nothing else is ordered without being sure, no start above all.
+    for (const task of host.tasks) {
+      if (task.phase !== 'placed' || task.kill?.why !== 'cancelled' || task.shown === null) continue;
+      orders.push({ verb: 'kill', task: task.id, tryNo: task.tryNo, graceS: 0 });
+    }
+    return orders;
+  }
   for (const stray of host.strays) {
     orders.push({ verb: 'kill', task: stray.task, tryNo: stray.tryNo, graceS: 0 });
   }
@@ -34,6 +42,29 @@
   return orders;
 }
 
+/** Kills for what a report shows of cancelled jobs, whoever started it. */
+export function killsOf(report: Report, cancelled: (id: JobId) => boolean): Order[] {
+  const orders: Order[] = [];
+  for (const { task, tryNo, state } of report.attempts) {
+    const id = state === 'exited' ? null : splitTaskId(task);
+    if (id && cancelled(id.job)) orders.push({ verb: 'kill', task, tryNo, graceS: 0 });
+  }
+  return orders;
+}
+
+/**
+ * Whether a start of a cancelled task may still be on its way to the host. Who is not sure orders no
+ * tombstone; a higher token, which the worker takes over with the answer, makes it refuse such a start.
+ */
+export function mustForget(host: Host, epoch: Epoch): boolean {
+  const token = host.token(epoch);
+  for (const { phase, kill, shown, sentToken } of host.tasks) {
+    if (phase !== 'placed' || kill?.why !== 'cancelled' || shown !== null) continue;
+    if (sentToken !== null && sentToken >= token) return true;
+  }
+  return false;
+}
+
 /** Ended attempts whose outcome is durable: the worker need not keep them. */
 function settled(host: Host): EndedAttempt[] {
   return [...host.ended.values()].filter(({ chunk, version }) => !chunk || chunk.durable >= version);
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -1,7 +1,8 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { UserService } from '../../src/api/users.js';
-import type { NodeContext, WorkerCaller } from '../../src/cluster/context.js';
+import { Cancellations } from '../../src/cluster/cancellations.js';
+import type { NodeContext, Siblings, WorkerCaller } from '../../src/cluster/context.js';
 import { Seat } from '../../src/cluster/seat.js';
 import { defaultOperators } from '../../src/config/operators.js';
 import { silentLog } from '../../src/log/logger.js';
@@ -21,7 +22,8 @@
 import { splitTaskId } from '../../src/model/ids.js';
 import type { Machine, MachineType } from '../../src/model/machine.js';
 import type { Order, Report } from '../../src/model/report.js';
-import { seconds } from '../../src/model/time.js';
+import { seconds, type Steady, since } from '../../src/model/time.js';
+import type { CancellationsWord } from '../../src/peer/frames.js';
 import { NoAnswer } from '../../src/net/http-client.js';
 import { readSettings, type Settings } from '../../src/wire/settings.js';
 import { ProcessClock, VirtualClock } from './clock.js';
@@ -61,6 +63,9 @@
 ];
 
 const LEASE_S = 20;
+const CANCEL_S = 40;
+/** One way between two controllers. */
+const PEER_MS = 3;
 
 interface Size {
   /** CPUs that each team may use. */
@@ -84,7 +89,7 @@
         { name: 'blue', cpus: 8, cpus_max: size.limit.blue },
       ],
       objectives: [{ kind: 'finished', class: 'batch', within_s: 60 }],
-      workers: { report_s: size.reportS, lease_s: LEASE_S, cancel_s: 40 },
+      workers: { report_s: size.reportS, lease_s: LEASE_S, cancel_s: CANCEL_S },
       state: { rps: 200, write_rps: 60, value_kb: 16, txn_ops: 16 },
       cloud: { rps: 4, list_lag_s: 4 },
     },
@@ -95,6 +100,8 @@
   readonly clock: ProcessClock;
   readonly seat: Seat;
   readonly users: UserService;
+  readonly cancellations: Cancellations;
+  readonly startedAt: Steady;
 }
 
 /** A whole site on a virtual clock: three nodes, state service, cloud, workers, users, rule checker. */
@@ -117,6 +124,8 @@
   readonly oneWay = new Set<HostId>();
   /** Nodes that reach no other controller. */
   readonly alone = new Set<string>();
+  /** Nodes of a version that knows nothing of cancellations told between controllers. */
+  readonly old = new Set<string>();
   private repeating: number | null = null;
   private readonly heldOrders: { pair: string; run: () => void }[] = [];
 
@@ -153,6 +162,7 @@
 
   start(name: string): void {
     const clock = new ProcessClock(this.clock);
+    const cancellations = new Cancellations(clock, seconds(CANCEL_S));
     const ctx: NodeContext = {
       member: name as MemberId,
       clock,
@@ -165,21 +175,64 @@
       random: this.random,
       types: new Map(TYPES.map((t) => [t.id, t])),
       workerCalls: 64,
+      cancellations,
+      siblings: this.siblingsOf(name, clock),
     };
     const seat = new Seat(ctx, () => Promise.resolve());
     this.running.set(name, {
       clock,
       seat,
+      cancellations,
+      startedAt: clock.now(),
       users: new UserService(
         ctx,
         () => null,
         () => this.running.size,
       ),
     });
+    cancellations.onLearned((ids) => {
+      seat.leader?.cancelled(ids);
+      const told = cancellations.list(ids);
+      for (const other of this.nodes) {
+        if (other === name || !this.hears(name, other)) continue;
+        this.clock.after(PEER_MS, () => {
+          const to = this.running.get(other);
+          to?.clock.whenRunning(() => to.cancellations.learn(told));
+        });
+      }
+    });
     this.trace(`${name}     starts`);
     seat.run();
   }
 
+  /** Whether cancellations pass between two controllers: both know of them and nothing cuts them off. */
+  private hears(a: string, b: string): boolean {
+    return ![a, b].some((name) => this.alone.has(name) || this.old.has(name) || !this.running.has(name));
+  }
+
+  private siblingsOf(name: string, clock: ProcessClock): Siblings {
+    const ask = (other: string, deadlineMs: number): Promise<CancellationsWord | null> =>
+      new Promise((resolve) => {
+        clock.after(deadlineMs, () => resolve(null));
+        if (!this.hears(name, other)) return;
+        this.clock.after(PEER_MS, () => {
+          const to = this.running.get(other);
+          to?.clock.whenRunning(() => {
+            const word: CancellationsWord = {
+              upFor: since(this.clock.now(), to.startedAt),
+              leading: to.seat.leader?.epoch ?? null,
+              told: to.cancellations.list(),
+            };
+            clock.after(PEER_MS, () => resolve(word));
+          });
+        });
+      });
+    return {
+      cancellations: (deadlineMs) =>
+        Promise.all(this.nodes.filter((n) => n !== name).map((other) => ask(other, deadlineMs))),
+    };
+  }
+
   startAll(): void {
     for (const name of this.nodes) this.start(name);
   }
@@ -472,7 +525,7 @@
     const state = (answer.body as { status?: string }).status ?? String(answer.status);
     if (answer.status === 200) {
       this.rules.told(ref as JobId, state);
-      if (state === 'cancelled') this.rules.cancelled(ref as JobId, this.clock.now() + 40_000);
+      if (state === 'cancelled') this.rules.cancelled(ref as JobId, this.clock.now() + CANCEL_S * 1000);
     }
     return state;
   }
--- /dev/null
+++ b/test/traces/gap.test.ts
@@ -0,0 +1,168 @@
+import { describe, expect, it } from 'vitest';
+import type { Site } from '../standins/site.js';
+import { begun, until } from './steps.js';
+import { expectTrace } from './trace.js';
+
+/** Longer than a cancellation has (40 s on the stand-ins), and than a lease (20 s). */
+const OUTAGE_S = 60;
+
+interface Gap {
+  readonly site: Site;
+  readonly old: string;
+  readonly other: string;
+}
+
+/** A service on a machine of its own and a long array; both run. */
+async function running(): Promise<Gap> {
+  const site = await begun();
+  await site.submit({ ref: 'j-000001', kind: 'service', team: 'blue' });
+  await site.submit({ ref: 'j-000002', tasks: 3, runS: 200 });
+  await until(site, () => site.tasksOn('j-000001') === 1 && site.tasksOn('j-000002') === 3);
+  const old = site.leader as string;
+  const other = site.nodes.find((n) => n !== old) as string;
+  return { site, old, other };
+}
+
+/** State refuses the leader alone, another controller confirms a cancellation, then state is out for all. */
+async function cancelInGap({ site, old, other }: Gap): Promise<void> {
+  site.state.refused.add(old);
+  site.trace(`state      refuses ${old}`);
+  await site.run(1);
+  expect(await site.cancel('j-000002', other)).toBe('cancelled');
+  await site.run(0.5);
+  site.state.outage = true;
+  site.trace('state      is out');
+}
+
+async function outageEnds({ site, old }: Gap): Promise<void> {
+  site.state.outage = false;
+  site.state.refused.delete(old);
+  site.trace('state      is back');
+  await site.run(30);
+}
+
+describe('state refuses the leader alone, a cancellation is confirmed elsewhere, and state is out for all', () => {
+  it('the leader is told by the confirming controller and kills, unsure as it is; the rest goes on', async () => {
+    const gap = await running();
+    const { site, other } = gap;
+    await cancelInGap(gap);
+    await site.run(4);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    expect(site.leads(gap.old)).toBe(true);
+    await site.run(OUTAGE_S - 4);
+    // The others say that they confirmed nothing else: leases live through the outage.
+    expect(site.tasksOn('j-000001')).toBe(1);
+    await outageEnds(gap);
+    expect(await site.query('j-000002', other)).toBe('cancelled');
+    await expectTrace('gap', site);
+  });
+
+  it('a leader that is cut from the others as well stops answering: leases end within the limit', async () => {
+    const gap = await running();
+    const { site, old } = gap;
+    site.alone.add(old);
+    await cancelInGap(gap);
+    await site.run(39);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    await site.run(OUTAGE_S - 39);
+    site.alone.delete(old);
+    await outageEnds(gap);
+    await expectTrace('gap-alone', site);
+  });
+
+  it('beside controllers of an older version, which tell nothing, time does it', async () => {
+    const gap = await running();
+    const { site, old } = gap;
+    for (const name of site.nodes) if (name !== old) site.old.add(name);
+    await cancelInGap(gap);
+    await site.run(39);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    await site.run(OUTAGE_S - 39);
+    await outageEnds(gap);
+    await expectTrace('gap-old-siblings', site);
+  });
+
+  it('one of the others started again meanwhile: what it may have confirmed is not known, and time does it', async () => {
+    const gap = await running();
+    const { site, old, other } = gap;
+    const third = site.nodes.find((n) => n !== old && n !== other) as string;
+    // What the confirming controller tells is lost, and so is its memory.
+    site.alone.add(other);
+    await cancelInGap(gap);
+    site.crash(other);
+    site.alone.delete(other);
+    site.start(other);
+    await site.run(39);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    await site.run(OUTAGE_S - 39);
+    await outageEnds(gap);
+    expect(await site.query('j-000002', third)).toBe('cancelled');
+    await expectTrace('gap-restarted-sibling', site);
+  });
+
+  it('a machine that hangs with the task is deleted, although nobody is sure to lead', async () => {
+    const gap = await running();
+    const { site } = gap;
+    const host = site.hostOf('j-000002/0');
+    site.worker(host).hang();
+    await cancelInGap(gap);
+    await site.run(35);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    expect(site.workers.has(host)).toBe(false);
+    await site.run(OUTAGE_S - 35);
+    await outageEnds(gap);
+    await expectTrace('gap-hung-machine', site);
+  });
+
+  it('a start that is held up on its way is refused when it arrives: the token was raised', async () => {
+    const gap = await running();
+    const { site, old, other } = gap;
+    const host = site.hostOf('j-000001/0');
+    site.hold(old, host);
+    await site.submit({ ref: 'j-000003', kind: 'service', team: 'blue' }, other);
+    await site.run(0.2);
+    site.state.refused.add(old);
+    expect(await site.cancel('j-000003', other)).toBe('cancelled');
+    site.state.outage = true;
+    site.trace('state      is out');
+    await site.run(10);
+    const before = site.rules.starts;
+    site.release();
+    await site.run(5);
+    expect(site.rules.starts).toBe(before);
+    await outageEnds(gap);
+    await expectTrace('gap-held-start', site);
+  });
+
+  it('a successor that could read nothing yet kills what it was told is cancelled', async () => {
+    const gap = await running();
+    const { site, old, other } = gap;
+    site.state.refused.add(old);
+    await site.run(1);
+    expect(await site.cancel('j-000002', other)).toBe('cancelled');
+    site.crash(old);
+    await until(site, () => site.leader !== undefined, 10);
+    site.state.outage = true;
+    site.trace('state      is out');
+    await site.run(38);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    site.start(old);
+    await site.run(OUTAGE_S - 38);
+    await outageEnds(gap);
+    await expectTrace('gap-successor', site);
+  });
+});
+
+describe('an outage of the state service that all share', () => {
+  it('ends no work while every controller says that it confirmed nothing, however long it lasts', async () => {
+    const gap = await running();
+    const { site } = gap;
+    site.state.outage = true;
+    await site.run(120);
+    expect(site.tasksOn('j-000001')).toBe(1);
+    expect(site.tasksOn('j-000002')).toBe(3);
+    await outageEnds(gap);
+    expect(site.tasksOn('j-000002')).toBe(3);
+    await expectTrace('long-outage', site);
+  });
+});
