Meetings: every two troubles on the stand-ins; a start being committed no longer loses its place on the host

The stand-ins learned late writes, late copies, mute machines, many users at once.

Found at once: when a lease ended while a start on that machine was still being committed (state out), the start was dropped from the host but not from its job; once committed nobody ordered it and nobody proved it gone: the job waited for ever. It showed with "mute" met by "refused, then out", in both orders. Starts that are not committed now keep their place (loseAll).

--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -145,8 +145,10 @@
 export function loseAll(host: Host, now: Steady): Task[] {
   const lost: Task[] = [];
   for (const task of [...host.tasks]) {
-    host.drop(task);
+    // A start that is still being committed keeps its place: dropped here it would, once committed, be
+    // ordered by nobody and proven gone by nobody, and its job would wait for ever.
     if (task.phase !== 'placed') continue;
+    host.drop(task);
     task.job.release(task, now);
     lost.push(task);
   }
--- /dev/null
+++ b/test/standins/day.ts
@@ -0,0 +1,178 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { type JobWish, Site } from './site.js';
+import type { Trouble, Users } from './troubles.js';
+
+interface UserJob {
+  readonly wish: JobWish;
+  state: 'new' | 'accepted' | 'done' | 'cancelled';
+  cancelling: boolean;
+  readonly at: number;
+}
+
+const QUIET_S = 30;
+/** A job may wait 90 s once the troubles are over, and then it runs. */
+const AFTER_S = 170;
+const POLL_MS = 5000;
+const AGAIN_MS = 2000;
+
+/** One day of users on the stand-ins: jobs of every shape, troubles that overlap, and what must hold in the end. */
+export class Day implements Users {
+  readonly site = new Site();
+  cancelAtEnd = false;
+  odd = false;
+  private readonly jobs: UserJob[] = [];
+  private readonly random: () => number;
+  private over = false;
+
+  constructor(seed: number) {
+    const generator = xoroshiro128plus(seed);
+    this.random = () => uniformFloat64(generator);
+  }
+
+  async play(troubles: readonly Trouble[]): Promise<void> {
+    const { site } = this;
+    site.startAll();
+    await site.run(1);
+    for (let i = 0; i < 3; i++) this.submit({ kind: 'service', tasks: 1 + (i % 2), team: 'blue' });
+    this.arrivals();
+    await site.run(QUIET_S);
+    const ends: number[] = [];
+    for (const [i, trouble] of troubles.entries()) {
+      // They overlap: each begins within the one before.
+      site.clock.after(i * 1200, () => {
+        site.trace(`trouble    ${trouble.name}`);
+        const end = trouble.begin(site, this, this.random);
+        site.clock.after(trouble.forS * 1000, () => {
+          site.trace(`over       ${trouble.name}`);
+          end();
+        });
+      });
+      ends.push(i * 1.2 + trouble.forS);
+    }
+    await site.run(Math.max(5, ...ends) + 1);
+    // Whoever is down by then comes back.
+    for (const name of site.nodes) if (!site.isRunning(name)) site.start(name);
+    await site.run(15);
+    this.over = true;
+    await site.run(AFTER_S);
+    this.checkServed();
+    await site.finish();
+  }
+
+  private arrivals(): void {
+    if (this.over) return;
+    this.site.clock.after(1500 + 5000 * this.random(), () => {
+      if (this.over) return;
+      const shape = Math.floor(this.random() * 5);
+      const tasks = 1 + Math.floor(this.random() * 4);
+      this.submit({
+        tasks,
+        team: this.random() < 0.5 ? 'red' : 'blue',
+        spot: this.random() < 0.6,
+        runS: 3 + 25 * this.random(),
+        samePlace: shape === 1,
+        apart: shape === 2,
+        ...(shape === 3 ? { zone: 'north' } : {}),
+        ...(shape === 4 ? { kind: 'service' as const, tasks: 1, spot: false } : {}),
+      });
+      this.arrivals();
+    });
+  }
+
+  private node(): string {
+    const { nodes } = this.site;
+    const up = nodes.filter((n) => this.site.isRunning(n));
+    return up[Math.floor(this.random() * up.length)] ?? (nodes[0] as string);
+  }
+
+  private submit(wish: Omit<JobWish, 'ref'>): void {
+    const ref = `j-${String(this.jobs.length + 1).padStart(6, '0')}`;
+    const job: UserJob = {
+      wish: { ref, ...wish },
+      state: 'new',
+      cancelling: false,
+      at: this.site.clock.now(),
+    };
+    this.jobs.push(job);
+    void this.keepSubmitting(job);
+  }
+
+  private async keepSubmitting(job: UserJob): Promise<void> {
+    const status = await this.site.post(job.wish, this.node());
+    if (status === 200 || status === 201) {
+      job.state = 'accepted';
+      this.keepAsking(job);
+      // Replicas are called off sooner or later.
+      if (job.wish.kind === 'service' && this.random() < 0.4) {
+        this.site.clock.after(10_000 + 60_000 * this.random(), () => void this.cancel(job));
+      }
+    } else if (this.site.clock.now() - job.at < 60_000) {
+      this.site.clock.after(AGAIN_MS, () => void this.keepSubmitting(job));
+    }
+  }
+
+  private keepAsking(job: UserJob): void {
+    this.site.clock.after(POLL_MS * (0.9 + 0.2 * this.random()), () => {
+      if (job.state !== 'accepted') return;
+      void this.site.poll(job.wish.ref, this.node()).then((state) => {
+        if (state === 'done' || state === 'cancelled') job.state = state;
+      });
+      this.keepAsking(job);
+      const lasted = this.site.clock.now() - job.at;
+      const runMs = (job.wish.runS ?? 0) * 1000;
+      if (this.cancelAtEnd && job.wish.kind !== 'service' && lasted > runMs && this.random() < 0.4)
+        void this.cancel(job);
+      if (this.odd) this.askOddly(job);
+    });
+  }
+
+  private askOddly(job: UserJob): void {
+    void this.site.post(job.wish, this.node());
+    const ended = this.jobs.find((j) => j.state === 'done');
+    if (ended) {
+      void this.site.postCancel(ended.wish.ref, this.node());
+      void this.site.post(ended.wish, this.node());
+    }
+    void this.site.refused({ ...job.wish, ref: `j-8${job.wish.ref.slice(2)}`, cpus: 9 }, this.node());
+    void this.site.refused({ ...job.wish, ref: `j-9${job.wish.ref.slice(2)}` }, this.node(), 'memoryGb');
+    void this.site.poll(`j-7${job.wish.ref.slice(2)}`, this.node());
+  }
+
+  private async cancel(job: UserJob): Promise<void> {
+    job.cancelling = true;
+    const state = await this.site.postCancel(job.wish.ref, this.node());
+    if (state === 'cancelled' || state === 'done') job.state = state;
+    else this.site.clock.after(AGAIN_MS, () => void this.cancel(job));
+  }
+
+  cancelSome(count: number): void {
+    const { site } = this;
+    const running = this.jobs.filter(
+      (j) => j.state === 'accepted' && !j.cancelling && site.tasksOn(j.wish.ref) > 0,
+    );
+    for (const job of running.slice(-count)) void this.cancel(job);
+  }
+
+  /** Long after the troubles nothing waits: arrays are done, replicas run, cancelled jobs have no task. */
+  private checkServed(): void {
+    const { site } = this;
+    for (const { wish, state } of this.jobs) {
+      if (state === 'new' || state === 'done') continue;
+      const on = site.tasksOn(wish.ref);
+      if (state === 'cancelled' && on > 0) site.rules.breach(`ran_cancelled: ${wish.ref} at the end`);
+      if (state === 'accepted' && wish.kind !== 'service')
+        site.rules.breach(`waits: ${wish.ref} is not done, ${on} of ${wish.tasks ?? 1} run`);
+      if (state === 'accepted' && wish.kind === 'service' && on < (wish.tasks ?? 1))
+        site.rules.breach(`waits: ${wish.ref}, ${on} of ${wish.tasks ?? 1} replicas run`);
+    }
+  }
+
+  get accepted(): number {
+    return this.jobs.filter((j) => j.state !== 'new').length;
+  }
+
+  get submitted(): number {
+    return this.jobs.length;
+  }
+}
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -122,6 +122,10 @@
   readonly holding = new Set<string>();
   /** Their reports arrive; no answer and no command reaches them. */
   readonly oneWay = new Set<HostId>();
+  /** They reach no controller; commands sent straight reach them. */
+  readonly mute = new Set<HostId>();
+  /** Of this share of the reports a copy arrives again, 2 to 40 s later, at whoever leads then. */
+  copyShare = 0;
   /** Nodes that reach no other controller. */
   readonly alone = new Set<string>();
   /** Nodes of a version that knows nothing of cancellations told between controllers. */
@@ -137,6 +141,7 @@
     this.nodes = Array.from({ length: size.nodes }, (_, n) => `node-${n}`);
     const generator = xoroshiro128plus(7);
     this.random = () => uniformFloat64(generator);
+    this.state.random = this.random;
     this.cloud = new StandInCloud(
       this.clock,
       TYPES,
@@ -338,11 +343,15 @@
     const report = this.worker(id).copy();
     this.clock.after(s * 1000, () => {
       this.trace(`network    delivers a copy of what ${id} said ${s} s ago`);
-      const name = this.leader;
-      if (name) void this.running.get(name)?.seat.beat(report, name as MemberId);
+      this.deliverCopy(report);
     });
   }
 
+  private deliverCopy(report: Report): void {
+    const name = this.leader;
+    if (name) void this.running.get(name)?.seat.beat(report, name as MemberId);
+  }
+
   /** From now on the network delivers every command to a worker once more, so many seconds later. */
   repeatCommands(s: number): void {
     this.repeating = s;
@@ -405,8 +414,12 @@
   }
 
   beat(worker: StandInWorker, node: string, report: Report): Promise<BeatAnswer | null> {
+    if (this.copyShare > 0 && this.random() < this.copyShare) {
+      this.clock.after(2000 + 38_000 * this.random(), () => this.deliverCopy(report));
+    }
     return new Promise((resolve) => {
       this.clock.after(4000, () => resolve(null));
+      if (this.mute.has(worker.machine.id)) return;
       const cut = (name: string): boolean => this.cuts.has(`${name} ${worker.machine.id}`);
       if (cut(node) || !this.running.has(node)) {
         if (!cut(node)) this.clock.after(2, () => resolve(null));
@@ -468,19 +481,83 @@
     return this.submitted(wish, answer?.status ?? 503);
   }
 
+  /** A submission that must never be accepted: one that fits no machine, or lacks a field. */
+  async refused(wish: JobWish, node: string, lacks?: string): Promise<void> {
+    const body: Record<string, unknown> = { ...this.bodyOf(wish) };
+    if (lacks !== undefined) delete body[lacks];
+    const answer = await this.running
+      .get(node)
+      ?.users.submit(body)
+      .catch(() => null);
+    const expected = lacks === undefined ? 422 : 400;
+    if (answer && answer.status !== expected && answer.status !== 503) {
+      this.rules.breach(`accepted: ${wish.ref} got ${answer.status} instead of ${expected}`);
+    }
+  }
+
   private submitted(wish: JobWish, status: number): number {
     if (status === 201 || status === 200) this.rules.accepted(wish.ref as JobId);
     return status;
   }
 
+  /** A question of one of many users; null: no answer. Time moves on without it. */
+  async poll(ref: string, node: string): Promise<string | null> {
+    const answer = await this.running
+      .get(node)
+      ?.users.query(ref)
+      .catch(() => null);
+    if (!answer || (answer.status !== 200 && answer.status !== 404)) return null;
+    return this.heard(ref, answer);
+  }
+
+  /** The same for a cancellation. */
+  async postCancel(ref: string, node: string): Promise<string | null> {
+    const answer = await this.running
+      .get(node)
+      ?.users.cancel(ref)
+      .catch(() => null);
+    if (answer?.status !== 200) return null;
+    return this.heardOfCancel(ref, answer);
+  }
+
+  private heard(ref: string, answer: { status: number; body: object }): string {
+    const state = answer.status === 404 ? '404' : (answer.body as { status: string }).status;
+    this.rules.told(ref as JobId, state);
+    return state;
+  }
+
+  private heardOfCancel(ref: string, answer: { status: number; body: object }): string {
+    const state = this.heard(ref, answer);
+    if (state === 'cancelled') this.rules.cancelled(ref as JobId, this.clock.now() + CANCEL_S * 1000);
+    return state;
+  }
+
+  isRunning(node: string): boolean {
+    return this.running.has(node);
+  }
+
   get accepted(): number {
     return [...this.rules.acceptedJobs()].length;
   }
 
   /** The job as the user submits it; from now on the checker knows it. */
   private describe(wish: JobWish, node: string): Parameters<RuleChecker['submitted']>[1] {
+    const body = this.bodyOf(wish);
+    const id = wish.ref as JobId;
+    this.jobs.set(id, {
+      image: 'img-1' as ImageId,
+      fetchMs: 1000,
+      runMs: body.shape === 'array' ? (wish.runS ?? 5) * 1000 : null,
+      broken: wish.broken ?? false,
+    });
+    const team = settingsOf(node, this.size).teams.find((t) => t.id === (body.owner as TeamId));
+    this.rules.submitted(id, body, team?.cpusMax ?? null);
+    return body;
+  }
+
+  private bodyOf(wish: JobWish) {
     const kind = wish.kind ?? 'array';
-    const body = {
+    return {
       ref: wish.ref,
       jobclass: kind === 'array' ? 'batch' : 'live',
       owner: wish.team ?? 'red',
@@ -500,34 +577,17 @@
       savepointS: 0,
       flushS: 0,
     };
-    const id = wish.ref as JobId;
-    this.jobs.set(id, {
-      image: 'img-1' as ImageId,
-      fetchMs: 1000,
-      runMs: kind === 'array' ? (wish.runS ?? 5) * 1000 : null,
-      broken: wish.broken ?? false,
-    });
-    const team = settingsOf(node, this.size).teams.find((t) => t.id === (body.owner as TeamId));
-    this.rules.submitted(id, body, team?.cpusMax ?? null);
-    return body;
   }
 
   async query(ref: string, node = 'node-0'): Promise<string> {
     const answer = await this.ask(node, `asks for ${ref}`, (users) => users.query(ref));
-    const state = (answer.body as { status?: string }).status ?? String(answer.status);
-    if (answer.status === 200) this.rules.told(ref as JobId, state);
-    if (answer.status === 404) this.rules.told(ref as JobId, '404');
-    return state;
+    if (answer.status === 200 || answer.status === 404) return this.heard(ref, answer);
+    return String(answer.status);
   }
 
   async cancel(ref: string, node = 'node-0'): Promise<string> {
     const answer = await this.ask(node, `cancels ${ref}`, (users) => users.cancel(ref));
-    const state = (answer.body as { status?: string }).status ?? String(answer.status);
-    if (answer.status === 200) {
-      this.rules.told(ref as JobId, state);
-      if (state === 'cancelled') this.rules.cancelled(ref as JobId, this.clock.now() + CANCEL_S * 1000);
-    }
-    return state;
+    return answer.status === 200 ? this.heardOfCancel(ref, answer) : String(answer.status);
   }
 
   private async ask(
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -45,6 +45,10 @@
   repeatAfter: number | null = null;
   /** Nodes that are refused while the others are served. */
   readonly refused = new Set<string>();
+  /** Of this share of commits none is answered, and each is carried out 2 to 12 s later, after newer ones. */
+  lateShare = 0;
+  /** Between 0 and 1. */
+  random: () => number = () => 0;
   /** The next commit of such a node brings no answer and is applied after this many ms. */
   readonly delayCommit = new Map<string, number>();
 
@@ -131,7 +135,8 @@
           this.malformed.push(error);
           return Promise.reject(new StateRefused(`state: commit refused ${error}`));
         }
-        const delay = this.delayCommit.get(node);
+        const late = writes.length > 0 && this.lateShare > 0 && this.random() < this.lateShare;
+        const delay = late ? 2000 + 10_000 * this.random() : this.delayCommit.get(node);
         if (delay === undefined)
           return ask(() => {
             if (this.repeatAfter !== null)
