--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -1,5 +1,5 @@
 import type { JobId, Stamp } from '../model/ids.js';
-import type { JobRecord } from '../model/job.js';
+import type { FinalState, JobKind, JobRecord } from '../model/job.js';
 import { type Clock, sleep } from '../model/time.js';
 import { type Committed, StateRefused, type StateStore } from '../store/client.js';
 import { decodeJob, keys } from '../store/records.js';
@@ -8,6 +8,10 @@
 export interface Known {
   readonly stamp: Stamp;
   readonly tasks: number;
+  readonly kind: JobKind;
+  readonly dependencies: readonly JobId[];
+  /** Further records hold its dependencies. */
+  readonly dependencyRecords: number;
 }
 
 const KEPT_ENDED = 4000;
@@ -34,26 +38,33 @@
  */
 export class JobCache {
   private readonly open = new Recent<JobId, Known>(KEPT_OPEN);
-  private readonly ended = new Recent<JobId, object>(KEPT_ENDED);
+  private readonly ended = new Recent<JobId, { readonly state: FinalState; readonly body: object }>(
+    KEPT_ENDED,
+  );
 
   known(id: JobId): Known | undefined {
     return this.open.get(id);
   }
 
   final(id: JobId): object | undefined {
-    return this.ended.get(id);
+    return this.ended.get(id)?.body;
+  }
+
+  finalState(id: JobId): FinalState | undefined {
+    return this.ended.get(id)?.state;
   }
 
   learn(id: JobId, record: JobRecord, stamp: Stamp, body: object): void {
     if (record.state === 'accepted') {
       const before = this.open.get(id);
       if (!this.ended.has(id) && (!before || before.stamp < stamp)) {
-        this.open.set(id, { stamp, tasks: record.spec.tasks });
+        const { tasks, kind, dependencies, dependencyRecords } = record.spec;
+        this.open.set(id, { stamp, tasks, kind, dependencies, dependencyRecords });
       }
       return;
     }
     this.open.delete(id);
-    this.ended.set(id, body);
+    this.ended.set(id, { state: record.state, body });
   }
 
   /** Changes seen by a watch of the jobs' records. */
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -6,11 +6,12 @@
 import type { JobRecord, JobSpec } from '../model/job.js';
 import { fits } from '../model/job.js';
 import { ms, since, sleep } from '../model/time.js';
-import type { Change } from '../wire/state.js';
+import type { Change, Condition } from '../wire/state.js';
 import { Budget } from '../net/budget.js';
 import { teamRoom } from '../scheduler/place.js';
 import { StateRefused, StateUnknown } from '../store/client.js';
 import { decodeJob, encodeJob, keys } from '../store/records.js';
+import { type Acceptable, Dependencies } from './dependencies.js';
 import { Confirmations, JobCache } from './job-cache.js';
 import { accepted, jobStatus, parseSubmission, type Progress } from '../wire/users.js';
 
@@ -67,6 +68,7 @@
   private readonly confirmations: Confirmations;
   private readonly firstQuestions: Budget;
   private readonly writes: Budget;
+  private readonly dependencies: Dependencies;
 
   constructor(
     private readonly ctx: NodeContext,
@@ -74,12 +76,17 @@
     /** Controllers that draw on the state service's limits, this one included. */
     private readonly sharers: () => number = () => 1,
   ) {
-    const { clock, settings, store } = ctx;
-    this.confirmations = new Confirmations(clock, store, settings.txnOps * 4, TOGETHER_MS);
-    const rate = (settings.stateRps * FIRST_QUESTIONS) / (settings.siblings.length + 1);
-    this.firstQuestions = new Budget(clock, rate, rate);
-    const writes = settings.stateWriteRps * USERS_WRITES;
-    this.writes = new Budget(clock, writes, writes * USERS_BURST_S);
+    const { clock, settings, store, limits } = ctx;
+    this.confirmations = new Confirmations(clock, store, limits.txnOps * 4, TOGETHER_MS);
+    this.firstQuestions = new Budget(clock, 1, 1);
+    this.writes = new Budget(clock, 1, 1);
+    limits.whenRated(() => {
+      const rate = (limits.rps * FIRST_QUESTIONS) / (settings.siblings.length + 1);
+      this.firstQuestions.setRate(rate, rate);
+      const writes = limits.writeRps * USERS_WRITES;
+      this.writes.setRate(writes, writes * USERS_BURST_S);
+    });
+    this.dependencies = new Dependencies(ctx, this.cache, this.confirmations, (id) => this.lookAt(id));
   }
 
   /** Sees every job's record change, so that most questions need only a confirmation. */
@@ -111,7 +118,9 @@
   async submit(body: unknown): Promise<UserAnswer> {
     const ref = (body as { ref?: unknown } | null | undefined)?.ref;
     const parsed = parseSubmission(body);
-    const refusal = parsed.ok ? this.neverRuns(parsed.value) : { status: 400, body: { error: parsed.error } };
+    const refusal = parsed.ok
+      ? (this.neverRuns(parsed.value) ?? (await this.neverReady(parsed.value)))
+      : { status: 400, body: { error: parsed.error } };
     if (refusal) {
       // A known job is answered from its record, whatever the repeat says.
       if (refusal.status !== 503 && typeof ref === 'string' && isJobId(ref)) {
@@ -121,7 +130,7 @@
       return refusal;
     }
     if (!parsed.ok) return unavailable('not decided');
-    return this.accept(parsed.value);
+    return this.accept(await this.dependencies.left(parsed.value));
   }
 
   private neverRuns(spec: JobSpec): UserAnswer | null {
@@ -141,26 +150,40 @@
     return null;
   }
 
-  private async accept(spec: JobSpec): Promise<UserAnswer> {
+  /** Why a job that names others can't be taken; null: it can, or names none. */
+  private async neverReady(spec: JobSpec): Promise<UserAnswer | null> {
+    if (spec.dependencies.length === 0) return null;
+    // An acceptance whose dependencies a leader of an earlier version would ignore.
+    if (!this.ctx.dependenciesKnown()) return unavailable('awaits is not served yet', 5);
+    const error = await this.dependencies.fault(spec);
+    return error === null ? null : { status: 422, body: { error } };
+  }
+
+  private async accept({ spec, state, records }: Acceptable): Promise<UserAnswer> {
     const { id } = spec;
     const ended = this.cache.final(id);
     if (ended) return { status: 200, body: ended };
-    const value = encodeJob({ spec, state: 'accepted', acceptedAt: this.ctx.clock.wall() });
+    const value = encodeJob({ spec, state, acceptedAt: this.ctx.clock.wall() });
+    const unknown: Condition[] = [{ key: keys.job(id), stamp: NO_STAMP }];
     for (let tries = 1; ; tries++) {
       // Every node takes its share of what all may write: this one's acceptances cost as many times more.
-      if (!this.writes.take(ACCEPT_WRITES * this.sharers())) throw new Busy();
+      if (!this.writes.take((ACCEPT_WRITES + records.length) * this.sharers())) throw new Busy();
       try {
-        const result = await this.ctx.store.commit(
-          [{ key: keys.job(id), stamp: NO_STAMP }],
-          [
-            { set: keys.job(id), value },
-            { set: keys.openHead(id), value },
-          ],
-        );
+        // What has no room in the record stands before the job is accepted.
+        for (const record of records) {
+          const result = await this.ctx.store.commit(unknown, [record]);
+          if (!result.ok) break;
+        }
+        const result = await this.ctx.store.commit(unknown, [
+          { set: keys.job(id), value },
+          // A job that is cancelled with one that it needs is nobody's to run.
+          ...(state === 'accepted' ? [{ set: keys.openHead(id), value }] : []),
+        ]);
         if (result.ok) return { status: 201, body: accepted(id) };
         const found = await this.find(id);
         if (found) return this.known(id, found);
       } catch (error) {
+        this.ctx.limits.failed(error);
         // The same transaction is tried again: at most one of the two is carried out.
         if (!worthAgain(error) || tries >= TRIES) throw error;
         await sleep(this.ctx.clock, 60 * tries + this.ctx.random() * 60);
@@ -205,12 +228,35 @@
     if (ended) return { status: 200, body: ended };
     const known = this.cache.known(id);
     if (known && (await this.confirmations.same(keys.job(id), known.stamp))) {
+      if (await this.dependencies.anyCancelled(id)) return this.cancelWithNeeded(id);
       const progress = this.progressOf(id) ?? { done: 0, running: 0 };
       return { status: 200, body: jobStatus(id, 'accepted', known.tasks, progress) };
     }
     if (!known && !this.firstQuestions.take()) return unavailable('asked too often', 2);
     const found = await this.find(id);
-    return found ? this.known(id, found) : { status: 404, body: { error: 'no such job' } };
+    if (!found) return { status: 404, body: { error: 'no such job' } };
+    const answer = this.known(id, found);
+    if (found.record.state === 'accepted' && (await this.dependencies.anyCancelled(id)))
+      return this.cancelWithNeeded(id);
+    return answer;
+  }
+
+  /** What this node has seen or now reads of a job; null: it was never accepted. */
+  private async lookAt(id: JobId): Promise<JobRecord | null> {
+    const found = await this.find(id);
+    if (found) this.known(id, found);
+    return found?.record ?? null;
+  }
+
+  /**
+   * A job that it needs was cancelled, and so is this one. Its own record says so before anybody is told:
+   * mostly the leader has written it, but a leader may be away for longer than a cancellation has.
+   */
+  private async cancelWithNeeded(id: JobId): Promise<UserAnswer> {
+    const { status, body } = await this.cancel(id);
+    if (status !== 200) return unavailable('being cancelled');
+    const state = (body as { status: string }).status;
+    return { status, body: { ref: id, status: state, done: 0, running: 0 } };
   }
 
   /** Every other controller hears of it before the user does, the leader among them. */
--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -8,6 +8,7 @@
 import type { Clock, Steady } from '../model/time.js';
 import type { JobBook } from '../scheduler/job-book.js';
 import type { CancellationsWord } from '../peer/frames.js';
+import type { StateLimits } from '../store/limits.js';
 import type { StateStore } from '../store/client.js';
 import type { Settings } from '../wire/settings.js';
 import type { CommandReply } from '../wire/workers.js';
@@ -50,8 +51,11 @@
   readonly types: Map<TypeId, MachineType>;
   /** Direct calls to workers that may be under way at once. */
   readonly workerCalls: number;
+  readonly limits: StateLimits;
   readonly cancellations: Cancellations;
   readonly siblings: Siblings;
+  /** Whether every controller that may act on them knows dependencies between jobs. */
+  readonly dependenciesKnown: () => boolean;
 }
 
 /** What the parts of one leadership share. */
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -2,6 +2,7 @@
 import type { Epoch, GrantId, MemberId, Stamp } from '../model/ids.js';
 import { NO_STAMP } from '../model/ids.js';
 import { atLeast, type Millis, ms, type Steady, plus, since, sleep } from '../model/time.js';
+import { SPEAKS } from '../peer/frames.js';
 import { StateRefused } from '../store/client.js';
 import { epochOf, keys, type LeaderRecord, leaderRecord } from '../store/records.js';
 import type { NodeContext } from './context.js';
@@ -105,7 +106,7 @@
         { key: keys.epoch, stamp: epochRow?.stamp ?? NO_STAMP },
       ],
       [
-        { set: keys.leader, value: { member, epoch }, grant },
+        { set: keys.leader, value: { member, epoch, speaks: SPEAKS }, grant },
         { set: keys.epoch, value: { n: epoch } },
       ],
     );
@@ -117,7 +118,7 @@
     this.grant = grant;
     this.sureUntil = plus(sentAt, atLeast(this.ttl));
     this.leading = { epoch, epochStamp: result.stamp };
-    this.leader = { member: member as MemberId, epoch };
+    this.leader = { member: member as MemberId, epoch, speaks: SPEAKS };
     this.onWon(this.leading);
   }
 
--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -24,6 +24,8 @@
 }
 
 const PER_RECORD = 120;
+/** What one machine takes in its record, with the longest names seen and room for longer ones. */
+const MACHINE_BYTES = 100;
 /** All that one transaction may carry is 64 KiB (PROTOCOL). */
 const MAX_BYTES = 48 * 1024;
 /** Changes of this long share one writing: what a record lacks, reports and the list tell. */
@@ -118,7 +120,7 @@
     let bytes = Infinity;
     for (const c of changed) {
       const last = parts[parts.length - 1];
-      if (last && last.length < this.ctx.settings.txnOps && bytes + c.text.length <= MAX_BYTES) {
+      if (last && last.length < this.ctx.limits.txnOps && bytes + c.text.length <= MAX_BYTES) {
         last.push(c);
         bytes += c.text.length;
       } else {
@@ -133,7 +135,9 @@
     const values = new Map<string, unknown>();
     const chunks = this.chunks();
     this.stored = Math.max(this.stored, chunks.length);
-    for (let n = 0; n < this.stored; n++) values.set(keys.fleetChunk(n), { m: chunks[n] ?? [] });
+    // From the last record on: where machines move to smaller records, they stand in their new place before
+    // their old one is written again, and a writing that is cut short loses none.
+    for (let n = this.stored - 1; n >= 0; n--) values.set(keys.fleetChunk(n), { m: chunks[n] ?? [] });
     for (const [key, record] of this.fleet.forecastRecords()) values.set(keys.forecastOf(key), record);
     const changed: Changed[] = [];
     for (const [key, value] of values) {
@@ -170,7 +174,8 @@
   }
 
   private seat(host: Host): void {
-    let n = this.sizes.findIndex((size) => size < PER_RECORD);
+    const most = Math.max(1, Math.min(PER_RECORD, Math.floor(this.ctx.limits.valueBytes / MACHINE_BYTES)));
+    let n = this.sizes.findIndex((size) => size < most);
     if (n < 0) n = this.sizes.push(0) - 1;
     this.sizes[n] = (this.sizes[n] ?? 0) + 1;
     this.chunkOf.set(host.id, n);
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -20,7 +20,8 @@
 import type { Team } from '../model/team.js';
 import { type Cancel, ms, type Steady, plus, since, sleep } from '../model/time.js';
 import { Budget } from '../net/budget.js';
-import { JobBook, OpenJob, type Task } from '../scheduler/job-book.js';
+import { DependencyGraph } from '../scheduler/dependencies.js';
+import { JobBook, type OpenJob, type Task } from '../scheduler/job-book.js';
 import { guaranteedJobs, type JobView, type MachineView, place, type Victim } from '../scheduler/place.js';
 import { Patience } from '../scheduler/patience.js';
 import { isStarving, Urgency } from '../scheduler/urgency.js';
@@ -35,7 +36,7 @@
 import { aloneMs, Answering, type Grant, watchedUpTo } from './answering.js';
 import type { LeaderContext, NodeContext } from './context.js';
 import { FleetRecord } from './fleet-record.js';
-import { loadOpenJobs, restoreFleet } from './takeover.js';
+import { loadOpenJobs, openJob, readDependencies, restoreFleet } from './takeover.js';
 import { jobView, machineView, summaryOf, victims } from './views.js';
 
 export interface Answer {
@@ -71,6 +72,11 @@
   private readonly lock = new Mutex();
   private readonly lifetimes = new Lifetimes();
   private readonly urgency: Urgency;
+  private readonly graph: DependencyGraph;
+  /** Jobs that others need and that we don't know: over, or not seen yet. */
+  private readonly unknown = new Set<JobId>();
+  private lookingUp = false;
+  private chunkTasks = 0;
   private readonly patience = new Patience();
   private readonly record: FleetRecord;
   /** Jobs within their teams' guarantees, for the jobs that there were then. */
@@ -109,8 +115,10 @@
       if (newer > epoch) this.end('another node leads a newer epoch');
     });
     this.urgency = new Urgency(settings.objectives);
+    this.graph = new DependencyGraph(this.jobs.jobs, (job) => this.urgency.takes(this.runMs(job.spec)));
     this.teams = new Map(settings.teams.map((t) => [t.id, t]));
-    const stateBudget = new Budget(clock, settings.stateWriteRps * 0.7, settings.stateWriteRps * 0.7);
+    const stateBudget = new Budget(clock, 1, 1);
+    node.limits.whenRated(() => stateBudget.setRate(node.limits.writeRps * 0.7, node.limits.writeRps * 0.7));
     const cloudBudget = new Budget(clock, settings.cloudRps * 0.8, settings.cloudRps);
     this.fleet = new FleetManager(
       this.ctx,
@@ -122,6 +130,7 @@
       () => {
         this.fleetDirty = true;
       },
+      (within) => this.foreseen(within),
     );
     this.record = new FleetRecord(this.ctx, this.fleet, stateBudget);
     this.committer = new Committer(
@@ -163,6 +172,7 @@
         const fleet = await restoreFleet(this.ctx, this.fleet);
         ledger = loading.ledger;
         for (const job of loading.jobs) this.open(job);
+        this.committer.leave(loading.orphans);
         this.record.found(fleet.records);
         for (const { machine, address, at, up } of fleet.machines) {
           const host = this.fleet.adopt(machine, at, address);
@@ -178,6 +188,7 @@
     }
     if (this.over || ledger === null) return;
     this.ready = true;
+    void this.lookUp();
     this.ctx.log.info(
       { epoch: this.ctx.epoch, jobs: this.jobs.jobs.size, hosts: this.hosts.hosts.size },
       'leadership begun',
@@ -215,6 +226,7 @@
       this.end('no worker is heard');
       return;
     }
+    this.resize(now);
     this.fenceCancelled(now);
     if (this.ctx.sure()) {
       this.health.tick(now);
@@ -244,6 +256,16 @@
     }
   }
 
+  /** Progress keeps to smaller records from the moment on when every controller reads them, or they have to be. */
+  private resize(now: Steady): void {
+    const { limits } = this.ctx;
+    const size = limits.chunkTasks(Infinity);
+    if (size === this.chunkTasks) return;
+    this.chunkTasks = size;
+    for (const job of this.jobs.jobs.values()) job.rechunk(limits.chunkTasks(job.spec.tasks), now);
+    this.committer.poke();
+  }
+
   /** Repeats what has not been carried out yet. */
   private nudge(now: Steady): void {
     for (const host of this.hosts.hosts.values()) {
@@ -268,8 +290,106 @@
 
   private open(job: OpenJob): void {
     if (!this.jobs.add(job)) return;
+    this.depend(job);
     if (this.ctx.cancellations.has(job.spec.id)) this.cancel(job.spec.id);
-    else if (job.tasks.size === 0) this.fleet.demanded(job);
+    // What waits for others is no new demand of this slot; the fleet foresees it (`foreseen`).
+    else if (job.tasks.size === 0 && !job.blocked) this.fleet.demanded(job);
+  }
+
+  // Dependencies
+
+  /** What it has to wait for, and what others that wait for it ask of it. */
+  private depend(job: OpenJob): void {
+    const { id, dependencies, dependencyRecords } = job.spec;
+    // Once begun, all that it needs was done: that is final.
+    if (job.tasks.size === 0) {
+      for (const needed of dependencies) this.needs(job, needed);
+      if (dependencyRecords > 0) {
+        job.unread = true;
+        void this.readRest(id, dependencyRecords);
+      }
+    }
+    this.graph.join(job);
+    void this.lookUp();
+  }
+
+  private needs(job: OpenJob, id: JobId): void {
+    if (this.jobs.endOf(id) === 'done') return;
+    job.waitsFor.add(id);
+    if (!this.jobs.jobs.has(id)) this.unknown.add(id);
+  }
+
+  private async readRest(id: JobId, records: number): Promise<void> {
+    while (!this.over) {
+      try {
+        const rest = await readDependencies(this.ctx, id, records);
+        await this.lock.runExclusive(() => {
+          const job = this.jobs.jobs.get(id);
+          if (!job || job.cancelled) return;
+          for (const needed of rest) this.needs(job, needed);
+          job.unread = false;
+          this.graph.join(job);
+          if (!job.blocked) this.release([job]);
+        });
+        await this.lookUp();
+        return;
+      } catch (error) {
+        this.ctx.log.debug({ job: id, error: reason(error) }, 'dependencies not read yet');
+        await sleep(this.ctx.clock, 300);
+      }
+    }
+  }
+
+  /** Asks the records about jobs that others need and that are over, or were accepted a moment ago. */
+  private async lookUp(): Promise<void> {
+    if (this.lookingUp || !this.ready) return;
+    this.lookingUp = true;
+    while (this.unknown.size > 0 && !this.over) {
+      for (const id of this.unknown) {
+        try {
+          const row = this.jobs.jobs.has(id) ? null : await this.ctx.store.get(keys.job(id));
+          this.unknown.delete(id);
+          await this.lock.runExclusive(() => {
+            // One that is still accepted is known by now, or its watch brings it.
+            const state = row ? decodeJob(id, row.value).state : 'accepted';
+            if (state === 'done') this.release(this.graph.done(id));
+            else if (state === 'cancelled') this.cancel(id);
+          });
+        } catch (error) {
+          this.ctx.log.debug({ job: id, error: reason(error) }, 'dependency not read yet');
+          await sleep(this.ctx.clock, 100 + this.ctx.random() * 100);
+        }
+        if (this.over) break;
+      }
+    }
+    this.lookingUp = false;
+  }
+
+  /** All that they need is done, durably: they may start, and their times count from now. */
+  private release(jobs: readonly OpenJob[]): void {
+    if (jobs.length === 0) return;
+    for (const job of jobs) job.ready(this.ctx.clock.wall());
+    this.jobs.version++;
+    this.poke();
+  }
+
+  /** Work that waits for other jobs and will probably be released within this time. */
+  private foreseen(within: number): OpenJob[] {
+    const now = this.ctx.clock.now();
+    const list: OpenJob[] = [];
+    for (const job of this.jobs.jobs.values()) {
+      if (!job.blocked || job.unread || job.cancelled) continue;
+      let ready = 0;
+      for (const id of job.waitsFor) ready = Math.max(ready, this.endsIn(this.jobs.jobs.get(id), now));
+      if (ready <= within) list.push(job);
+    }
+    return list;
+  }
+
+  /** Until a job will be done; what waits for others or for room itself is not foreseen. */
+  private endsIn(job: OpenJob | undefined, now: Steady): number {
+    if (!job || job.blocked || job.waiting > 0 || job.lastRunAt === null) return Infinity;
+    return Math.max(0, this.runMs(job.spec) - since(now, job.lastRunAt));
   }
 
   /** Every task that may be on a machine holds its place there, known machine or not. */
@@ -322,6 +442,7 @@
     const began = this.ctx.clock.now();
     const loading = await loadOpenJobs(this.ctx);
     for (const job of loading.jobs) this.open(job);
+    this.committer.leave(loading.orphans);
     for (const id of loading.cancelled) this.cancel(id);
     this.answering.knew(began);
     this.poke();
@@ -333,7 +454,7 @@
     const id = key.slice(keys.jobs.length) as JobId;
     const record = decodeJob(id, value);
     if (record.state === 'accepted') {
-      this.open(new OpenJob(record.spec, stamp, record.acceptedAt));
+      this.open(openJob(this.ctx, record, stamp));
       this.poke();
     } else if (record.state === 'cancelled') this.cancel(id);
   }
@@ -345,9 +466,22 @@
 
   private cancel(id: JobId): void {
     this.ctx.cancellations.learn([{ id, age: ms(0) }]);
+    this.unknown.delete(id);
+    const below = this.graph.below(id);
     const job = this.jobs.jobs.get(id);
-    if (!job || job.cancelled) return;
+    // Everything that needs it goes with it: nothing of that can have started.
+    for (const one of below) {
+      if (one.cancelled) continue;
+      one.doomed = true;
+      this.stop(one);
+    }
+    if (job && !job.cancelled) this.stop(job);
+  }
+
+  private stop(job: OpenJob): void {
+    const { id } = job.spec;
     const now = this.ctx.clock.now();
+    this.graph.leave(job);
     // Counted from when it was first heard of here, not from our takeover.
     const at = this.ctx.cancellations.at(id) ?? now;
     job.cancelled = true;
@@ -409,7 +543,7 @@
     const open: OpenJob[] = [];
     const waiting: JobView[] = [];
     for (const job of this.jobs.jobs.values()) {
-      if (job.cancelled || job.complete) continue;
+      if (job.cancelled || job.complete || job.blocked) continue;
       open.push(job);
       if (job.waiting > 0) waiting.push(this.jobView(job, now));
     }
@@ -497,7 +631,7 @@
 
   /** What a machine rented now can still save: the job's next target that its boot leaves reachable. */
   private waitAfterBoot(job: JobView): { slackMs: number | null; patience: number } {
-    const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt) + this.fleet.slowestBoot();
+    const age = Math.max(0, this.ctx.clock.wall() - job.readyAt) + this.fleet.slowestBoot();
     const target = this.urgency.next(job.spec, age, this.runMs(job.spec));
     return {
       slackMs: this.urgency.slack(job.spec, age, this.runMs(job.spec)),
@@ -506,8 +640,8 @@
   }
 
   private jobView(job: OpenJob, now: Steady): JobView {
-    const age = Math.max(0, this.ctx.clock.wall() - job.acceptedAt);
-    const slackMs = this.urgency.slack(job.spec, age, this.runMs(job.spec));
+    const age = Math.max(0, this.ctx.clock.wall() - job.readyAt);
+    const slackMs = this.urgency.slack(job.ranked, age, this.runMs(job.spec));
     return jobView(job, now, slackMs, isStarving(job, age, now));
   }
 
@@ -644,9 +778,9 @@
 
   /** Judged by the first target that renting for the job could have met. */
   private learnPatience(job: OpenJob): void {
-    const target = this.urgency.next(job.spec, this.fleet.slowestBoot(), this.runMs(job.spec));
+    const target = this.urgency.next(job.ranked, this.fleet.slowestBoot(), this.runMs(job.spec));
     if (!target) return;
-    const age = this.ctx.clock.wall() - job.acceptedAt;
+    const age = this.ctx.clock.wall() - job.readyAt;
     this.patience.over(job.spec.jobClass, age > target.ms, target.allowed);
   }
 
@@ -655,7 +789,10 @@
     const now = this.ctx.clock.now();
     const ago = (at: Steady | null): number | null =>
       at === null ? null : Math.round((now - at) / 100) / 10;
-    if (!job.cancelled) this.learnPatience(job);
+    if (!job.cancelled) {
+      this.learnPatience(job);
+      this.release(this.graph.done(id));
+    }
     const ageS = Math.round((this.ctx.clock.wall() - job.acceptedAt) / 100) / 10;
     this.ctx.log.info(
       {
@@ -695,6 +832,7 @@
     try {
       await this.record.save();
     } catch (error) {
+      this.ctx.limits.failed(error);
       this.ctx.log.info({ error: reason(error) }, 'fleet not saved');
       this.fleetDirty = true;
     }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -27,6 +27,7 @@
 import { type Asked, PeerLink, PeerServer } from '../peer/link.js';
 import { type RawCaller, RoutedCaller } from '../peer/routed-caller.js';
 import { StateClient, StateRefused, StateUnknown } from '../store/client.js';
+import { StateLimits } from '../store/limits.js';
 import type { Progress } from '../wire/users.js';
 import type { Settings } from '../wire/settings.js';
 import { parseReport, readCommandReply } from '../wire/workers.js';
@@ -72,6 +73,9 @@
     this.reach = new Reach(clock);
     this.startedAt = clock.now();
     const cancellations = new Cancellations(clock, settings.cancelWithin);
+    const limits = new StateLimits(settings);
+    if (settings.siblings.length === 0) limits.allRead();
+    const speaking = new Set<string>();
     const store = new StateClient(
       new HttpTarget(settings.stateAddress, shares.state),
       new HttpTarget(settings.stateAddress, shares.watches),
@@ -89,8 +93,13 @@
           (ping) => {
             if (ping.leading !== null) this.seat.heardOf(ping.leading);
           },
-          // Whatever it missed while there was no connection.
-          (link) => this.tellCancellations([link]),
+          (link) => {
+            // Whatever it missed while there was no connection.
+            this.tellCancellations([link]);
+            speaking.add(link.member);
+            // Who has once shown that it knows them comes back with no earlier version.
+            if (speaking.size === settings.siblings.length) limits.allRead();
+          },
         ),
     );
     this.links = links;
@@ -112,7 +121,9 @@
       random,
       types: new Map(),
       workerCalls: Math.floor(shares.workers / 4),
+      limits,
       cancellations,
+      dependenciesKnown: () => this.dependenciesKnown(),
       siblings: { cancellations: (deadlineMs) => this.askCancellations(deadlineMs) },
     };
     this.typeBook = new TypeBook(this.ctx);
@@ -171,6 +182,13 @@
     };
   }
 
+  /** No leader of an earlier version, as far as we know, and nobody around who could become one. */
+  private dependenciesKnown(): boolean {
+    const { leader } = this.seat.election;
+    if (leader !== null && leader.speaks < SPEAKS) return false;
+    return this.links.every((l) => !l.alive || l.speaks);
+  }
+
   // Cancellations
 
   private cancellationsWord(which?: readonly JobId[]): CancellationsWord {
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -1,11 +1,12 @@
 import type { FleetManager } from '../fleet/manager.js';
 import type { HostId, JobId, Stamp, TypeId, ZoneId } from '../model/ids.js';
+import type { JobRecord } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import { type Steady, sleep } from '../model/time.js';
 import { OpenJob } from '../scheduler/job-book.js';
 import { StateRefused } from '../store/client.js';
-import { decodeJob, keys, parseOpenKey } from '../store/records.js';
-import type { Condition, Row, Write } from '../wire/state.js';
+import { CHUNK_TASKS, decodeJob, keys, parseOpenKey } from '../store/records.js';
+import type { Condition, Row } from '../wire/state.js';
 import type { LeaderContext } from './context.js';
 import type { StoredMachine } from './fleet-record.js';
 
@@ -36,11 +37,30 @@
   }
 }
 
+/** A job that is not over, as the limits of the state service want its progress kept. */
+export function openJob(ctx: LeaderContext, record: JobRecord, stamp: Stamp): OpenJob {
+  const { spec, acceptedAt } = record;
+  return new OpenJob(spec, stamp, acceptedAt, ctx.limits.chunkTasks(spec.tasks));
+}
+
+/** The dependencies of a job whose record has no room for them. */
+export async function readDependencies(ctx: LeaderContext, id: JobId, records: number): Promise<JobId[]> {
+  const ids: JobId[] = [];
+  for (let n = 0; n < records; n++) {
+    const row = await patiently(ctx, () => ctx.store.get(keys.dependencies(id, n)));
+    if (!row) throw new Error(`dependencies of ${id} cannot be read`);
+    ids.push(...(row.value as JobId[]));
+  }
+  return ids;
+}
+
 /** All unfinished work, and which of it was cancelled meanwhile. */
 export async function loadOpenJobs(
   ctx: LeaderContext,
-): Promise<{ jobs: OpenJob[]; cancelled: JobId[]; ledger: Stamp }> {
+): Promise<{ jobs: OpenJob[]; cancelled: JobId[]; orphans: string[]; ledger: Stamp }> {
   const { rows, ledger } = await readAll(ctx, keys.open);
+  // Whoever split a record knew that no version is left which couldn't read it.
+  if (rows.some((row) => (parseOpenKey(row.key)?.size ?? CHUNK_TASKS) < CHUNK_TASKS)) ctx.limits.allRead();
   const jobs = new Map<JobId, OpenJob>();
   const orphans: string[] = [];
   for (const row of rows) {
@@ -49,25 +69,22 @@
     if (at.chunk === null) {
       const record = decodeJob(at.job, row.value);
       // The head is written once, together with the job's record: their stamps are the same.
-      jobs.set(at.job, new OpenJob(record.spec, row.stamp, record.acceptedAt));
+      jobs.set(at.job, openJob(ctx, record, row.stamp));
     } else {
       const job = jobs.get(at.job);
-      if (job) job.restore(at.chunk, row.value, row.stamp);
+      if (job) job.restore(at.chunk, at.size, row.value, row.stamp);
       else orphans.push(row.key);
     }
   }
   for (const job of jobs.values()) job.settle();
-  for (let i = 0; i < orphans.length; i += ctx.settings.txnOps) {
-    const drops: Write[] = orphans.slice(i, i + ctx.settings.txnOps).map((key) => ({ drop: key }));
-    await ctx.store.commit([{ key: keys.epoch, stamp: ctx.epochStamp }], drops);
-  }
-  return { jobs: [...jobs.values()], cancelled: await findChanged(ctx, [...jobs.values()]), ledger };
+  const all = [...jobs.values()];
+  return { jobs: all, cancelled: await findChanged(ctx, all), orphans, ledger };
 }
 
 /** Jobs whose record has changed since they were accepted: they were cancelled. */
 async function findChanged(ctx: LeaderContext, jobs: OpenJob[]): Promise<JobId[]> {
   const changed: JobId[] = [];
-  const most = ctx.settings.txnOps * 4;
+  const most = ctx.limits.txnOps * 4;
   for (let i = 0; i < jobs.length; i += most) {
     const conditions: Condition[] = jobs
       .slice(i, i + most)
--- a/src/cluster/views.ts
+++ b/src/cluster/views.ts
@@ -19,8 +19,8 @@
     }
   }
   return {
-    spec: job.spec,
-    acceptedAt: job.acceptedAt,
+    spec: job.ranked,
+    readyAt: job.readyAt,
     waiting: job.waiting,
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
@@ -35,7 +35,7 @@
   const list: Victim[] = [];
   for (const task of host.tasks) {
     if (task.phase !== 'placed' || task.kill || task.shown === 'saving') continue;
-    const { cpus, gpus, memoryGb, priority, team, checkpointS } = task.job.spec;
+    const { cpus, gpus, memoryGb, priority, team, checkpointS } = task.job.ranked;
     const ran = task.runningAt === null ? 0 : now - task.runningAt;
     const lostMs = checkpointS > 0 ? Math.min(ran, checkpointS * 1000) : ran;
     list.push({ task: task.id, job: task.job.spec.id, team, priority, cpus, gpus, memoryGb, lostMs });
--- a/src/config/limits.ts
+++ b/src/config/limits.ts
@@ -26,8 +26,15 @@
   least('facts.resources.sockets', sockets, others + LEAST_FRONT, 'that leaves workers and users room');
   if (settings.memoryMb !== null)
     least('facts.resources.memory_mb', settings.memoryMb, PROCESS_MB, 'that the program fits');
-  least('facts.state.rps', settings.stateRps, LEAST_STATE_RPS, 'that leadership and decisions need');
-  least('facts.state.write_rps', settings.stateWriteRps, LEAST_WRITE_RPS, 'that starts need');
+  least('facts.state.rps', settings.state.rps, LEAST_STATE_RPS, 'that leadership and decisions need');
+  least('facts.state.write_rps', settings.state.writeRps, LEAST_WRITE_RPS, 'that starts need');
+  least(
+    'facts.state.next.rps',
+    settings.stateNext.rps,
+    LEAST_STATE_RPS,
+    'that leadership and decisions need',
+  );
+  least('facts.state.next.write_rps', settings.stateNext.writeRps, LEAST_WRITE_RPS, 'that starts need');
   const { reportEvery, workerLease, cancelWithin } = settings;
   const twoReports = (2 * reportEvery) / 1000 + NEXT_CONTROLLER_S;
   least('facts.workers.lease_s', workerLease / 1000, twoReports, 'that survives one lost controller');
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -66,6 +66,8 @@
   private readonly ensembles = new Map<string, Ensemble>();
   /** New need of the running slot, in machines, by series. */
   private readonly slotNeed = new Map<string, number>();
+  /** Need of the coming slot that is known of jobs that wait for others. */
+  private readonly known = new Map<string, number>();
   private readonly arrivals = { spot: new Arrivals(), ordinary: new Arrivals() };
   private readonly refusedUntil = new Map<string, Steady>();
   private readonly refusedInSlot = new Set<string>();
@@ -96,6 +98,8 @@
     private readonly urgency: Urgency,
     private readonly onGone: (host: Host) => void,
     private readonly saveFleet: () => void,
+    /** Work that waits for other jobs and will probably be released within so many ms. */
+    private readonly foreseen: (within: number) => OpenJob[],
   ) {
     this.slotEnds = plus(ctx.startedAt, ctx.ops.forecast.slot_s * 1000);
   }
@@ -131,15 +135,36 @@
 
   /** New demand: counted once for the type that would serve it best, refused or not. */
   demanded(job: OpenJob): void {
+    const need = this.needOf(job);
+    if (!need) return;
+    const { key, machines, pool } = need;
+    this.slotNeed.set(key, (this.slotNeed.get(key) ?? 0) + machines);
+    this.arrivals[pool.spot ? 'spot' : 'ordinary'].arrived(this.ctx.clock.now());
+  }
+
+  /** In machines of the type that would serve it best. */
+  private needOf(job: OpenJob): { key: string; machines: number; pool: Pool } | null {
     const { spec } = job;
     const pool = cheapestPool(spec, spec.tasks, allPools(this.ctx.types.values()));
-    if (!pool) return;
+    if (!pool) return null;
     const team = this.ctx.settings.teams.find((t) => t.id === spec.team);
     const limit = team?.cpusMax != null && spec.cpus > 0 ? Math.floor(team.cpusMax / spec.cpus) : Infinity;
     const machines = Math.min(spec.tasks, limit) / perMachine(spec, pool.type);
-    const key = seriesKey(pool.type.id, pool.spot);
-    this.slotNeed.set(key, (this.slotNeed.get(key) ?? 0) + machines);
-    this.arrivals[pool.spot ? 'spot' : 'ordinary'].arrived(this.ctx.clock.now());
+    return { key: seriesKey(pool.type.id, pool.spot), machines, pool };
+  }
+
+  /**
+   * What a known graph of jobs will release in the coming slot is no matter of forecasting: it is added to
+   * what the predictors say of the rest, and their series leave it out.
+   */
+  private foresee(): void {
+    this.known.clear();
+    const within = this.ctx.ops.forecast.slot_s * 1000 + this.slowestBoot();
+    for (const job of this.foreseen(within)) {
+      const need = this.needOf(job);
+      if (need) this.known.set(need.key, (this.known.get(need.key) ?? 0) + need.machines);
+    }
+    for (const key of this.known.keys()) this.ensemble(key);
   }
 
   /** The queue's unmet demand, as the last decision round left it. */
@@ -465,9 +490,11 @@
     const ensemble = this.ensemble(key);
     // Before the first slot has ended, its stock of old work tells what a slot may bring.
     const early = (this.slotNeed.get(key) ?? 0) * FIRST_SLOT;
-    if (ensemble.series.length === 0) return early;
+    const known = this.known.get(key) ?? 0;
+    if (ensemble.series.length === 0) return early + known;
     const arrivals = this.arrivals[readSeriesKey(key).spot ? 'spot' : 'ordinary'];
     return (
+      known +
       ensemble.forecast() * arrivals.borneOut(this.ctx.clock.now(), seconds(this.ctx.ops.forecast.slot_s))
     );
   }
@@ -537,6 +564,7 @@
     const outlook = this.outlook(now);
     const { frees, reserves } = outlook;
     for (const key of this.slotNeed.keys()) this.ensemble(key);
+    this.foresee();
     const told: Record<string, unknown> = {};
     for (const [key, ensemble] of this.ensembles) {
       // The first slot of a site holds a stock of old work: a slot's arrivals are a part of it.
@@ -622,11 +650,11 @@
   }
 
   private movable(task: Task, now: Steady): MovableTask {
-    const { spec, acceptedAt } = task.job;
+    const { ranked: spec, readyAt } = task.job;
     const run = this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
     const ran = task.runningAt === null ? 0 : since(now, task.runningAt);
     const leftMs = Math.max(run * 0.2, run - ran);
-    const age = Math.max(0, this.ctx.clock.wall() - acceptedAt);
+    const age = Math.max(0, this.ctx.clock.wall() - readyAt);
     return {
       cpus: spec.cpus,
       memoryGb: spec.memoryGb,
--- a/src/model/job.ts
+++ b/src/model/job.ts
@@ -36,6 +36,10 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts: those that were not when it was accepted. */
+  readonly dependencies: readonly JobId[];
+  /** They are too many for one record: so many further records hold them. */
+  readonly dependencyRecords: number;
 }
 
 export type FinalState = 'done' | 'cancelled';
--- a/src/net/budget.ts
+++ b/src/net/budget.ts
@@ -10,16 +10,28 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly perSecond: number,
-    readonly burst: number,
+    private perSecond: number,
+    private most: number,
   ) {
-    this.tokens = burst;
+    this.tokens = most;
     this.last = clock.now();
   }
 
+  get burst(): number {
+    return this.most;
+  }
+
+  /** From now on at this rate: what was saved up under a higher one is cut. */
+  setRate(perSecond: number, burst: number): void {
+    this.refill();
+    this.perSecond = perSecond;
+    this.most = burst;
+    this.tokens = Math.min(this.tokens, burst);
+  }
+
   private refill(): void {
     const now = this.clock.now();
-    this.tokens = Math.min(this.burst, this.tokens + (since(now, this.last) * this.perSecond) / 1000);
+    this.tokens = Math.min(this.most, this.tokens + (since(now, this.last) * this.perSecond) / 1000);
     this.last = now;
   }
 
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -11,7 +11,7 @@
   ZoneId,
 } from '../model/ids.js';
 import { NO_STAMP, taskId } from '../model/ids.js';
-import type { JobSpec } from '../model/job.js';
+import type { FinalState, JobSpec, Priority } from '../model/job.js';
 import type { AttemptState } from '../model/report.js';
 import type { Steady, WallTime } from '../model/time.js';
 import { CHUNK_TASKS, type ChunkProgress, decodeChunk, keys, type Placement } from '../store/records.js';
@@ -79,19 +79,33 @@
   readonly deciding = new Set<Task>();
   readonly tasks = new Map<TaskIndex, Task>();
 
+  /** The chunks of another size that took its place, each with the version that holds all this one held. */
+  private successors: { readonly chunk: Chunk; readonly version: number }[] | null = null;
+
   constructor(
     readonly job: OpenJob,
     readonly index: number,
+    readonly size: number,
   ) {}
 
   get key(): string {
-    return keys.openChunk(this.job.spec.id, this.index);
+    return keys.openChunk(this.job.spec.id, this.index, this.size);
   }
 
   get dirty(): boolean {
     return this.version > this.durable;
   }
 
+  /** Whether what it held at this version is in the state service. */
+  holds(version: number): boolean {
+    if (this.durable >= version) return true;
+    return this.successors?.every(({ chunk, version: v }) => chunk.holds(v)) ?? false;
+  }
+
+  replacedBy(chunks: readonly Chunk[]): void {
+    this.successors = chunks.map((chunk) => ({ chunk, version: chunk.version }));
+  }
+
   touch(now: Steady): void {
     this.version++;
     this.dirtySince ??= now;
@@ -135,11 +149,66 @@
   failures = 0;
   notBefore: Steady | null = null;
 
+  /** Jobs that are not known to be done yet and that have to be. */
+  readonly waitsFor = new Set<JobId>();
+  /** Its list of dependencies has further records that are not read yet. */
+  unread = false;
+  /** From when its times count, deadlines aside: its acceptance, or when the last job that it needs was done. */
+  readyAt: WallTime;
+  /** Cancelled with a job that it needs; its own record is still to say so. */
+  doomed = false;
+  /** The best priority of all that need it, and the latest end that leaves them theirs. */
+  lifted: { readonly priority: Priority; readonly latestEnd: WallTime | null };
+  private rankedSpec: JobSpec | null = null;
+  /** Progress as found, chunks of all sizes; applied by `settle`. */
+  private found: { chunk: number; size: number; value: unknown; stamp: Stamp }[] = [];
+  /** Records of progress that others have taken the place of. */
+  readonly superseded: string[] = [];
+
   constructor(
     readonly spec: JobSpec,
     readonly stamp: Stamp,
     readonly acceptedAt: WallTime,
-  ) {}
+    private chunkTasks = CHUNK_TASKS,
+  ) {
+    this.readyAt = acceptedAt;
+    this.lifted = { priority: spec.priority, latestEnd: this.ownEnd };
+  }
+
+  /** When it should be complete by its own deadline, which counts from its submission. */
+  get ownEnd(): WallTime | null {
+    const { deadlineS } = this.spec;
+    return deadlineS === null ? null : ((this.acceptedAt + deadlineS * 1000) as WallTime);
+  }
+
+  /** Nothing of it may start yet. */
+  get blocked(): boolean {
+    return this.waitsFor.size > 0 || this.unread;
+  }
+
+  lift(priority: Priority, latestEnd: WallTime | null): void {
+    this.lifted = { priority, latestEnd };
+    this.rankedSpec = null;
+  }
+
+  ready(now: WallTime): void {
+    this.readyAt = now;
+    this.rankedSpec = null;
+  }
+
+  /** As placement and renting see it: with the priority and the deadline of all that need it. */
+  get ranked(): JobSpec {
+    const { priority, latestEnd } = this.lifted;
+    this.rankedSpec ??=
+      priority === this.spec.priority && latestEnd === this.ownEnd && this.readyAt === this.acceptedAt
+        ? this.spec
+        : {
+            ...this.spec,
+            priority,
+            deadlineS: latestEnd === null ? null : (latestEnd - this.readyAt) / 1000,
+          };
+    return this.rankedSpec;
+  }
 
   get waiting(): number {
     return this.cancelled ? 0 : this.again.length + (this.spec.tasks - this.fresh);
@@ -165,10 +234,10 @@
   }
 
   chunkOf(index: TaskIndex): Chunk {
-    const n = Math.floor(index / CHUNK_TASKS);
+    const n = Math.floor(index / this.chunkTasks);
     let chunk = this.chunks.get(n);
     if (!chunk) {
-      chunk = new Chunk(this, n);
+      chunk = new Chunk(this, n, this.chunkTasks);
       this.chunks.set(n, chunk);
     }
     return chunk;
@@ -237,28 +306,40 @@
   }
 
   /** Takes over what an earlier leader wrote. */
-  restore(chunkIndex: number, value: unknown, stamp: Stamp): void {
-    const stored = decodeChunk(value);
-    const first = chunkIndex * CHUNK_TASKS;
-    const chunk = this.chunkOf(first as TaskIndex);
-    chunk.stamp = stamp;
-    for (const index of stored.done) {
-      this.task(index).phase = 'done';
-      this.done++;
-    }
-    for (const [index, placement] of stored.placed) {
-      const task = this.task(index);
-      task.phase = 'placed';
-      task.tryNo = placement.tryNo;
-      task.host = placement.host;
-      task.inherited = true;
-      this.heldCount++;
-    }
-    for (const [index, tryNo] of stored.used) this.task(index).tryNo = tryNo;
+  restore(chunk: number, size: number, value: unknown, stamp: Stamp): void {
+    this.found.push({ chunk, size, value, stamp });
   }
 
-  /** After all chunks were restored: finds what waits. */
+  /**
+   * After all records of progress were given: what they say, and what waits. Smaller chunks were made of
+   * larger ones: what a smaller one covers, the larger one that it came from no longer tells.
+   */
   settle(): void {
+    const told = new Map<TaskIndex, { done: boolean; placed?: Placement; tryNo?: TryNo }>();
+    for (const { chunk, size, value, stamp } of this.found.sort((a, b) => b.size - a.size)) {
+      const first = chunk * size;
+      if (size === this.chunkTasks) this.chunkOf(first as TaskIndex).stamp = stamp;
+      else this.superseded.push(keys.openChunk(this.spec.id, chunk, size));
+      if (size < CHUNK_TASKS) for (let i = first; i < first + size; i++) told.delete(i as TaskIndex);
+      const stored = decodeChunk(value);
+      for (const index of stored.done) told.set(index, { done: true });
+      for (const [index, placed] of stored.placed) told.set(index, { done: false, placed });
+      for (const [index, tryNo] of stored.used) told.set(index, { done: false, tryNo });
+    }
+    this.found = [];
+    for (const [index, { done, placed, tryNo }] of told) {
+      const task = this.task(index);
+      if (done) {
+        task.phase = 'done';
+        this.done++;
+      } else if (placed) {
+        task.phase = 'placed';
+        task.tryNo = placed.tryNo;
+        task.host = placed.host;
+        task.inherited = true;
+        this.heldCount++;
+      } else if (tryNo !== undefined) task.tryNo = tryNo;
+    }
     let top = 0;
     for (const index of this.tasks.keys()) top = Math.max(top, index + 1);
     for (let i = 0; i < top; i++) {
@@ -268,6 +349,30 @@
     this.fresh = top;
   }
 
+  /**
+   * Progress goes on in chunks of this size. What is durable stays where it is until its part changes;
+   * what is not is written anew, and takes precedence over whatever of the old size still arrives late.
+   */
+  rechunk(size: number, now: Steady): void {
+    if (size >= this.chunkTasks || this.spec.tasks <= size) return;
+    const before = [...this.chunks.values()];
+    this.chunks.clear();
+    this.chunkTasks = size;
+    for (const old of before) {
+      const parts = new Set<Chunk>();
+      for (const task of old.tasks.values()) {
+        const part = this.chunkOf(task.index);
+        part.tasks.set(task.index, task);
+        if (old.deciding.has(task)) part.deciding.add(task);
+        parts.add(part);
+      }
+      if (old.dirty) for (const part of parts) part.touch(now);
+      this.book?.dirty.delete(old);
+      old.replacedBy([...parts]);
+      if (old.stamp > 0) this.superseded.push(old.key);
+    }
+  }
+
   *held(): Generator<Task> {
     for (const task of this.tasks.values()) if (task.held) yield task;
   }
@@ -282,7 +387,7 @@
 export class JobBook {
   readonly jobs = new Map<JobId, OpenJob>();
   /** Jobs that ended while we led: an old event must not open them again. */
-  private readonly ended = new Set<JobId>();
+  private readonly ended = new Map<JobId, FinalState>();
   /** Chunks with changes that are not durable yet. */
   readonly dirty = new Set<Chunk>();
   /** Raised whenever a job joins or leaves what is unfinished. */
@@ -300,6 +405,11 @@
     return true;
   }
 
+  /** How a job ended while we led. */
+  endOf(id: JobId): FinalState | undefined {
+    return this.ended.get(id);
+  }
+
   changed(job: OpenJob): void {
     if (!job.over && !job.cancelled) return;
     this.version++;
@@ -315,9 +425,9 @@
     }
     this.version++;
     this.jobs.delete(id);
-    this.ended.add(id);
+    this.ended.set(id, job?.cancelled ? 'cancelled' : 'done');
     if (this.ended.size > 20_000) {
-      const oldest = this.ended.values().next().value;
+      const oldest = this.ended.keys().next().value;
       if (oldest !== undefined) this.ended.delete(oldest);
     }
   }
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -29,7 +29,8 @@
 
 export interface JobView {
   readonly spec: JobSpec;
-  readonly acceptedAt: WallTime;
+  /** From when it could have started. */
+  readonly readyAt: WallTime;
   waiting: number;
   /** Tasks that may be on a machine, by zone. */
   readonly zones: Map<ZoneId, number>;
@@ -72,14 +73,14 @@
   victimsOf(id: HostId): Victim[];
 }
 
-/** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+/** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs that may start. */
 export function guaranteedJobs(
-  jobs: Iterable<{ readonly spec: JobSpec; readonly acceptedAt: WallTime }>,
+  jobs: Iterable<{ readonly spec: JobSpec; readonly readyAt: WallTime }>,
   teams: ReadonlyMap<TeamId, Team>,
 ): Set<JobId> {
   const sums = new Map<TeamId, TeamUse>();
   const inside = new Set<JobId>();
-  for (const job of [...jobs].sort((a, b) => a.acceptedAt - b.acceptedAt)) {
+  for (const job of [...jobs].sort((a, b) => a.readyAt - b.readyAt)) {
     const team = teams.get(job.spec.team);
     if (!team) continue;
     const sum = sums.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
@@ -104,7 +105,7 @@
     .sort((a, b) => {
       if (a.r !== b.r) return b.r - a.r;
       if (a.s !== b.s) return a.s - b.s;
-      return a.j.acceptedAt - b.j.acceptedAt;
+      return a.j.readyAt - b.j.readyAt;
     })
     .map((x) => x.j);
 }
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -68,13 +68,18 @@
   /** Whether a task that is stopped now and starts again leaves its job the target that it would meet. */
   mayStartAgain(spec: JobSpec, ageMs: number, leftMs: number, expectedRunMs: number): boolean {
     const within = this.targets(spec).find((t) => ageMs + leftMs <= t.ms);
-    return !within || ageMs + expectedRunMs * LONGER + FETCH_MS <= within.ms;
+    return !within || ageMs + this.takes(expectedRunMs) <= within.ms;
+  }
+
+  /** What a job with tasks of this length is reckoned to take from its start. */
+  takes(expectedRunMs: number): number {
+    return expectedRunMs * LONGER + FETCH_MS;
   }
 
   /** The first target for the job's end that still can be met; null: no such target is left. */
   next(spec: JobSpec, ageMs: number, expectedRunMs: number): NextTarget | null {
     for (const target of this.targets(spec)) {
-      const slackMs = target.ms - ageMs - expectedRunMs * LONGER - FETCH_MS;
+      const slackMs = target.ms - ageMs - this.takes(expectedRunMs);
       if (slackMs > 0) return { ...target, slackMs };
     }
     return null;
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -26,6 +26,8 @@
     super(message);
   }
 }
+/** Too large for the state service as it is now (400). */
+export class StateTooLarge extends StateRefused {}
 /** No answer, or one that we cannot read: it may have been carried out, or may be later. */
 export class StateUnknown extends Error {}
 
@@ -99,7 +101,7 @@
     const reply = await this.ask('POST', '/commit', commitBody(conditions, writes));
     if (reply.status === 200) return { ok: true, stamp: StateClient.read(reply, readLedger) };
     if (reply.status === 409) return { ok: false, failed: StateClient.read(reply, readFailed) };
-    if (reply.status === 400) throw new StateRefused(`state: commit refused ${JSON.stringify(reply.body)}`);
+    if (reply.status === 400) throw new StateTooLarge(`state: commit refused ${JSON.stringify(reply.body)}`);
     throw new StateUnknown(`state: commit answered ${reply.status}`);
   }
 
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -2,7 +2,7 @@
 import { reason } from '../log/logger.js';
 import type { JobId } from '../model/ids.js';
 import { encodeJob, decodeJob, encodeChunk, keys } from './records.js';
-import { type Committed, StateRefused } from './client.js';
+import { type Committed, StateRefused, StateTooLarge } from './client.js';
 import type { Budget } from '../net/budget.js';
 import type { Chunk, OpenJob, Task } from '../scheduler/job-book.js';
 import type { Condition, Write } from '../wire/state.js';
@@ -15,6 +15,7 @@
 /** The share of the budget's burst that is kept for starts. */
 const KEPT_FOR_STARTS = 0.5;
 const MAX_BYTES = 48 * 1024;
+const LEFT_OVER_MS = 2000;
 /** About what one write, one placement and one other task take in a transaction. */
 const WRITE_BYTES = 200;
 const PLACEMENT_BYTES = 26;
@@ -24,7 +25,7 @@
   readonly conditions: Condition[];
   readonly writes: Write[];
   readonly chunks: { chunk: Chunk; version: number; decided: Task[] }[];
-  readonly closing: OpenJob[];
+  readonly closing: { readonly job: OpenJob; readonly leftOver: readonly string[] }[];
   bytes: number;
 }
 
@@ -36,6 +37,7 @@
  * cannot undo a newer one. A start is also conditioned on its job's record: cancelling changes it.
  */
 export class Committer {
+  private readonly leftOver: string[] = [];
   private running = false;
   private timer: (() => void) | null = null;
 
@@ -80,17 +82,17 @@
    * while the rate that the state service allows has room. What is left over is picked later.
    */
   private pick(): Batch | null {
-    const { jobs, settings } = this.ctx;
+    const { jobs, limits } = this.ctx;
     const wait = this.budget.wait();
     if (wait > 0) {
-      if (jobs.dirty.size > 0 || jobs.over.size > 0) this.later(wait + 1);
+      if (jobs.dirty.size > 0 || jobs.over.size > 0 || this.leftOver.length > 0) this.later(wait + 1);
       return null;
     }
     const batch: Batch = { conditions: [], writes: [], chunks: [], closing: [], bytes: 0 };
     batch.conditions.push({ key: keys.epoch, stamp: this.ctx.epochStamp });
     const now = this.ctx.clock.now();
     const available = Math.floor(this.budget.available());
-    const max = Math.min(settings.txnOps, Math.max(1, available));
+    const max = Math.min(limits.txnOps, Math.max(1, available));
     const starts: Chunk[] = [];
     const progress: Chunk[] = [];
     let next = Infinity;
@@ -106,37 +108,53 @@
       if (age >= due) progress.push(chunk);
       else next = Math.min(next, due - age, LAZY_MS);
     }
-    starts.sort((a, b) => b.job.spec.priority - a.job.spec.priority);
+    starts.sort((a, b) => b.job.ranked.priority - a.job.ranked.priority);
     const full = (): boolean => batch.writes.length >= max || batch.bytes > MAX_BYTES;
-    // Users wait for `done`, and few jobs end at a time; nobody waits for a cancelled job's records.
-    for (const job of jobs.over) if (!full() && !job.cancelled) this.addClosing(batch, job, max);
+    // Users wait for `done`, and for a job to be called cancelled with one that it needs; few jobs end at a
+    // time. Nobody waits for what is left of a cancelled job's records.
+    for (const job of jobs.over) if (!full() && tells(job)) this.addClosing(batch, job, max);
     for (const chunk of starts) if (!full()) this.addChunk(batch, chunk);
     for (const chunk of progress) if (!full()) this.addChunk(batch, chunk);
-    for (const job of jobs.over) if (!full() && job.cancelled) this.addClosing(batch, job, max);
+    for (const job of jobs.over) if (!full() && !tells(job)) this.addClosing(batch, job, max);
+    if (batch.writes.length === 0) this.addLeftOver(batch, max);
     if (batch.writes.length > 0) return batch;
     if (next < Infinity) this.later(Math.max(next, 1) + 1);
     return null;
   }
 
   private addClosing(batch: Batch, job: OpenJob, max: number): void {
-    const need = 2 + job.chunks.size;
+    const stored = [...job.chunks.values()].filter((c) => c.stamp > 0).map((c) => c.key);
+    const drops = [...stored, ...job.superseded];
+    const need = 2 + drops.length;
     if (batch.writes.length > 0 && batch.writes.length + need > max) return;
     const id = job.spec.id;
-    if (!job.cancelled) {
+    if (tells(job)) {
       batch.conditions.push({ key: keys.job(id), stamp: job.stamp });
       batch.writes.push({
         set: keys.job(id),
-        value: encodeJob({ spec: job.spec, state: 'done', acceptedAt: job.acceptedAt }),
+        value: encodeJob({
+          spec: job.spec,
+          state: job.doomed ? 'cancelled' : 'done',
+          acceptedAt: job.acceptedAt,
+        }),
       });
       batch.bytes += 500;
     }
     batch.writes.push({ drop: keys.openHead(id) });
-    // Chunks that do not fit stay behind without a head; a takeover drops them.
-    for (const chunk of job.chunks.values()) {
-      if (batch.writes.length >= this.ctx.settings.txnOps) break;
-      if (chunk.stamp > 0) batch.writes.push({ drop: chunk.key });
-    }
-    batch.closing.push(job);
+    // What does not fit stays behind without a head, which no takeover reads as a job, and goes later.
+    const room = this.ctx.limits.txnOps - batch.writes.length;
+    for (const key of drops.slice(0, room)) batch.writes.push({ drop: key });
+    batch.closing.push({ job, leftOver: drops.slice(room) });
+  }
+
+  /** Records of jobs that are over, for whenever nothing else is to be written. */
+  leave(records: readonly string[]): void {
+    this.leftOver.push(...records);
+    if (records.length > 0) this.later(LEFT_OVER_MS);
+  }
+
+  private addLeftOver(batch: Batch, max: number): void {
+    for (const key of this.leftOver.splice(0, max)) batch.writes.push({ drop: key });
   }
 
   private addChunk(batch: Batch, chunk: Chunk): void {
@@ -158,7 +176,9 @@
     try {
       result = await this.ctx.store.commit(batch.conditions, batch.writes);
     } catch (error) {
-      this.ctx.log.debug({ error: reason(error), writes: batch.writes.length }, 'commit not answered');
+      this.ctx.limits.failed(error);
+      const level = error instanceof StateTooLarge ? 'error' : 'debug';
+      this.ctx.log[level]({ error: reason(error), writes: batch.writes.length }, 'commit not answered');
       // Nothing has left on the strength of this batch; it is tried again as things then stand.
       await sleep(this.ctx.clock, (error instanceof StateRefused ? 100 : 30) + this.ctx.random() * 100);
       return;
@@ -180,7 +200,10 @@
         placed.push(task);
       });
     });
-    for (const job of batch.closing) this.end(job);
+    for (const { job, leftOver } of batch.closing) {
+      this.end(job);
+      this.leave(leftOver);
+    }
     if (placed.length > 0) this.onPlaced(placed);
   }
 
@@ -213,7 +236,14 @@
     const job = this.ctx.jobs.jobs.get(id);
     if (!job || !row) return;
     const state = decodeJob(id, row.value).state;
-    if (state === 'cancelled') this.ctx.cancelled(id);
-    else if (state === 'done') this.end(job);
+    if (state === 'cancelled') {
+      job.doomed = false;
+      this.ctx.cancelled(id);
+    } else if (state === 'done') this.end(job);
   }
 }
+
+/** Whether closing it tells its state: it is done, or cancelled with a job that it needs. */
+function tells(job: OpenJob): boolean {
+  return !job.cancelled || job.doomed;
+}
--- a/src/store/records.ts
+++ b/src/store/records.ts
@@ -21,7 +21,13 @@
   job: (id: JobId): string => `job/${id}`,
   open: 'open/',
   openHead: (id: JobId): string => `open/${id}`,
-  openChunk: (id: JobId, chunk: number): string => `open/${id}/${String(chunk).padStart(4, '0')}`,
+  /** Chunks of another size than the usual one name it: versions that don't know them leave them unread. */
+  openChunk: (id: JobId, chunk: number, size: number): string => {
+    const n = String(chunk).padStart(4, '0');
+    return size === CHUNK_TASKS ? `open/${id}/${n}` : `open/${id}/${size}-${n}`;
+  },
+  /** Dependencies that don't fit their job's record. */
+  dependencies: (id: JobId, n: number): string => `deps/${id}/${String(n).padStart(4, '0')}`,
   types: 'cloud/types',
   fleet: 'fleet/',
   fleetChunk: (n: number): string => `fleet/${String(n).padStart(4, '0')}`,
@@ -29,21 +35,28 @@
   forecastOf: (type: string): string => `forecast/${type}`,
 };
 
-export function parseOpenKey(key: string): { job: JobId; chunk: number | null } | null {
-  const parts = /^open\/(j-\d+)(?:\/(\d+))?$/.exec(key);
+export function parseOpenKey(key: string): { job: JobId; chunk: number | null; size: number } | null {
+  const parts = /^open\/(j-\d+)(?:\/(?:(\d+)-)?(\d+))?$/.exec(key);
   if (!parts) return null;
-  return { job: parts[1] as JobId, chunk: parts[2] === undefined ? null : Number(parts[2]) };
+  return {
+    job: parts[1] as JobId,
+    chunk: parts[3] === undefined ? null : Number(parts[3]),
+    size: parts[2] === undefined ? CHUNK_TASKS : Number(parts[2]),
+  };
 }
 
 export interface LeaderRecord {
   readonly member: MemberId;
   readonly epoch: Epoch;
+  /** What the leader's program understands (`SPEAKS`); 0: it is from before that was written. */
+  readonly speaks: number;
 }
 
 export function leaderRecord(value: unknown): LeaderRecord | null {
-  const v = value as { member?: unknown; epoch?: unknown } | null | undefined;
+  const v = value as { member?: unknown; epoch?: unknown; speaks?: unknown } | null | undefined;
   if (!v || typeof v.member !== 'string' || typeof v.epoch !== 'number') return null;
-  return { member: v.member as MemberId, epoch: v.epoch as Epoch };
+  const speaks = typeof v.speaks === 'number' ? v.speaks : 0;
+  return { member: v.member as MemberId, epoch: v.epoch as Epoch, speaks };
 }
 
 export function epochOf(value: unknown): Epoch {
@@ -70,6 +83,8 @@
   number,
   number,
   number | null,
+  /** Its dependencies, or in how many further records they are. Earlier versions read no further than before this. */
+  (string[] | number)?,
 ];
 
 interface StoredJob {
@@ -103,6 +118,8 @@
     p.saveS,
     p.deadlineS,
   ];
+  if (p.dependencyRecords > 0) j.push(p.dependencyRecords);
+  else if (p.dependencies.length > 0) j.push([...p.dependencies]);
   return { s: STATE_LETTERS[record.state], at: record.acceptedAt, j };
 }
 
@@ -129,6 +146,7 @@
     checkpointS,
     saveS,
     deadlineS,
+    dependencies,
   ] = v.j;
   const spec: JobSpec = {
     id,
@@ -151,12 +169,22 @@
     checkpointS,
     saveS,
     deadlineS,
+    dependencies: Array.isArray(dependencies) ? (dependencies as JobId[]) : [],
+    dependencyRecords: typeof dependencies === 'number' ? dependencies : 0,
   };
   return { spec, state, acceptedAt: v.at as WallTime };
 }
 
-/** Tasks of one job whose progress shares one record. Sized so that the record stays under 16 KiB. */
+/** Tasks of one job whose progress shares one record, as every version reads it: under 16 KiB. */
 export const CHUNK_TASKS = 300;
+/** What one task takes in a record at most, and what the record takes besides. */
+const TASK_BYTES = 32;
+const CHUNK_BYTES = 128;
+
+/** How many tasks' progress fits a value of so many bytes. */
+export function chunkTasks(valueBytes: number): number {
+  return Math.max(1, Math.min(CHUNK_TASKS, Math.floor((valueBytes - CHUNK_BYTES) / TASK_BYTES)));
+}
 
 /** Where a task may be: its current attempt and host. */
 export interface Placement {
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -7,6 +7,10 @@
 const address = z
   .string()
   .check(z.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'not an address like 10.0.0.1:8080'));
+/** A closing writes `done` and drops the job's head and a chunk; a takeover writes two keys. */
+const LEAST_TXN_OPS = 4;
+/** A job's description with usual names. */
+const LEAST_VALUE_BYTES = 1024;
 const positive = z.number().check(z.positive());
 
 const settings = z.object({
@@ -39,7 +43,20 @@
       ),
     ),
     workers: z.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-    state: z.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    state: z.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: count,
+      next: z.nullish(
+        z.object({
+          rps: z.nullish(positive),
+          write_rps: z.nullish(positive),
+          value_kb: z.nullish(positive),
+          txn_ops: z.nullish(count),
+        }),
+      ),
+    }),
     cloud: z.object({ rps: positive, list_lag_s: amount }),
     resources: z.nullish(z.object({ sockets: z.nullish(count), memory_mb: z.nullish(amount) })),
   }),
@@ -57,6 +74,14 @@
   readonly share: number | null;
 }
 
+/** What the state service takes. */
+export interface StateLimitsOf {
+  readonly rps: number;
+  readonly writeRps: number;
+  readonly valueBytes: number;
+  readonly txnOps: number;
+}
+
 export interface Settings {
   readonly member: MemberId;
   readonly zone: ZoneId;
@@ -71,10 +96,9 @@
   readonly reportEvery: Millis;
   readonly workerLease: Millis;
   readonly cancelWithin: Millis;
-  readonly stateRps: number;
-  readonly stateWriteRps: number;
-  readonly valueBytes: number;
-  readonly txnOps: number;
+  readonly state: StateLimitsOf;
+  /** What it will take from some moment on, without notice; the same where no change is announced. */
+  readonly stateNext: StateLimitsOf;
   readonly cloudRps: number;
   readonly listLag: Millis;
   readonly sockets: number;
@@ -87,7 +111,23 @@
   if (!read.success) throw new Error(firstIssue(read.error));
   const w = read.data;
   const f = w.facts;
-  if (f.state.txn_ops < 4) throw new Error('facts.state.txn_ops: at least 4 is needed');
+  const now = f.state;
+  const { next } = now;
+  const limits = (field: string, l: typeof next, or: StateLimitsOf | null): StateLimitsOf => {
+    const txnOps = l?.txn_ops ?? or?.txnOps ?? 0;
+    const valueBytes = l?.value_kb == null ? (or?.valueBytes ?? 0) : l.value_kb * 1024;
+    if (txnOps < LEAST_TXN_OPS) throw new Error(`${field}.txn_ops: at least ${LEAST_TXN_OPS} is needed`);
+    if (valueBytes < LEAST_VALUE_BYTES)
+      throw new Error(`${field}.value_kb: at least ${LEAST_VALUE_BYTES / 1024} is needed`);
+    return {
+      rps: l?.rps ?? or?.rps ?? 0,
+      writeRps: l?.write_rps ?? or?.writeRps ?? 0,
+      valueBytes,
+      txnOps,
+    };
+  };
+  const state = limits('facts.state', now, null);
+  const stateNext = limits('facts.state.next', next, state);
   // 0 means none (DEPLOY): no guarantee, or no limit.
   const limit = (n: number | null | undefined): number | null => (n ? n : null);
   return {
@@ -115,10 +155,8 @@
     reportEvery: seconds(f.workers.report_s),
     workerLease: seconds(f.workers.lease_s),
     cancelWithin: seconds(f.workers.cancel_s),
-    stateRps: f.state.rps,
-    stateWriteRps: f.state.write_rps,
-    valueBytes: f.state.value_kb * 1024,
-    txnOps: f.state.txn_ops,
+    state,
+    stateNext,
     cloudRps: f.cloud.rps,
     listLag: seconds(f.cloud.list_lag_s),
     sockets: f.resources?.sockets ?? 1000,
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -10,8 +10,10 @@
   idle: Priority.Low,
 } as const;
 
+const jobId = z.string().check(z.regex(/^j-\d{1,20}$/));
+
 const submission = z.object({
-  ref: z.string().check(z.regex(/^j-\d{1,20}$/)),
+  ref: jobId,
   jobclass: word,
   owner: word,
   shape: z.enum(['array', 'service']),
@@ -31,6 +33,7 @@
   savepointS: amount,
   flushS: amount,
   dueS: z.nullish(amount),
+  awaits: z.nullish(z.array(jobId)),
 });
 
 export type Parsed<T> = { ok: true; value: T } | { ok: false; error: string };
@@ -62,6 +65,8 @@
       checkpointS: w.savepointS,
       saveS: w.flushS,
       deadlineS: w.dueS ?? null,
+      dependencies: [...new Set(w.awaits ?? [])] as JobId[],
+      dependencyRecords: 0,
     },
   };
 }
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -67,7 +67,7 @@
 
 /** Ended attempts whose outcome is durable: the worker need not keep them. */
 function settled(host: Host): EndedAttempt[] {
-  return [...host.ended.values()].filter(({ chunk, version }) => !chunk || chunk.durable >= version);
+  return [...host.ended.values()].filter(({ chunk, version }) => !chunk || chunk.holds(version));
 }
 
 /**
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -25,6 +25,7 @@
 import { seconds, type Steady, since } from '../../src/model/time.js';
 import type { CancellationsWord } from '../../src/peer/frames.js';
 import { NoAnswer } from '../../src/net/http-client.js';
+import { StateLimits } from '../../src/store/limits.js';
 import { readSettings, type Settings } from '../../src/wire/settings.js';
 import { ProcessClock, VirtualClock } from './clock.js';
 import { address, StandInCloud } from './cloud.js';
@@ -167,12 +168,15 @@
 
   start(name: string): void {
     const clock = new ProcessClock(this.clock);
+    const settings = settingsOf(name, this.size);
+    const limits = new StateLimits(settings);
+    if (this.old.size === 0) limits.allRead();
     const cancellations = new Cancellations(clock, seconds(CANCEL_S));
     const ctx: NodeContext = {
       member: name as MemberId,
       clock,
       log: silentLog,
-      settings: settingsOf(name, this.size),
+      settings,
       ops: defaultOperators(),
       store: this.state.for(name, clock),
       cloud: this.cloud.for(clock),
@@ -180,7 +184,9 @@
       random: this.random,
       types: new Map(TYPES.map((t) => [t.id, t])),
       workerCalls: 64,
+      limits,
       cancellations,
+      dependenciesKnown: () => !this.nodes.some((other) => this.old.has(other)),
       siblings: this.siblingsOf(name, clock),
     };
     const seat = new Seat(ctx, () => Promise.resolve());
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -42,12 +42,14 @@
   checkpointS: 0,
   saveS: 0,
   deadlineS: null,
+  dependencies: [],
+  dependencyRecords: 0,
   ...over,
 });
 
 const job = (over: Partial<JobSpec>, more: Partial<JobView> = {}): JobView => ({
   spec: spec(over),
-  acceptedAt: 0 as WallTime,
+  readyAt: 0 as WallTime,
   waiting: over.tasks ?? 1,
   zones: new Map(),
   avoid: new Set(),
@@ -194,7 +196,7 @@
           spread: draw(5) === 0,
         },
         {
-          acceptedAt: draw(1000) as WallTime,
+          readyAt: draw(1000) as WallTime,
           waiting: 1 + draw(tasks),
           slackMs: draw(3) ? draw(90_000) : null,
         },
