--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -226,19 +226,23 @@
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
     const ended = this.cache.final(id);
     if (ended) return { status: 200, body: ended };
-    const known = this.cache.known(id);
-    if (known && (await this.confirmations.same(keys.job(id), known.stamp))) {
-      if (await this.dependencies.anyCancelled(id)) return this.cancelWithNeeded(id);
+    let known = this.cache.known(id);
+    if (!known) {
+      if (!this.firstQuestions.take()) return unavailable('asked too often', 2);
+      const found = await this.find(id);
+      if (!found) return { status: 404, body: { error: 'no such job' } };
+      const answer = this.known(id, found);
+      known = this.cache.known(id);
+      if (!known || (known.dependencies.length === 0 && known.dependencyRecords === 0)) return answer;
+    }
+    if (await this.dependencies.anyCancelled(id)) return this.cancelWithNeeded(id);
+    // Its own record last: while the others were asked, it may have been cancelled with one of them.
+    if (await this.confirmations.same(keys.job(id), known.stamp)) {
       const progress = this.progressOf(id) ?? { done: 0, running: 0 };
       return { status: 200, body: jobStatus(id, 'accepted', known.tasks, progress) };
     }
-    if (!known && !this.firstQuestions.take()) return unavailable('asked too often', 2);
     const found = await this.find(id);
-    if (!found) return { status: 404, body: { error: 'no such job' } };
-    const answer = this.known(id, found);
-    if (found.record.state === 'accepted' && (await this.dependencies.anyCancelled(id)))
-      return this.cancelWithNeeded(id);
-    return answer;
+    return found ? this.known(id, found) : { status: 404, body: { error: 'no such job' } };
   }
 
   /** What this node has seen or now reads of a job; null: it was never accepted. */
--- a/test/standins/day.ts
+++ b/test/standins/day.ts
@@ -75,11 +75,18 @@
         apart: shape === 2,
         ...(shape === 3 ? { zone: 'north' } : {}),
         ...(shape === 4 ? { kind: 'service' as const, tasks: 1, spot: false } : {}),
+        ...(shape !== 4 && this.random() < 0.35 ? { awaits: this.someAccepted() } : {}),
       });
       this.arrivals();
     });
   }
 
+  /** Arrays that were accepted, the latest ones, whatever became of them. */
+  private someAccepted(): string[] {
+    const known = this.jobs.filter((j) => j.state !== 'new' && j.wish.kind !== 'service').slice(-4);
+    return known.filter(() => this.random() < 0.5).map((j) => j.wish.ref);
+  }
+
   private node(): string {
     const { nodes } = this.site;
     const up = nodes.filter((n) => this.site.isRunning(n));
--- a/test/standins/rules.ts
+++ b/test/standins/rules.ts
@@ -9,6 +9,7 @@
   readonly samePlace: boolean;
   readonly apart: boolean;
   readonly reclaimable: boolean;
+  readonly awaits: readonly string[];
   readonly limit: number | null;
 }
 
@@ -19,6 +20,9 @@
   private readonly on = new Map<TaskId, Machine>();
   private readonly used = new Map<string, number>();
   private readonly done = new Set<TaskId>();
+  private readonly doneOf = new Map<string, number>();
+  /** Jobs that a user has asked to cancel, answered or not. */
+  private readonly asked = new Set<string>();
   private readonly cancelledBy = new Map<JobId, number>();
   private readonly told_ = new Map<JobId, string>();
   readonly broken: string[] = [];
@@ -78,6 +82,11 @@
       this.breach(`quota: ${job.owner} uses ${used} of ${job.limit}`);
     const limit = this.cancelledBy.get(id);
     if (limit !== undefined && now > limit) this.breach(`ran_cancelled: ${task} starts`);
+    for (const ref of job.awaits) {
+      const needed = this.jobs.get(ref as JobId);
+      if ((this.doneOf.get(ref) ?? 0) < (needed?.shards ?? 0))
+        this.breach(`too_early: ${task} before ${ref} is done`);
+    }
   }
 
   private use(job: Accepted, tasks: number): void {
@@ -90,7 +99,26 @@
       const job = this.jobs.get(splitTaskId(task)?.job as JobId);
       if (job) this.use(job, -1);
     }
-    if (done) this.done.add(task);
+    if (!done || this.done.has(task)) return;
+    this.done.add(task);
+    const ref = splitTaskId(task)?.job as string;
+    this.doneOf.set(ref, (this.doneOf.get(ref) ?? 0) + 1);
+  }
+
+  cancelAsked(id: string): void {
+    this.asked.add(id);
+  }
+
+  /** All jobs that it needs, directly or through others. */
+  private above(id: string): Set<string> {
+    const found = new Set<string>();
+    const next = [...(this.jobs.get(id as JobId)?.awaits ?? [])];
+    for (let ref = next.pop(); ref !== undefined; ref = next.pop()) {
+      if (found.has(ref)) continue;
+      found.add(ref);
+      next.push(...(this.jobs.get(ref as JobId)?.awaits ?? []));
+    }
+    return found;
   }
 
   cancelled(id: JobId, limit: number): void {
@@ -105,7 +133,15 @@
     }
   }
 
-  told(id: JobId, state: string): void {
+  told(id: JobId, state: string, now: number): void {
+    const above = [...this.above(id)];
+    if (state === 'pending' || state === 'running') {
+      const late = above.find((ref) => now > (this.cancelledBy.get(ref as JobId) ?? Infinity));
+      if (late) this.breach(`orphaned: ${id} is called ${state}, ${late} is cancelled`);
+    }
+    if (state === 'cancelled' && ![id, ...above].some((ref) => this.asked.has(ref))) {
+      this.breach(`went_back: ${id} is called cancelled, and nobody asked for that`);
+    }
     const before = this.told_.get(id);
     if (this.known.has(id) && state === '404') this.breach(`forgotten: ${id}`);
     if (!this.jobs.has(id) && state !== '404') this.breach(`invented: ${id}`);
@@ -114,7 +150,7 @@
     }
     if (state === 'done') {
       const job = this.jobs.get(id);
-      const finished = [...this.done].filter((t) => splitTaskId(t)?.job === id).length;
+      const finished = this.doneOf.get(id) ?? 0;
       if (job && finished < job.shards) this.breach(`not_done: ${id}, ${finished} of ${job.shards}`);
     }
     this.told_.set(id, state);
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -46,6 +46,8 @@
   apart?: boolean;
   runS?: number;
   broken?: boolean;
+  awaits?: readonly string[];
+  dueS?: number;
 }
 
 export const TYPES: MachineType[] = [
@@ -518,6 +520,7 @@
 
   /** The same for a cancellation. */
   async postCancel(ref: string, node: string): Promise<string | null> {
+    this.rules.cancelAsked(ref);
     const answer = await this.running
       .get(node)
       ?.users.cancel(ref)
@@ -528,7 +531,7 @@
 
   private heard(ref: string, answer: { status: number; body: object }): string {
     const state = answer.status === 404 ? '404' : (answer.body as { status: string }).status;
-    this.rules.told(ref as JobId, state);
+    this.rules.told(ref as JobId, state, this.clock.now());
     return state;
   }
 
@@ -582,6 +585,8 @@
       expectedS: kind === 'array' ? (wish.runS ?? 5) : 0,
       savepointS: 0,
       flushS: 0,
+      awaits: wish.awaits ?? [],
+      dueS: wish.dueS ?? null,
     };
   }
 
@@ -592,6 +597,7 @@
   }
 
   async cancel(ref: string, node = 'node-0'): Promise<string> {
+    this.rules.cancelAsked(ref);
     const answer = await this.ask(node, `cancels ${ref}`, (users) => users.cancel(ref));
     return answer.status === 200 ? this.heardOfCancel(ref, answer) : String(answer.status);
   }
@@ -641,7 +647,7 @@
       }
       await this.clock.advance(1500);
       if (!states.some((s) => s !== '503')) this.rules.breach(`forgotten: nobody answers for ${ref}`);
-      for (const state of states) if (state !== '503') this.rules.told(ref, state);
+      for (const state of states) if (state !== '503') this.rules.told(ref, state, this.clock.now());
     }
   }
 }
