--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -49,6 +49,13 @@
     return id;
   }
 
+  /** A machine that was rented before the day begins. */
+  adopt(machine: Machine): void {
+    this.machines.set(machine.id, { ...machine, at: this.clock.now(), up: true });
+    this.next = Math.max(this.next, Number(machine.id.slice('host-'.length)) + 1);
+    this.onUp(machine);
+  }
+
   for(clock: Clock): Cloud {
     const ask = <T>(act: () => T): Promise<T> =>
       new Promise((resolve, reject) => {
--- a/test/standins/rules.ts
+++ b/test/standins/rules.ts
@@ -105,6 +105,12 @@
     this.doneOf.set(ref, (this.doneOf.get(ref) ?? 0) + 1);
   }
 
+  /** How a job ended before the day began. */
+  endedBefore(id: JobId, done: boolean): void {
+    if (done) this.doneOf.set(id, this.jobs.get(id)?.shards ?? 0);
+    else this.asked.add(id);
+  }
+
   cancelAsked(id: string): void {
     this.asked.add(id);
   }
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -26,6 +26,7 @@
 import type { CancellationsWord } from '../../src/peer/frames.js';
 import { NoAnswer } from '../../src/net/http-client.js';
 import { StateLimits } from '../../src/store/limits.js';
+import type { Row } from '../../src/wire/state.js';
 import { readSettings, type Settings } from '../../src/wire/settings.js';
 import { ProcessClock, VirtualClock } from './clock.js';
 import { address, StandInCloud } from './cloud.js';
@@ -75,6 +76,8 @@
   readonly limit: { red: number; blue: number };
   readonly reportS: number;
   readonly nodes: number;
+  /** The state service's limits from some moment on, as the settings announce them. */
+  readonly next?: object;
 }
 
 const SMALL: Size = { limit: { red: 24, blue: 40 }, reportS: 3, nodes: 3 };
@@ -93,7 +96,7 @@
       ],
       objectives: [{ kind: 'finished', class: 'batch', within_s: 60 }],
       workers: { report_s: size.reportS, lease_s: LEASE_S, cancel_s: CANCEL_S },
-      state: { rps: 200, write_rps: 60, value_kb: 16, txn_ops: 16 },
+      state: { rps: 200, write_rps: 60, value_kb: 16, txn_ops: 16, next: size.next },
       cloud: { rps: 4, list_lag_s: 4 },
     },
   });
@@ -166,6 +169,36 @@
     await this.clock.advance(s * 1000);
   }
 
+  /**
+   * Goes on with the records that others have left, on the machines and with the tasks that they tell of.
+   * `token`: the highest that the workers have seen. The leader's key is not among them: its grant ended.
+   */
+  restore(records: readonly Row[], wishes: readonly JobWish[], token: Token): void {
+    this.state.restore(records);
+    for (const wish of wishes) {
+      this.describe(wish, this.nodes[0] as string);
+      this.rules.accepted(wish.ref as JobId);
+    }
+    for (const { key, value } of records) {
+      const { s: state } = value as { s?: string };
+      if (key.startsWith('job/') && state !== 'a')
+        this.rules.endedBefore(key.slice(4) as JobId, state === 'd');
+    }
+    for (const { key, value } of records) {
+      if (!key.startsWith('fleet/')) continue;
+      for (const [id, type, zone, spot] of (value as { m: [HostId, TypeId, ZoneId, number][] }).m)
+        this.cloud.adopt({ id, type, zone, spot: spot === 1 });
+    }
+    for (const { key, value } of records) {
+      const job = /^open\/(j-\d+)\/\d+$/.exec(key)?.[1];
+      if (job === undefined) continue;
+      for (const [index, tryNo, host] of (value as { p?: [number, TryNo, HostId][] }).p ?? [])
+        this.worker(host).command(token, 1 as Tenure, [
+          { verb: 'run', task: `${job}/${index}` as TaskId, tryNo },
+        ]);
+    }
+  }
+
   // Nodes
 
   start(name: string): void {
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -1,7 +1,13 @@
 import type { GrantId, Stamp } from '../../src/model/ids.js';
 import type { Clock } from '../../src/model/time.js';
 import type { Budget } from '../../src/net/budget.js';
-import { type Committed, StateRefused, type StateStore, StateUnknown } from '../../src/store/client.js';
+import {
+  type Committed,
+  StateRefused,
+  type StateStore,
+  StateTooLarge,
+  StateUnknown,
+} from '../../src/store/client.js';
 import type { Change, Condition, Page, Row, Write } from '../../src/wire/state.js';
 
 interface Entry {
@@ -12,15 +18,22 @@
 
 const LATENCY_MS = 5;
 const DEADLINE_MS = 1000;
-const TXN_OPS = 16;
-const VALUE_BYTES = 16 * 1024;
 const TXN_BYTES = 64 * 1024;
 
+export interface Sizes {
+  readonly txnOps: number;
+  readonly valueBytes: number;
+}
+
 /** What the service answers 400. */
-function malformed(conditions: readonly Condition[], writes: readonly Write[]): string | null {
-  if (writes.length > TXN_OPS) return 'too many writes';
-  if (conditions.length > TXN_OPS * 4) return 'too many conditions';
-  if (writes.some((w) => 'set' in w && JSON.stringify(w.value).length > VALUE_BYTES))
+function malformed(
+  { txnOps, valueBytes }: Sizes,
+  conditions: readonly Condition[],
+  writes: readonly Write[],
+): string | null {
+  if (writes.length > txnOps) return 'too many writes';
+  if (conditions.length > txnOps * 4) return 'too many conditions';
+  if (writes.some((w) => 'set' in w && JSON.stringify(w.value).length > valueBytes))
     return 'a value too long';
   return JSON.stringify({ conditions, writes }).length > TXN_BYTES ? 'too long' : null;
 }
@@ -36,6 +49,8 @@
   /** Puts and deletes that were asked for, carried out or not. */
   writes = 0;
   requests = 0;
+  /** What one value and one transaction may hold. */
+  sizes: Sizes = { txnOps: 16, valueBytes: 16 * 1024 };
   /** What it would not even look at. */
   readonly malformed: string[] = [];
   outage = false;
@@ -104,6 +119,14 @@
     return this.keys.get(key)?.value;
   }
 
+  /** What an earlier day has left. */
+  restore(records: readonly Row[]): void {
+    for (const { key, value, stamp } of records) {
+      this.keys.set(key, { value, stamp, grant: null });
+      this.ledger = Math.max(this.ledger, stamp);
+    }
+  }
+
   /** The service as one process sees it. */
   for(node: string, clock: Clock): StateStore {
     const ask = <T>(act: () => T, writes = 0): Promise<T> =>
@@ -130,10 +153,10 @@
           return { rows, more: false, ledger: this.ledger as Stamp };
         }),
       commit: (conditions, writes) => {
-        const error = malformed(conditions, writes);
+        const error = malformed(this.sizes, conditions, writes);
         if (error) {
           this.malformed.push(error);
-          return Promise.reject(new StateRefused(`state: commit refused ${error}`));
+          return Promise.reject(new StateTooLarge(`state: commit refused ${error}`));
         }
         const late = writes.length > 0 && this.lateShare > 0 && this.random() < this.lateShare;
         const delay = late ? 2000 + 10_000 * this.random() : this.delayCommit.get(node);
--- /dev/null
+++ b/test/traces/state-limits.test.ts
@@ -0,0 +1,120 @@
+import { describe, expect, it } from 'vitest';
+import { Budget } from '../../src/net/budget.js';
+import { Site } from '../standins/site.js';
+import { until } from './steps.js';
+
+const NEXT = { value_kb: 2, txn_ops: 5, write_rps: 30 };
+const REF = 'j-000001';
+const TASKS = 250;
+
+/** Two teams with room for hundreds of tasks. */
+function large(next?: object): Site {
+  return new Site({ limit: { red: 600, blue: 600 }, reportS: 3, nodes: 3, ...(next ? { next } : {}) });
+}
+
+/** The service takes less from now on. */
+function fall(site: Site): void {
+  site.trace('state      takes less');
+  site.state.sizes = { txnOps: NEXT.txn_ops, valueBytes: NEXT.value_kb * 1024 };
+  site.state.limits = {
+    requests: new Budget(site.clock, 200, 200),
+    writes: new Budget(site.clock, NEXT.write_rps, NEXT.write_rps),
+  };
+}
+
+async function done(site: Site, ref = REF): Promise<void> {
+  await until(site, () => site.state.value(`open/${ref}`) === undefined, 240);
+  await site.run(10);
+  expect(await site.query(ref, site.leader as string)).toBe('done');
+  await site.finish();
+  expect(site.rules.broken).toEqual([]);
+}
+
+const longest = (site: Site): number =>
+  Math.max(...[...site.state.keys.values()].map((e) => JSON.stringify(e.value).length));
+
+describe('limits of the state service that are announced', () => {
+  it('are kept to from the first write on, while the old ones still hold', async () => {
+    const site = large(NEXT);
+    site.startAll();
+    await site.run(1);
+    await site.submit({ ref: REF, tasks: TASKS, runS: 30 });
+    await until(site, () => site.tasksOn(REF) > 200);
+    expect(longest(site)).toBeLessThanOrEqual(NEXT.value_kb * 1024);
+    fall(site);
+    await done(site);
+    expect(site.state.malformed).toEqual([]);
+    // Nothing of it is left behind.
+    expect([...site.state.keys.keys()].filter((key) => key.startsWith('open/'))).toEqual([]);
+  });
+
+  it('fall in the middle of a takeover from a leader that wrote large records', async () => {
+    const site = large(NEXT);
+    // Beside controllers that could not read split records nothing is split.
+    for (const name of site.nodes) site.old.add(name);
+    site.startAll();
+    await site.run(1);
+    await site.submit({ ref: REF, tasks: TASKS, runS: 40 });
+    await until(site, () => site.tasksOn(REF) > 200);
+    expect(longest(site)).toBeGreaterThan(NEXT.value_kb * 1024);
+    site.old.clear();
+    const old = site.leader as string;
+    site.crash(old);
+    await site.run(2.5);
+    fall(site);
+    site.start(old);
+    await done(site);
+    expect(site.state.malformed.length).toBeLessThanOrEqual(1);
+  });
+
+  it('fall while records are being split, and the leader ends in between, twice', async () => {
+    const site = large(NEXT);
+    for (const name of site.nodes) site.old.add(name);
+    site.startAll();
+    await site.run(1);
+    await site.submit({ ref: REF, tasks: TASKS, runS: 60 });
+    await site.submit({ ref: 'j-000002', tasks: TASKS, runS: 12, team: 'blue' });
+    await until(site, () => site.tasksOn(REF) > 200 && site.tasksOn('j-000002') > 200);
+    site.old.clear();
+    fall(site);
+    for (let i = 0; i < 2; i++) {
+      // The first too large write tells; the next ones are parts.
+      await site.run(6);
+      const leader = site.leader as string;
+      site.crash(leader);
+      await site.run(2);
+      site.start(leader);
+    }
+    await done(site, 'j-000002');
+    await done(site);
+    expect(site.state.malformed.length).toBeLessThanOrEqual(3);
+  });
+
+  it('fall during an outage', async () => {
+    const site = large(NEXT);
+    for (const name of site.nodes) site.old.add(name);
+    site.startAll();
+    await site.run(1);
+    await site.submit({ ref: REF, tasks: TASKS, runS: 25 });
+    await until(site, () => site.tasksOn(REF) > 200);
+    site.state.outage = true;
+    await site.run(12);
+    fall(site);
+    site.state.outage = false;
+    await done(site);
+    // Once, not in a loop.
+    expect(site.state.malformed.length).toBeLessThanOrEqual(1);
+  });
+});
+
+describe('limits that are not announced', () => {
+  it('stay as they are: records are as every version writes them', async () => {
+    const site = large();
+    site.startAll();
+    await site.run(1);
+    await site.submit({ ref: REF, tasks: TASKS, runS: 10 });
+    await until(site, () => site.tasksOn(REF) > 100);
+    expect(site.state.value(`open/${REF}/0000`)).toBeDefined();
+    await done(site);
+  });
+});
--- /dev/null
+++ b/test/traces/upgrade.test.ts
@@ -0,0 +1,140 @@
+import { readFileSync } from 'node:fs';
+import { describe, expect, it } from 'vitest';
+import { type Epoch, type JobId, type MemberId, type Round, tokenOf } from '../../src/model/ids.js';
+import {
+  decodePing,
+  encodeCall,
+  encodeFrame,
+  encodePing,
+  encodeProgress,
+  encodeUser,
+  FrameReader,
+  Kind,
+  SPEAKS,
+} from '../../src/peer/frames.js';
+import { leaderRecord } from '../../src/store/records.js';
+import type { Row } from '../../src/wire/state.js';
+import { type JobWish, Site } from '../standins/site.js';
+import { begun, until } from './steps.js';
+
+/** Made by the production version itself, on its stand-ins (docs/upgrade.md says how). */
+const production = JSON.parse(
+  readFileSync(new URL('../fixtures/production.json', import.meta.url), 'utf8'),
+) as { records: Row[]; frames: Record<'ping' | 'progress' | 'user' | 'call', string> };
+
+const WISHES: JobWish[] = [
+  { ref: 'j-000001', tasks: 310, runS: 60 },
+  { ref: 'j-000002', kind: 'service', tasks: 2, team: 'blue' },
+  { ref: 'j-000003', runS: 2, team: 'blue' },
+  { ref: 'j-000004', runS: 200, team: 'blue' },
+  { ref: 'j-000005', tasks: 3, runS: 30, team: 'blue', apart: true },
+];
+
+/** A site that the production version has left in the middle of its work. */
+function left(old: boolean, next?: object): Site {
+  const site = new Site({
+    limit: { red: 700, blue: 60 },
+    reportS: 3,
+    nodes: 3,
+    ...(next ? { next } : {}),
+  });
+  site.restore(
+    production.records.filter((r) => r.key !== 'leader'),
+    WISHES,
+    tokenOf(1 as Epoch, 0 as Round),
+  );
+  if (old) for (const name of site.nodes.slice(1)) site.old.add(name);
+  return site;
+}
+
+describe('records of the production version', () => {
+  it.each([
+    ['while others of it are about, and are written as it reads them', true, undefined],
+    [
+      'once all are new, and are split for the limits to come',
+      false,
+      { value_kb: 2, txn_ops: 5, write_rps: 30 },
+    ],
+  ])('are taken over %s', async (_name, old, next) => {
+    const site = left(old, next);
+    site.startAll();
+    await site.run(3);
+    // Everything is where it was; nothing was stopped or started again.
+    expect(site.tasksOn('j-000001')).toBe(310);
+    expect(site.rules.starts).toBe(315);
+    expect(await site.query('j-000003')).toBe('done');
+    expect(await site.query('j-000004', 'node-1')).toBe('cancelled');
+    if (next) site.state.sizes = { txnOps: 5, valueBytes: 2048 };
+    // One machine dies: its tasks start elsewhere, and their records are written.
+    site.takeAway(site.hostOf('j-000001/0'));
+    await until(site, () => site.tasksOn('j-000001') === 310, 40);
+    await site.run(1);
+    const split = [...site.state.keys.keys()].some((key) => /^open\/j-\d+\/\d+-/.test(key));
+    expect(split).toBe(!old);
+    await until(site, () => site.state.value('open/j-000001') === undefined, 120);
+    await site.run(5);
+    expect(await site.query('j-000001')).toBe('done');
+    expect(await site.query('j-000005')).toBe('done');
+    expect(site.tasksOn('j-000002')).toBe(2);
+    await site.finish();
+    expect(site.rules.broken).toEqual([]);
+    expect(site.state.malformed.length).toBeLessThanOrEqual(1);
+  });
+
+  it('name no leader that could serve what is new', () => {
+    const row = production.records.find((r) => r.key === 'leader');
+    expect(leaderRecord(row?.value)).toMatchObject({ speaks: 0, member: 'node-0' });
+  });
+});
+
+describe('frames of the production version', () => {
+  it('are read, and the same frames are still written', () => {
+    const bytes = Object.values(production.frames).map((hex) => Buffer.from(hex, 'hex'));
+    const frames = new FrameReader().push(Buffer.concat(bytes));
+    expect(frames.map((f) => f.kind)).toEqual([Kind.Ping, Kind.Progress, Kind.User, Kind.Call]);
+    expect(decodePing(frames[0]?.payload as Buffer)).toEqual({
+      member: 'node-0',
+      stateOk: true,
+      leading: 5,
+      speaks: 0,
+    });
+    const hex = (kind: Kind, request: number, payload: Buffer): string =>
+      encodeFrame(kind, request, payload).toString('hex');
+    const job = { id: 'j-000412' as JobId, done: 3, running: 13 };
+    expect(hex(Kind.Progress, 0, encodeProgress([job]))).toBe(production.frames.progress);
+    expect(hex(Kind.User, 7, encodeUser('cancel', Buffer.from(job.id)))).toBe(production.frames.user);
+    expect(hex(Kind.Call, 8, encodeCall('show', '10.1.0.1:9000', 800, undefined))).toBe(
+      production.frames.call,
+    );
+  });
+
+  it('differ from ours in a ping by one byte at its end, which it leaves unread', () => {
+    const member = 'node-0' as MemberId;
+    const ours = encodePing({ member, stateOk: true, leading: 5 as Epoch, speaks: SPEAKS });
+    const theirs = Buffer.from(production.frames.ping, 'hex').subarray(9);
+    expect(ours.subarray(0, theirs.length).equals(theirs)).toBe(true);
+    expect(ours.length).toBe(theirs.length + 1);
+  });
+});
+
+describe('two versions side by side', () => {
+  it('tell an old controller nothing of what it does not know, and take nothing new beside it', async () => {
+    const site = await begun();
+    for (const name of site.nodes) if (name !== site.leader) site.old.add(name);
+    await site.submit({ ref: 'j-000001', tasks: 3, runS: 20 });
+    expect(await site.submit({ ref: 'j-000002', awaits: ['j-000001'] })).toBe(503);
+    expect(await site.submit({ ref: 'j-000003', awaits: [] })).toBe(201);
+    // In an outage the old ones prove nothing, so the new leader answers no longer than the old one did.
+    await until(site, () => site.tasksOn('j-000001') === 3);
+    site.state.outage = true;
+    await site.run(50);
+    expect(site.tasksOn('j-000001')).toBe(0);
+    site.state.outage = false;
+    await site.run(60);
+    site.old.clear();
+    expect(await site.submit({ ref: 'j-000002', awaits: ['j-000001'] })).toBe(201);
+    await site.run(30);
+    expect(await site.query('j-000002')).toBe('done');
+    expect(site.rules.broken).toEqual([]);
+  });
+});
