--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -42,6 +42,8 @@
 const CLOUD_MS = 4000;
 const RELAY_MS = 2500;
 const FORWARD_MS = 1500;
+/** How many other nodes are asked to take what this one has no part of the changes left for. */
+const MOST_ASKED = 4;
 const PROGRESS_MS = 1000;
 const PROGRESS_LIVES_MS = 5000;
 
@@ -309,7 +311,9 @@
       if (!(busy || error instanceof StateRefused || error instanceof StateUnknown)) throw error;
       // Asked too often is meant for all nodes: another one would only ask once more.
       if (error instanceof StateRefused && error.tooMany) return unavailable('asked too often', 2);
-      const forwarded = mayForward ? await this.forward(verb, body) : null;
+      // Each node has its part of what users may write: of several one mostly has some left.
+      const most = busy ? MOST_ASKED : 1;
+      const forwarded = mayForward ? await this.forward(verb, body, most) : null;
       return (
         forwarded ?? (busy ? unavailable('asked too often', 2) : unavailable('state service not reached'))
       );
@@ -330,13 +334,17 @@
   }
 
   /** The state service may refuse this node alone: another one can then answer. */
-  private async forward(verb: UserVerb, body: Buffer): Promise<UserAnswer | null> {
+  private async forward(verb: UserVerb, body: Buffer, most = 1): Promise<UserAnswer | null> {
     const able = this.links.filter((l) => l.alive && l.ping?.stateOk);
-    const link = able[Math.floor(this.ctx.random() * able.length)];
-    if (!link) return null;
-    const answer = await link.ask(Kind.User, encodeUser(verb, body), FORWARD_MS);
-    if (!answer || answer.status === 503) return null;
-    return parseJson(Buffer.from(answer.body)) as UserAnswer;
+    const first = Math.floor(this.ctx.random() * able.length);
+    const payload = encodeUser(verb, body);
+    for (let i = 0; i < Math.min(most, able.length); i++) {
+      const answer = await able[(first + i) % able.length]?.ask(Kind.User, payload, FORWARD_MS);
+      // Without an answer it may have been taken, and the user has waited long enough to be told.
+      if (!answer) return null;
+      if (answer.status !== 503) return parseJson(Buffer.from(answer.body)) as UserAnswer;
+    }
+    return null;
   }
 
   private progressOf(id: JobId): Progress | null {
