--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -87,6 +87,7 @@
   private decideMs = 0;
   private fleetDirty = false;
   private stopTick: Cancel | null = null;
+  private readonly stopRating: Cancel;
 
   constructor(
     node: NodeContext,
@@ -118,7 +119,9 @@
     this.graph = new DependencyGraph(this.jobs.jobs, (job) => this.urgency.takes(this.runMs(job.spec)));
     this.teams = new Map(settings.teams.map((t) => [t.id, t]));
     const stateBudget = new Budget(clock, 1, 1);
-    node.limits.whenRated(() => stateBudget.setRate(node.limits.writeRps * 0.7, node.limits.writeRps * 0.7));
+    this.stopRating = node.limits.whenRated(() =>
+      stateBudget.setRate(node.limits.writeRps * 0.7, node.limits.writeRps * 0.7),
+    );
     const cloudBudget = new Budget(clock, settings.cloudRps * 0.8, settings.cloudRps);
     this.fleet = new FleetManager(
       this.ctx,
@@ -158,6 +161,7 @@
     if (this.over) return;
     this.over = true;
     this.stopTick?.();
+    this.stopRating();
     this.ctx.log.info({ epoch: this.ctx.epoch, why }, 'leadership ended');
     this.onOver(why);
   }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -75,7 +75,7 @@
     this.reach = new Reach(clock);
     this.startedAt = clock.now();
     const cancellations = new Cancellations(clock, settings.cancelWithin);
-    const limits = new StateLimits(settings);
+    const limits = new StateLimits(settings, clock);
     if (settings.siblings.length === 0) limits.allRead();
     const speaking = new Set<string>();
     const store = new StateClient(
--- a/src/store/limits.ts
+++ b/src/store/limits.ts
@@ -1,20 +1,28 @@
+import type { Cancel, Clock } from '../model/time.js';
 import type { Settings, StateLimitsOf } from '../wire/settings.js';
 import { StateRefused, StateTooLarge } from './client.js';
 import { chunkTasks, CHUNK_TASKS } from './records.js';
 
+/** The announced rates are kept to for so long after the first refusal, and twice as long after each further one. */
+const FIRST_HELD_MS = 20_000;
+
 /**
  * What the state service takes, as we know it. Its limits may fall without notice to those that the
- * settings announce. Sizes keep to the smaller of both from the first write on; rates stay as they are
- * until a refusal tells that they have fallen.
+ * settings announce. Sizes keep to the smaller of both from the first write on; rates follow
+ * a refusal at once, and are tried again ever more rarely.
  */
 export class StateLimits {
   readonly valueBytes: number;
   readonly txnOps: number;
   private fallen = false;
+  private held = FIRST_HELD_MS;
   private split = false;
-  private readonly listeners: (() => void)[] = [];
+  private readonly listeners = new Set<() => void>();
 
-  constructor(private readonly settings: Pick<Settings, 'state' | 'stateNext'>) {
+  constructor(
+    private readonly settings: Pick<Settings, 'state' | 'stateNext'>,
+    private readonly clock: Clock,
+  ) {
     const { state, stateNext } = settings;
     this.valueBytes = Math.min(state.valueBytes, stateNext.valueBytes);
     this.txnOps = Math.min(state.txnOps, stateNext.txnOps);
@@ -32,10 +40,11 @@
     return this.rates.writeRps;
   }
 
-  /** Called at once, and whenever a rate has changed. */
-  whenRated(listener: () => void): void {
-    this.listeners.push(listener);
+  /** Called at once, and whenever a rate has changed, until it is called off. */
+  whenRated(listener: () => void): Cancel {
+    this.listeners.add(listener);
     listener();
+    return () => this.listeners.delete(listener);
   }
 
   /** A call failed: a refusal for too much, or of something too large, tells of the limits. */
@@ -47,7 +56,14 @@
   private refused(): void {
     const { state, stateNext } = this.settings;
     if (this.fallen || (stateNext.rps >= state.rps && stateNext.writeRps >= state.writeRps)) return;
-    this.fallen = true;
+    this.rate(true);
+    // A crowd of submissions is refused too, long before the limits fall: then the old rates still hold.
+    this.clock.after(this.held, () => this.rate(false));
+    this.held *= 2;
+  }
+
+  private rate(fallen: boolean): void {
+    this.fallen = fallen;
     for (const listener of this.listeners) listener();
   }
 
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -204,7 +204,7 @@
   start(name: string): void {
     const clock = new ProcessClock(this.clock);
     const settings = settingsOf(name, this.size);
-    const limits = new StateLimits(settings);
+    const limits = new StateLimits(settings, clock);
     if (this.old.size === 0) limits.allRead();
     const cancellations = new Cancellations(clock, seconds(CANCEL_S));
     const ctx: NodeContext = {
