--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -312,7 +312,7 @@
 
   /**
    * After all records of progress were given: what they say, and what waits. Smaller chunks were made of
-   * larger ones: what a smaller one covers, the larger one that it came from no longer tells.
+   * larger ones and list every task that was ever begun: they are read last, and what they say counts.
    */
   settle(): void {
     const told = new Map<TaskIndex, { done: boolean; placed?: Placement; tryNo?: TryNo }>();
@@ -320,7 +320,6 @@
       const first = chunk * size;
       if (size === this.chunkTasks) this.chunkOf(first as TaskIndex).stamp = stamp;
       else this.superseded.push(keys.openChunk(this.spec.id, chunk, size));
-      if (size < CHUNK_TASKS) for (let i = first; i < first + size; i++) told.delete(i as TaskIndex);
       const stored = decodeChunk(value);
       for (const index of stored.done) told.set(index, { done: true });
       for (const [index, placed] of stored.placed) told.set(index, { done: false, placed });
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -123,11 +123,12 @@
   }
 
   private addClosing(batch: Batch, job: OpenJob, max: number): void {
+    const { id } = job.spec;
     const stored = [...job.chunks.values()].filter((c) => c.stamp > 0).map((c) => c.key);
-    const drops = [...stored, ...job.superseded];
+    const lists = Array.from({ length: job.spec.dependencyRecords }, (_, n) => keys.dependencies(id, n));
+    const drops = [...stored, ...job.superseded, ...lists];
     const need = 2 + drops.length;
     if (batch.writes.length > 0 && batch.writes.length + need > max) return;
-    const id = job.spec.id;
     if (tells(job)) {
       batch.conditions.push({ key: keys.job(id), stamp: job.stamp });
       batch.writes.push({
--- a/test/traces/pipelines.test.ts
+++ b/test/traces/pipelines.test.ts
@@ -122,6 +122,28 @@
     await expectTrace('pipeline-priority', site);
   });
 
+  it('may name more jobs than one record has room for', async () => {
+    const site = new Site({ limit: { red: 4000, blue: 4000 }, reportS: 3, nodes: 3, next: { value_kb: 1 } });
+    site.startAll();
+    await site.run(1);
+    const named: string[] = [];
+    for (let n = 1; n <= 150; n++) {
+      while ((await site.submit({ ref: ref(n), cpus: 1, runS: 3 })) === 503) await site.run(0.2);
+      named.push(ref(n));
+    }
+    while ((await site.submit({ ref: ref(500), runS: 3, awaits: named })) === 503) await site.run(0.2);
+    const lists = (): string[] => [...site.state.keys.keys()].filter((key) => key.startsWith('deps/'));
+    expect(lists().length).toBeGreaterThan(1);
+    // A successor has them from the records, too.
+    site.crash(site.leader as string);
+    await until(site, () => site.state.value(`open/${ref(500)}`) === undefined, 200);
+    await site.run(5);
+    expect(await site.query(ref(500), site.leader as string)).toBe('done');
+    expect(lists()).toEqual([]);
+    expect(site.state.malformed).toEqual([]);
+    expect(site.rules.broken).toEqual([]);
+  });
+
   it('costs what the edges touched cost: a fan of 800 and a chain of 200', async () => {
     const site = new Site({ limit: { red: 4000, blue: 4000 }, reportS: 6, nodes: 3 });
     site.startAll();
--- /dev/null
+++ b/test/unit/job-book.test.ts
@@ -0,0 +1,102 @@
+import { describe, expect, it } from 'vitest';
+import type { HostId, JobId, Stamp, TaskIndex } from '../../src/model/ids.js';
+import type { Steady, WallTime } from '../../src/model/time.js';
+import { JobBook, OpenJob } from '../../src/scheduler/job-book.js';
+import { CHUNK_TASKS, decodeJob, encodeJob, keys, parseOpenKey } from '../../src/store/records.js';
+import type { JobSpec } from '../../src/model/job.js';
+import { parseSubmission } from '../../src/wire/users.js';
+
+const SMALL = 56;
+
+function spec(more: object): JobSpec {
+  const parsed = parseSubmission({
+    ref: 'j-000001',
+    jobclass: 'batch',
+    owner: 'red',
+    shape: 'array',
+    rank: 'standard',
+    shards: 200,
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 1,
+    bundle: 'img',
+    pullGb: 1,
+    samePlace: false,
+    apart: false,
+    reclaimable: true,
+    expectedS: 10,
+    savepointS: 0,
+    flushS: 0,
+    ...more,
+  });
+  if (!parsed.ok) throw new Error(parsed.error);
+  return parsed.value;
+}
+
+const job = (size: number): OpenJob => new OpenJob(spec({}), 1 as Stamp, 0 as WallTime, size);
+
+const LARGE_RECORD = { p: [[0, 1, 'host-1'], [60, 1, 'host-1'], [61, 2, 'host-2']] }; // prettier-ignore
+const SMALL_RECORD = { d: [[0, 0]], u: [[1, 1]] };
+
+describe('progress in chunks of two sizes', () => {
+  it.each([
+    ['the large one first', true],
+    ['the small one first', false],
+  ])('is told by the smaller where both tell: %s', (_name, first) => {
+    const read = job(SMALL);
+    const large = (): void => read.restore(0, CHUNK_TASKS, LARGE_RECORD, 9 as Stamp);
+    const small = (): void => read.restore(0, SMALL, SMALL_RECORD, 7 as Stamp);
+    if (first) [large, small].forEach((act) => act());
+    else [small, large].forEach((act) => act());
+    read.settle();
+    expect(read.done).toBe(1);
+    expect(read.heldCount).toBe(2);
+    expect([...read.held()].map((task) => task.index)).toEqual([60, 61]);
+    expect(read.superseded).toEqual(['open/j-000001/0000']);
+    // What was tried once is not tried under that number again.
+    const next = read.decide('host-3' as HostId, 'north' as never, 0 as Steady);
+    expect([next.index, next.tryNo]).toEqual([1, 2]);
+  });
+
+  it('goes on in smaller ones: what was not durable is written anew, and outcomes wait for it', () => {
+    const book = new JobBook();
+    const open = job(CHUNK_TASKS);
+    book.add(open);
+    const tasks = Array.from({ length: 120 }, () =>
+      open.decide('host-1' as HostId, 'north' as never, 0 as Steady),
+    );
+    const large = open.chunkOf(0 as TaskIndex);
+    const version = large.version;
+    open.rechunk(SMALL, 1 as Steady);
+    expect(book.dirty.size).toBe(3);
+    expect([...book.dirty].map((chunk) => chunk.deciding.size)).toEqual([56, 56, 8]);
+    expect(large.holds(version)).toBe(false);
+    for (const chunk of book.dirty) chunk.durable = chunk.version;
+    expect(large.holds(version)).toBe(true);
+    // A write of the old size that was under way when it was split makes its starts durable all the same.
+    open.placed(tasks[0] as (typeof tasks)[0]);
+    expect(open.chunkOf(0 as TaskIndex).deciding.size).toBe(55);
+  });
+
+  it('has keys that tell the size, and none for the usual one', () => {
+    const id = 'j-000001' as JobId;
+    expect(keys.openChunk(id, 3, CHUNK_TASKS)).toBe('open/j-000001/0003');
+    expect(parseOpenKey(keys.openChunk(id, 3, SMALL))).toEqual({ job: id, chunk: 3, size: SMALL });
+    expect(parseOpenKey('open/j-000001')).toEqual({ job: id, chunk: null, size: CHUNK_TASKS });
+  });
+});
+
+describe('a job’s record', () => {
+  it('keeps the dependencies behind what earlier versions read', () => {
+    const record = {
+      spec: spec({ awaits: ['j-000007', 'j-000008', 'j-000007'] }),
+      state: 'accepted' as const,
+      acceptedAt: 5 as WallTime,
+    };
+    const stored = encodeJob(record);
+    expect(stored.j).toHaveLength(19);
+    expect(stored.j[18]).toEqual(['j-000007', 'j-000008']);
+    expect(decodeJob(record.spec.id, JSON.parse(JSON.stringify(stored)))).toEqual(record);
+    expect(encodeJob({ ...record, spec: spec({}) }).j).toHaveLength(18);
+  });
+});
