--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -134,6 +134,8 @@
   copyShare = 0;
   /** Nodes that reach no other controller. */
   readonly alone = new Set<string>();
+  /** Nodes that start from now on could not read the machine types. */
+  typesUnknown = false;
   /** Nodes of a version that knows nothing of cancellations told between controllers. */
   readonly old = new Set<string>();
   private repeating: number | null = null;
@@ -217,7 +219,7 @@
       cloud: this.cloud.for(clock),
       workers: this.callerFor(name, clock),
       random: this.random,
-      types: new Map(TYPES.map((t) => [t.id, t])),
+      types: new Map(this.typesUnknown ? [] : TYPES.map((t) => [t.id, t])),
       workerCalls: 64,
       limits,
       cancellations,
