A successor elected just before a shared outage keeps the work alive; what it is shown before it has read is no stray

The grant had ended just before the outage; the successor knew no record and answered reports for 3 s only. It may go on while every controller, itself included, has been up for longer than cancel_s and vouches: together they remember every cancellation that is not past its limit. While it reads it learns nothing from reports: all that they show would look like what nobody wants, and be killed. A new leader gives machines 4 s before it fences for an old cancellation.

--- a/src/cluster/answering.ts
+++ b/src/cluster/answering.ts
@@ -78,11 +78,13 @@
       if (words.some((word) => word === null)) return;
       for (const word of words) if (word?.leading != null) this.newer(word.leading);
       this.aloneSince = now;
-      const { knownUpTo } = this;
-      // Started since then, it may have forgotten what it confirmed.
-      if (knownUpTo === null || since(now, knownUpTo) > this.ctx.settings.cancelWithin) return;
-      const unknownFor = atMost(since(clock.now(), knownUpTo));
-      if (words.every((word) => word !== null && word.upFor > unknownFor)) this.knew(now);
+      // Started since then, one of us may have forgotten what it confirmed. What is older than a cancellation's
+      // limit need not be known: so who has read no records yet can know enough, too.
+      const { cancelWithin } = this.ctx.settings;
+      const unknownFor = this.knownUpTo === null ? Infinity : since(clock.now(), this.knownUpTo);
+      const remembered = atMost(Math.min(unknownFor, cancelWithin));
+      const all = [cancellations.upFor, ...words.map((word) => word?.upFor ?? 0)];
+      if (all.every((upFor) => upFor > remembered)) this.knew(now);
     } catch (error) {
       log.debug({ error: reason(error) }, 'the others were not asked');
     }
--- a/src/cluster/cancellations.ts
+++ b/src/cluster/cancellations.ts
@@ -20,12 +20,19 @@
   private readonly learned = new Map<JobId, Steady>();
   private readonly listeners: ((ids: readonly JobId[]) => void)[] = [];
   private readonly kept: number;
+  private readonly startedAt: Steady;
 
   constructor(
     private readonly clock: Clock,
     cancelWithin: Millis,
   ) {
     this.kept = cancelWithin * KEPT_LIMITS;
+    this.startedAt = clock.now();
+  }
+
+  /** How long this process has been listening. */
+  get upFor(): Millis {
+    return since(this.clock.now(), this.startedAt);
   }
 
   onLearned(listener: (ids: readonly JobId[]) => void): void {
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -50,6 +50,8 @@
 const MOST_ORDERS = 250;
 /** The part of a cancellation's limit after which a host that keeps its task is fenced. */
 const CANCEL_PATIENCE = 0.4;
+/** By then a new leader has met the machines that live. */
+const MEETING_MS = 4000;
 /**
  * What asks for a decision within this is decided together: at size that also means fewer transactions,
  * and fewer calls to machines that get several tasks.
@@ -83,6 +85,7 @@
   private guaranteed: { readonly version: number; readonly jobs: Set<JobId> } | null = null;
   private over = false;
   private ready = false;
+  private readyAt: Steady | null = null;
   private poked = false;
   private decideMs = 0;
   private fleetDirty = false;
@@ -192,6 +195,7 @@
     }
     if (this.over || ledger === null) return;
     this.ready = true;
+    this.readyAt = this.ctx.clock.now();
     void this.lookUp();
     this.ctx.log.info(
       { epoch: this.ctx.epoch, jobs: this.jobs.jobs.size, hosts: this.hosts.hosts.size },
@@ -250,6 +254,8 @@
    * machine that hangs goes on with the task otherwise, and while the state service is out nobody is sure.
    */
   private fenceCancelled(now: Steady): void {
+    // A leader that has just begun has not been told yet what is gone.
+    if (this.readyAt === null || since(now, this.readyAt) < MEETING_MS) return;
     const limit = this.ctx.settings.cancelWithin * CANCEL_PATIENCE;
     for (const host of this.hosts.hosts.values()) {
       for (const task of host.tasks) {
@@ -687,11 +693,13 @@
     const stranger: Answer = { status: 200, body: ordersBody(tokenOf(this.ctx.epoch, 0 as Round), unwanted) };
     // A machine that we do not know may be long gone, and this a late copy of what it once said: only
     // a report that knows our epoch was made in our time. A living worker's next one does.
-    if (!this.hosts.hosts.has(report.host) && seen < this.ctx.epoch) {
-      // While we still read who exists, its lease may run from this answer.
-      if (!this.ready) this.health.answeredStranger(now);
+    if (!this.ready) {
+      // While we still read what there is, a lease may run from this answer. Nothing is learned from the report:
+      // all that it shows would look like what nobody wants.
+      this.health.answeredStranger(now);
       return stranger;
     }
+    if (!this.hosts.hosts.has(report.host) && seen < this.ctx.epoch) return stranger;
     const machine: Machine = { id: report.host, type: report.type, zone: report.zone, spot: report.spot };
     const host = this.fleet.adopt(machine, now);
     if (!host) return stranger;
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -61,7 +61,6 @@
   private progress = new Map<JobId, Progress>();
   private progressAt: Steady | null = null;
   private readonly reach: Reach;
-  private readonly startedAt: Steady;
 
   constructor(
     private readonly settings: Settings,
@@ -73,7 +72,6 @@
     const shares = shareSockets(settings.sockets, settings.siblings.length);
     this.targets = new WorkerTargets(shares.workers);
     this.reach = new Reach(clock);
-    this.startedAt = clock.now();
     const cancellations = new Cancellations(clock, settings.cancelWithin);
     const limits = new StateLimits(settings, clock);
     if (settings.siblings.length === 0) limits.allRead();
@@ -194,9 +192,9 @@
   // Cancellations
 
   private cancellationsWord(which?: readonly JobId[]): CancellationsWord {
-    const { clock, cancellations } = this.ctx;
+    const { cancellations } = this.ctx;
     return {
-      upFor: since(clock.now(), this.startedAt),
+      upFor: cancellations.upFor,
       leading: this.seat.leader?.epoch ?? null,
       told: cancellations.list(which),
     };
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -22,7 +22,7 @@
 import { splitTaskId } from '../../src/model/ids.js';
 import type { Machine, MachineType } from '../../src/model/machine.js';
 import type { Order, Report } from '../../src/model/report.js';
-import { seconds, type Steady, since } from '../../src/model/time.js';
+import { seconds } from '../../src/model/time.js';
 import type { CancellationsWord } from '../../src/peer/frames.js';
 import { NoAnswer } from '../../src/net/http-client.js';
 import { StateLimits } from '../../src/store/limits.js';
@@ -107,7 +107,6 @@
   readonly seat: Seat;
   readonly users: UserService;
   readonly cancellations: Cancellations;
-  readonly startedAt: Steady;
 }
 
 /** A whole site on a virtual clock: three nodes, state service, cloud, workers, users, rule checker. */
@@ -231,7 +230,6 @@
       clock,
       seat,
       cancellations,
-      startedAt: clock.now(),
       users: new UserService(
         ctx,
         () => null,
@@ -267,7 +265,7 @@
           const to = this.running.get(other);
           to?.clock.whenRunning(() => {
             const word: CancellationsWord = {
-              upFor: since(this.clock.now(), to.startedAt),
+              upFor: to.cancellations.upFor,
               leading: to.seat.leader?.epoch ?? null,
               told: to.cancellations.list(),
             };
--- a/test/traces/gap.test.ts
+++ b/test/traces/gap.test.ts
@@ -167,6 +167,30 @@
   });
 });
 
+describe('a successor that is elected just before an outage that all share', () => {
+  it('keeps the work alive though it knows no job, kills what is cancelled, and starts nothing anew', async () => {
+    const gap = await running();
+    const { site, old, other } = gap;
+    // Everybody has been up for longer than a cancellation has.
+    await site.run(25);
+    site.state.refused.add(old);
+    expect(await site.cancel('j-000002', other)).toBe('cancelled');
+    while (site.leads(old)) await site.run(0.001);
+    while (site.leader === undefined) await site.run(0.001);
+    site.state.outage = true;
+    site.trace('state      is out');
+    await site.run(OUTAGE_S);
+    expect(site.tasksOn('j-000002')).toBe(0);
+    expect(site.tasksOn('j-000001')).toBe(1);
+    const starts = site.rules.starts;
+    await outageEnds(gap);
+    // Guards against a new leader that took all it had been shown before it had read the records for strays.
+    expect(site.tasksOn('j-000001')).toBe(1);
+    expect(site.rules.starts).toBe(starts);
+    await expectTrace('gap-elected', site);
+  });
+});
+
 describe('an outage of the state service that all share', () => {
   it('ends no work while every controller says that it confirmed nothing, however long it lasts', async () => {
     const gap = await running();
