--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -707,7 +707,7 @@
     // Reports of earlier epochs may be minutes old: they prove nothing, not even life.
     const fresh = seen === this.ctx.epoch && (!host.known || host.newer(report));
     if (!fresh) {
-      host.learnTenure(report);
+      host.learnTenure(report, now);
       if (!host.known) this.dispatcher.wake(host);
     } else {
       host.reported(report, via, now);
@@ -738,7 +738,7 @@
       const now = this.ctx.clock.now();
       if (seen === this.ctx.epoch && host.newer(report)) this.health.heard(host, now);
       this.told(host, applyReport(host, report, this.ctx.epoch, this.jobs, now));
-      const another = host.learnTenure(report);
+      const another = host.learnTenure(report, now);
       if (another || (host.known && ordersFor(host, now, this.ctx.sure()).length > 0))
         this.dispatcher.wake(host);
     });
--- a/src/workers/host-book.ts
+++ b/src/workers/host-book.ts
@@ -47,6 +47,8 @@
   private answeredReport: { readonly via: MemberId; readonly counter: Counter } | null = null;
   /** When we last answered a report of this host: its lease may run from then. */
   answeredAt: Steady | null = null;
+  /** When we first heard of its present session, which began before: its lease may run from then, too. */
+  private sessionAt: Steady | null = null;
   /** When the cloud takes the machine, by its notice. */
   takenAt: Steady | null = null;
   /** Nothing more is placed here. */
@@ -142,9 +144,9 @@
    * A report that proves nothing yet, being of an earlier epoch, still tells the session to address.
    * True: it is another one than we thought.
    */
-  learnTenure(report: Report): boolean {
+  learnTenure(report: Report, now: Steady): boolean {
     if (this.known || report.tenure <= this.tenure) return false;
-    this.tenure = report.tenure;
+    this.session(report.tenure, now);
     return true;
   }
 
@@ -194,8 +196,18 @@
     return false;
   }
 
+  /** A session that we hear of for the first time. */
+  session(tenure: Tenure, now: Steady): void {
+    this.tenure = tenure;
+    this.sessionAt = now;
+  }
+
+  /**
+   * Until then the worker may keep what it runs. A machine that reaches no controller goes through its sessions
+   * unanswered, and runs what direct orders bring it in each.
+   */
   leaseEnd(start: Steady, lease: number): Steady {
-    const from = this.answeredAt !== null && this.answeredAt > start ? this.answeredAt : start;
+    const from = Math.max(start, this.answeredAt ?? start, this.sessionAt ?? start) as Steady;
     return plus(from, lease);
   }
 }
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -28,9 +28,9 @@
 
   const newTenure = host.known && report.tenure > host.tenure;
   if (!host.known || !host.up || newTenure) told.changed = true;
+  if (!host.known || newTenure) host.session(report.tenure, now);
   host.known = true;
   host.up = true;
-  host.tenure = report.tenure;
   host.counter = report.counter;
   host.address = report.address;
   if (report.notice !== null) {
--- a/test/traces/takeovers.test.ts
+++ b/test/traces/takeovers.test.ts
@@ -102,3 +102,22 @@
     expect(site.rules.broken).toEqual([]);
   });
 });
+
+describe('machines that reach no controller, while direct commands reach them', () => {
+  it('keep what they were given in a new session until that session’s own lease has ended', async () => {
+    const site = await begun();
+    await site.submit({ ref: 'j-000001', tasks: 8, runS: 90, team: 'blue' });
+    await site.submit({ ref: 'j-000002', tasks: 6, runS: 90 });
+    await until(site, () => site.tasksOn('j-000001') === 8 && site.tasksOn('j-000002') === 6);
+    // The cloud confirms no delete, so that only leases prove tasks gone.
+    site.cloud.outage = true;
+    for (const host of site.workers.keys()) site.mute.add(host);
+    await site.run(55);
+    site.mute.clear();
+    site.cloud.outage = false;
+    await site.run(160);
+    expect(await site.query('j-000001')).toBe('done');
+    expect(await site.query('j-000002')).toBe('done');
+    await expectTrace('mute-sessions', site);
+  });
+});
