--- a/src/api/dependencies.ts
+++ b/src/api/dependencies.ts
@@ -51,7 +51,7 @@
   }
 
   /** After `fault`: without what is done, and cancelled if one of them is. */
-  async left(spec: JobSpec): Promise<Acceptable> {
+  left(spec: JobSpec): Acceptable {
     const dependencies = spec.dependencies.filter((id) => this.cache.finalState(id) !== 'done');
     if (dependencies.some((id) => this.cache.finalState(id) === 'cancelled')) {
       return { spec: { ...spec, dependencies: [] }, state: 'cancelled', records: [] };
@@ -60,10 +60,10 @@
   }
 
   private split(spec: JobSpec): Acceptable {
-    const { valueBytes, txnOps } = this.ctx.limits;
+    const { valueBytes } = this.ctx.limits;
     const size = (value: unknown): number => JSON.stringify(value).length;
     const stored = encodeJob({ spec, state: 'accepted', acceptedAt: this.ctx.clock.wall() });
-    if (spec.dependencies.length === 0 || size(stored) <= valueBytes || txnOps < 1) {
+    if (spec.dependencies.length === 0 || size(stored) <= valueBytes) {
       return { spec, state: 'accepted', records: [] };
     }
     const records: Write[] = [];
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -130,7 +130,7 @@
       return refusal;
     }
     if (!parsed.ok) return unavailable('not decided');
-    return this.accept(await this.dependencies.left(parsed.value));
+    return this.accept(this.dependencies.left(parsed.value));
   }
 
   private neverRuns(spec: JobSpec): UserAnswer | null {
