A job that names one whose cancellation its node had not heard of falls with it at once

Cause, found by reading the code: a dependent that joined while the cancelled job was still being stopped found no one to take it along; it stayed accepted until a user asked. The trace fails without the check.

--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -301,9 +301,10 @@
   private open(job: OpenJob): void {
     if (!this.jobs.add(job)) return;
     this.depend(job);
+    this.followCancelled(job);
     if (this.ctx.cancellations.has(job.spec.id)) this.cancel(job.spec.id);
     // What waits for others is no new demand of this slot; the fleet foresees it (`foreseen`).
-    else if (job.tasks.size === 0 && !job.blocked) this.fleet.demanded(job);
+    else if (job.tasks.size === 0 && !job.blocked && !job.cancelled) this.fleet.demanded(job);
   }
 
   // Dependencies
@@ -329,6 +330,19 @@
     if (!this.jobs.jobs.has(id)) this.unknown.add(id);
   }
 
+  /**
+   * A job that it needs was cancelled before this one became known: the cancellation found no dependent to
+   * take along. A node whose view is a moment old accepts such a job as one that waits.
+   */
+  private followCancelled(job: OpenJob): void {
+    const cancelled = [...job.waitsFor].some(
+      (id) => this.jobs.endOf(id) === 'cancelled' || this.ctx.cancellations.has(id) || this.jobs.jobs.get(id)?.cancelled,
+    );
+    if (!cancelled || job.cancelled) return;
+    job.doomed = true;
+    this.stop(job);
+  }
+
   private async readRest(id: JobId, records: number): Promise<void> {
     while (!this.over) {
       try {
@@ -339,7 +353,8 @@
           for (const needed of rest) this.needs(job, needed);
           job.unread = false;
           this.graph.join(job);
-          if (!job.blocked) this.release([job]);
+          this.followCancelled(job);
+          if (!job.blocked && !job.cancelled) this.release([job]);
         });
         await this.lookUp();
         return;
--- a/test/traces/pipelines.test.ts
+++ b/test/traces/pipelines.test.ts
@@ -93,6 +93,23 @@
     await expectTrace('pipeline-orphans', site);
   });
 
+  it('is cancelled with a job whose cancellation the accepting node had not heard of', async () => {
+    const site = await begun();
+    await site.submit({ ref: ref(1), runS: 200 });
+    await until(site, () => site.tasksOn(ref(1)) === 1);
+    // The cancelled task's machine hangs, so the leader still holds the job while the next one joins.
+    site.worker(site.hostOf(`${ref(1)}/0`)).hang();
+    expect(await site.query(ref(1), 'node-2')).toBe('pending');
+    expect(await site.cancel(ref(1), 'node-1')).toBe('cancelled');
+    expect(await site.submit({ ref: ref(2), awaits: [ref(1)] }, 'node-2')).toBe(201);
+    expect(await site.submit({ ref: ref(3), awaits: [ref(2)] }, 'node-2')).toBe(201);
+    // Nobody asks: the leader alone writes it down, long before the limit of a cancellation.
+    await site.run(3);
+    for (const n of [2, 3]) expect(site.state.value(`job/${ref(n)}`)).toMatchObject({ s: 'c' });
+    expect(site.tasksOn(ref(1))).toBe(1);
+    await expectTrace('pipeline-joins-cancelled', site);
+  });
+
   it('takes nothing that can never start, or that a leader of an earlier version would start too early', async () => {
     const site = await begun();
     await site.submit({ ref: ref(1), kind: 'service' });
