--- a/src/api/dependencies.ts
+++ b/src/api/dependencies.ts
@@ -1,21 +1,17 @@
 import type { NodeContext } from '../cluster/context.js';
 import type { JobId } from '../model/ids.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
-import { encodeJob, keys } from '../store/records.js';
-import type { Write } from '../wire/state.js';
+import { keys } from '../store/keys.js';
 import type { Confirmations, JobCache } from './job-cache.js';
 
-/** A job as it is accepted: with the dependencies that are left, and what has no room in its record. */
+/** A job as it is accepted: with the dependencies that are left. */
 export interface Acceptable {
   readonly spec: JobSpec;
   readonly state: 'accepted' | 'cancelled';
-  readonly records: readonly Write[];
 }
 
 /** Looks at so many unknown jobs at a time. */
 const AT_ONCE = 8;
-/** What a list of ids takes besides them. */
-const LIST_BYTES = 16;
 
 /**
  * What users' requests need to know of the jobs that a job names. Done and cancelled are final: once
@@ -53,38 +49,9 @@
   /** After `fault`: without what is done, and cancelled if one of them is. */
   left(spec: JobSpec): Acceptable {
     const dependencies = spec.dependencies.filter((id) => this.cache.finalState(id) !== 'done');
-    if (dependencies.some((id) => this.cache.finalState(id) === 'cancelled')) {
-      return { spec: { ...spec, dependencies: [] }, state: 'cancelled', records: [] };
-    }
-    return this.split({ ...spec, dependencies });
-  }
-
-  private split(spec: JobSpec): Acceptable {
-    const { valueBytes } = this.ctx.limits;
-    const size = (value: unknown): number => JSON.stringify(value).length;
-    const stored = encodeJob({ spec, state: 'accepted', acceptedAt: this.ctx.clock.wall() });
-    if (spec.dependencies.length === 0 || size(stored) <= valueBytes) {
-      return { spec, state: 'accepted', records: [] };
-    }
-    const records: Write[] = [];
-    let part: JobId[] = [];
-    let bytes = LIST_BYTES;
-    const close = (): void => {
-      if (part.length > 0) records.push({ set: keys.dependencies(spec.id, records.length), value: part });
-      part = [];
-      bytes = LIST_BYTES;
-    };
-    for (const id of spec.dependencies) {
-      if (bytes + id.length + 3 > valueBytes) close();
-      part.push(id);
-      bytes += id.length + 3;
-    }
-    close();
-    return {
-      spec: { ...spec, dependencies: [], dependencyRecords: records.length },
-      state: 'accepted',
-      records,
-    };
+    const cancelled = dependencies.some((id) => this.cache.finalState(id) === 'cancelled');
+    if (cancelled) return { spec: { ...spec, dependencies: [] }, state: 'cancelled' };
+    return { spec: { ...spec, dependencies }, state: 'accepted' };
   }
 
   /**
--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -2,7 +2,8 @@
 import type { FinalState, JobKind, JobRecord } from '../model/job.js';
 import { type Clock, sleep } from '../model/time.js';
 import { type Committed, StateRefused, type StateStore } from '../store/client.js';
-import { decodeJob, keys } from '../store/records.js';
+import { decodeJob } from '../store/job-record.js';
+import { keys } from '../store/keys.js';
 import type { Change, Condition } from '../wire/state.js';
 
 export interface Known {
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -5,12 +5,14 @@
 import { reason } from '../log/logger.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import { fits } from '../model/job.js';
-import { ms, since, sleep } from '../model/time.js';
-import type { Change, Condition } from '../wire/state.js';
+import { DEPENDENCIES_VERSION, SPLIT_DESCRIPTIONS_VERSION } from '../model/protocol.js';
+import { ms, since, sleep, type WallTime } from '../model/time.js';
+import type { Change, Condition, Write } from '../wire/state.js';
 import { Budget } from '../net/budget.js';
 import { teamRoom } from '../scheduler/place.js';
 import { StateRefused, StateUnknown } from '../store/client.js';
-import { decodeJob, encodeJob, keys } from '../store/records.js';
+import { decodeJob, encodeEnded, encodeJob, splitJob, type StoredInParts } from '../store/job-record.js';
+import { keys } from '../store/keys.js';
 import { type Acceptable, Dependencies } from './dependencies.js';
 import { Confirmations, JobCache } from './job-cache.js';
 import { accepted, jobStatus, parseSubmission, type Progress } from '../wire/users.js';
@@ -23,6 +25,8 @@
 }
 
 const TRIES = 3;
+/** Seconds after which it is worth asking again for what a controller of an earlier version doesn't know. */
+const NOT_YET_RETRY_S = 5;
 /** Questions that come within this are asked in one request. */
 const TOGETHER_MS = 100;
 /** The share of the state service's requests that first questions about jobs may use, by all nodes. */
@@ -35,8 +39,7 @@
 const USERS_WRITES = 0.65;
 /** Jobs that come together are taken together, up to the changes of so many seconds. */
 const USERS_BURST_S = 2;
-/** What one acceptance and one cancellation write. */
-const ACCEPT_WRITES = 2;
+/** What one cancellation writes. */
 const CANCEL_WRITES = 1;
 const WATCH_MS = 20_000;
 /**
@@ -54,6 +57,12 @@
 /** This node has used up its share of what the state service takes; another one may have some left. */
 export class Busy extends Error {}
 
+/** What an acceptance writes in its transaction, and the further records that stand before it. */
+interface Acceptance {
+  readonly records: readonly Write[];
+  readonly writes: readonly Write[];
+}
+
 interface Found {
   readonly record: JobRecord;
   readonly stamp: Stamp;
@@ -130,7 +139,7 @@
       return refusal;
     }
     if (!parsed.ok) return unavailable('not decided');
-    return this.accept(this.dependencies.left(parsed.value));
+    return this.accept(this.dependencies.left(parsed.value), parsed.value.dependencies);
   }
 
   private neverRuns(spec: JobSpec): UserAnswer | null {
@@ -154,34 +163,35 @@
   private async neverReady(spec: JobSpec): Promise<UserAnswer | null> {
     if (spec.dependencies.length === 0) return null;
     // An acceptance whose dependencies a leader of an earlier version would ignore.
-    if (!this.ctx.dependenciesKnown()) return unavailable('awaits is not served yet', 5);
+    if (!this.ctx.allSpeak(DEPENDENCIES_VERSION))
+      return unavailable('awaits is not served yet', NOT_YET_RETRY_S);
     const error = await this.dependencies.fault(spec);
     return error === null ? null : { status: 422, body: { error } };
   }
 
-  private async accept({ spec, state, records }: Acceptable): Promise<UserAnswer> {
-    const { id } = spec;
+  private async accept(job: Acceptable, named: readonly JobId[]): Promise<UserAnswer> {
+    const { id } = job.spec;
     const ended = this.cache.final(id);
     if (ended) return { status: 200, body: ended };
     // A repeat: a read spares the changes that a failing acceptance would cost.
     const repeated = this.cache.known(id) ? await this.find(id) : null;
     if (repeated) return this.known(id, repeated);
-    const value = encodeJob({ spec, state, acceptedAt: this.ctx.clock.wall() });
+    const acceptance = this.acceptance(job, named);
+    if (!acceptance) return unavailable('a submission of this length is not served yet', NOT_YET_RETRY_S);
+    const { records, writes } = acceptance;
     const unknown: Condition[] = [{ key: keys.job(id), stamp: NO_STAMP }];
+    let written = 0;
     for (let tries = 1; ; tries++) {
       // Every node takes its share of what all may write: this one's acceptances cost as many times more.
-      if (!this.writes.take((ACCEPT_WRITES + records.length) * this.sharers())) throw new Busy();
+      if (!this.writes.take((writes.length + records.length - written) * this.sharers())) throw new Busy();
       try {
         // What has no room in the record stands before the job is accepted.
-        for (const record of records) {
+        for (const record of records.slice(written)) {
           const result = await this.ctx.store.commit(unknown, [record]);
           if (!result.ok) break;
+          written++;
         }
-        const result = await this.ctx.store.commit(unknown, [
-          { set: keys.job(id), value },
-          // A job that is cancelled with one that it needs is nobody's to run.
-          ...(state === 'accepted' ? [{ set: keys.openHead(id), value }] : []),
-        ]);
+        const result = await this.ctx.store.commit(unknown, writes);
         if (result.ok) return { status: 201, body: accepted(id) };
         const found = await this.find(id);
         if (found) return this.known(id, found);
@@ -195,6 +205,39 @@
     }
   }
 
+  /** What one acceptance writes, and the further records that have to stand before it. */
+  private acceptance({ spec, state }: Acceptable, named: readonly JobId[]): Acceptance | null {
+    const { limits, clock } = this.ctx;
+    const acceptedAt = clock.wall();
+    const key = keys.job(spec.id);
+    if (state === 'cancelled') {
+      // A job that is cancelled with one that it needs is nobody's to run.
+      const value = encodeEnded({ spec, state, acceptedAt }, limits.valueBytes);
+      return { records: [], writes: [{ set: key, value }] };
+    }
+    const form = this.storedForm(spec, named, acceptedAt);
+    if (!form) return null;
+    const { spec: stored, records } = form;
+    const value = encodeJob({ spec: stored, state, acceptedAt });
+    return {
+      records,
+      writes: [
+        { set: key, value },
+        { set: keys.openHead(spec.id), value },
+      ],
+    };
+  }
+
+  /** Null: no form that the state service takes would be read by every controller. */
+  private storedForm(spec: JobSpec, named: readonly JobId[], acceptedAt: WallTime): StoredInParts | null {
+    const { limits, settings } = this.ctx;
+    const small = splitJob(spec, named, acceptedAt, limits.valueBytes);
+    if (small.spec.descriptionRecords === 0 || this.ctx.allSpeak(SPLIT_DESCRIPTIONS_VERSION)) return small;
+    // While a controller of an earlier version is about, the limits to come don't hold yet.
+    const whole = splitJob(spec, named, acceptedAt, settings.state.valueBytes);
+    return whole.spec.descriptionRecords === 0 ? whole : null;
+  }
+
   private async find(id: JobId): Promise<Found | null> {
     for (let tries = 1; ; tries++) {
       try {
@@ -287,7 +330,12 @@
       try {
         const result = await this.ctx.store.commit(
           [{ key: keys.job(id), stamp: found.stamp }],
-          [{ set: keys.job(id), value: encodeJob({ ...record, state: 'cancelled' }) }],
+          [
+            {
+              set: keys.job(id),
+              value: encodeEnded({ ...record, state: 'cancelled' }, this.ctx.limits.valueBytes),
+            },
+          ],
         );
         if (result.ok) return this.toldCancelled(id);
       } catch (error) {
--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -54,8 +54,8 @@
   readonly limits: StateLimits;
   readonly cancellations: Cancellations;
   readonly siblings: Siblings;
-  /** Whether every controller that may act on them knows dependencies between jobs. */
-  readonly dependenciesKnown: () => boolean;
+  /** Whether the leader and every controller that could take over, as far as known, have this protocol version. */
+  readonly allSpeak: (version: number) => boolean;
 }
 
 /** What the parts of one leadership share. */
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -1,10 +1,11 @@
 import { reason } from '../log/logger.js';
 import type { Epoch, GrantId, MemberId, Stamp } from '../model/ids.js';
 import { NO_STAMP } from '../model/ids.js';
+import { PROTOCOL_VERSION } from '../model/protocol.js';
 import { atLeast, type Millis, ms, type Steady, plus, since, sleep } from '../model/time.js';
-import { SPEAKS } from '../peer/frames.js';
 import { StateRefused } from '../store/client.js';
-import { epochOf, keys, type LeaderRecord, leaderRecord } from '../store/records.js';
+import { keys } from '../store/keys.js';
+import { encodeLeader, epochOf, type LeaderRecord, leaderRecord } from '../store/leader-record.js';
 import type { NodeContext } from './context.js';
 
 export interface Won {
@@ -106,7 +107,7 @@
         { key: keys.epoch, stamp: epochRow?.stamp ?? NO_STAMP },
       ],
       [
-        { set: keys.leader, value: { member, epoch, speaks: SPEAKS }, grant },
+        { set: keys.leader, value: encodeLeader({ member, epoch, version: PROTOCOL_VERSION }), grant },
         { set: keys.epoch, value: { n: epoch } },
       ],
     );
@@ -118,7 +119,7 @@
     this.grant = grant;
     this.sureUntil = plus(sentAt, atLeast(this.ttl));
     this.leading = { epoch, epochStamp: result.stamp };
-    this.leader = { member: member as MemberId, epoch, speaks: SPEAKS };
+    this.leader = { member: member as MemberId, epoch, version: PROTOCOL_VERSION };
     this.onWon(this.leading);
   }
 
--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -2,7 +2,7 @@
 import { type HostId, NO_STAMP, type Stamp } from '../model/ids.js';
 import { type Steady, since } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
-import { keys } from '../store/records.js';
+import { keys } from '../store/keys.js';
 import type { Row, Write } from '../wire/state.js';
 import type { Host } from '../workers/host-book.js';
 import type { LeaderContext } from './context.js';
@@ -21,11 +21,10 @@
   readonly key: string;
   readonly value: unknown;
   readonly text: string;
+  readonly bytes: number;
 }
 
 const PER_RECORD = 120;
-/** What one machine takes in its record, with the longest names seen and room for longer ones. */
-const MACHINE_BYTES = 100;
 /** All that one transaction may carry is 64 KiB (PROTOCOL). */
 const MAX_BYTES = 48 * 1024;
 /** Changes of this long share one writing: what a record lacks, reports and the list tell. */
@@ -120,12 +119,12 @@
     let bytes = Infinity;
     for (const c of changed) {
       const last = parts[parts.length - 1];
-      if (last && last.length < this.ctx.limits.txnOps && bytes + c.text.length <= MAX_BYTES) {
+      if (last && last.length < this.ctx.limits.txnOps && bytes + c.bytes <= MAX_BYTES) {
         last.push(c);
-        bytes += c.text.length;
+        bytes += c.bytes;
       } else {
         parts.push([c]);
-        bytes = c.text.length;
+        bytes = c.bytes;
       }
     }
     return parts;
@@ -142,7 +141,7 @@
     const changed: Changed[] = [];
     for (const [key, value] of values) {
       const text = JSON.stringify(value);
-      if (this.written.get(key) !== text) changed.push({ key, value, text });
+      if (this.written.get(key) !== text) changed.push({ key, value, text, bytes: Buffer.byteLength(text) });
     }
     return changed;
   }
@@ -155,7 +154,8 @@
       this.rentedAt.delete(id);
       this.sizes[n] = (this.sizes[n] ?? 1) - 1;
     }
-    for (const host of hosts.values()) if (!this.chunkOf.has(host.id)) this.seat(host);
+    this.thinOut();
+    for (const host of hosts.values()) if (!this.chunkOf.has(host.id)) this.assign(host);
     const chunks: StoredMachine[][] = Array.from({ length: Math.max(1, this.sizes.length) }, () => []);
     for (const host of hosts.values()) {
       const { id, type, zone, spot } = host.machine;
@@ -173,8 +173,20 @@
     return chunks;
   }
 
-  private seat(host: Host): void {
-    const most = Math.max(1, Math.min(PER_RECORD, Math.floor(this.ctx.limits.valueBytes / MACHINE_BYTES)));
+  /** Records that hold more machines than they may by now give the rest up to others. */
+  private thinOut(): void {
+    const most = this.ctx.limits.machinesPerRecord(PER_RECORD);
+    if (this.sizes.every((size) => size <= most)) return;
+    for (const [id, n] of this.chunkOf) {
+      const size = this.sizes[n] ?? 0;
+      if (size <= most) continue;
+      this.chunkOf.delete(id);
+      this.sizes[n] = size - 1;
+    }
+  }
+
+  private assign(host: Host): void {
+    const most = this.ctx.limits.machinesPerRecord(PER_RECORD);
     let n = this.sizes.findIndex((size) => size < most);
     if (n < 0) n = this.sizes.push(0) - 1;
     this.sizes[n] = (this.sizes[n] ?? 0) + 1;
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -14,7 +14,7 @@
   type TeamId,
   tokenOf,
 } from '../model/ids.js';
-import { type JobSpec, Priority } from '../model/job.js';
+import { type JobRecord, type JobSpec, Priority } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import type { Team } from '../model/team.js';
@@ -26,7 +26,8 @@
 import { Patience } from '../scheduler/patience.js';
 import { isStarving, Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
-import { decodeJob, keys } from '../store/records.js';
+import { decodeJob } from '../store/job-record.js';
+import { keys } from '../store/keys.js';
 import { ordersBody } from '../wire/workers.js';
 import { Dispatcher, markSent } from '../workers/dispatcher.js';
 import { Health } from '../workers/health.js';
@@ -36,7 +37,7 @@
 import { aloneMs, Answering, type Grant, watchedUpTo } from './answering.js';
 import type { LeaderContext, NodeContext } from './context.js';
 import { FleetRecord } from './fleet-record.js';
-import { loadOpenJobs, openJob, readDependencies, restoreFleet } from './takeover.js';
+import { loadOpenJobs, openJob, readDependencies, readDescription, restoreFleet } from './takeover.js';
 import { jobView, machineView, summaryOf, victims } from './views.js';
 
 export interface Answer {
@@ -50,6 +51,8 @@
 const MOST_ORDERS = 250;
 /** The part of a cancellation's limit after which a host that keeps its task is fenced. */
 const CANCEL_PATIENCE = 0.4;
+/** A further record of a job that could not be read is asked for again after this. */
+const READ_AGAIN_MS = 300;
 /** By then a new leader has met the machines that live. */
 const MEETING_MS = 4000;
 /**
@@ -336,7 +339,10 @@
    */
   private followCancelled(job: OpenJob): void {
     const cancelled = [...job.waitsFor].some(
-      (id) => this.jobs.endOf(id) === 'cancelled' || this.ctx.cancellations.has(id) || this.jobs.jobs.get(id)?.cancelled,
+      (id) =>
+        this.jobs.endOf(id) === 'cancelled' ||
+        this.ctx.cancellations.has(id) ||
+        this.jobs.jobs.get(id)?.cancelled,
     );
     if (!cancelled || job.cancelled) return;
     job.doomed = true;
@@ -360,7 +366,7 @@
         return;
       } catch (error) {
         this.ctx.log.debug({ job: id, error: reason(error) }, 'dependencies not read yet');
-        await sleep(this.ctx.clock, 300);
+        await sleep(this.ctx.clock, READ_AGAIN_MS);
       }
     }
   }
@@ -478,10 +484,30 @@
     if (value === undefined) return;
     const id = key.slice(keys.jobs.length) as JobId;
     const record = decodeJob(id, value);
-    if (record.state === 'accepted') {
-      this.open(openJob(this.ctx, record, stamp));
-      this.poke();
-    } else if (record.state === 'cancelled') this.cancel(id);
+    if (record.state === 'accepted') void this.accepted(record, stamp);
+    else if (record.state === 'cancelled') this.cancel(id);
+  }
+
+  private async accepted(record: JobRecord, stamp: Stamp): Promise<void> {
+    if (record.spec.descriptionRecords === 0) {
+      this.opened(record, stamp);
+      return;
+    }
+    while (!this.over) {
+      try {
+        const whole = await readDescription(this.ctx, record);
+        await this.lock.runExclusive(() => this.opened(whole, stamp));
+        return;
+      } catch (error) {
+        this.ctx.log.debug({ job: record.spec.id, error: reason(error) }, 'description not read yet');
+        await sleep(this.ctx.clock, READ_AGAIN_MS);
+      }
+    }
+  }
+
+  private opened(record: JobRecord, stamp: Stamp): void {
+    this.open(openJob(this.ctx, record, stamp));
+    this.poke();
   }
 
   /** Confirmed to a user: told by another controller, or seen in the record. */
@@ -859,7 +885,7 @@
     try {
       await this.record.save();
     } catch (error) {
-      this.ctx.limits.failed(error);
+      this.ctx.limits.recordsFailed(error);
       this.ctx.log.info({ error: reason(error) }, 'fleet not saved');
       this.fleetDirty = true;
     }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -5,6 +5,7 @@
 import type { Operators } from '../config/operators.js';
 import { type Log, reason } from '../log/logger.js';
 import type { JobId, MemberId } from '../model/ids.js';
+import { PROTOCOL_VERSION } from '../model/protocol.js';
 import { realClock, type Steady, since } from '../model/time.js';
 import { HttpTarget, parseJson } from '../net/http-client.js';
 import { FrontServer } from '../net/server.js';
@@ -21,12 +22,12 @@
   encodeUser,
   Kind,
   type Ping,
-  SPEAKS,
   type UserVerb,
 } from '../peer/frames.js';
 import { type Asked, PeerLink, PeerServer } from '../peer/link.js';
 import { type RawCaller, RoutedCaller } from '../peer/routed-caller.js';
 import { StateClient, StateRefused, StateUnknown } from '../store/client.js';
+import { limitProbe } from '../store/limit-probe.js';
 import { StateLimits } from '../store/limits.js';
 import type { Progress } from '../wire/users.js';
 import type { Settings } from '../wire/settings.js';
@@ -73,8 +74,6 @@
     this.targets = new WorkerTargets(shares.workers);
     this.reach = new Reach(clock);
     const cancellations = new Cancellations(clock, settings.cancelWithin);
-    const limits = new StateLimits(settings, clock);
-    if (settings.siblings.length === 0) limits.allRead();
     const speaking = new Set<string>();
     const store = new StateClient(
       new HttpTarget(settings.stateAddress, shares.state),
@@ -82,6 +81,8 @@
       STATE_MS,
       (answered) => this.reach.stateAnswered(answered),
     );
+    const limits = new StateLimits(settings, clock, limitProbe(store, settings));
+    if (settings.siblings.length === 0) limits.allowSplitProgress();
     const links = settings.siblings.map(
       (s) =>
         new PeerLink(
@@ -94,11 +95,12 @@
             if (ping.leading !== null) this.seat.heardOf(ping.leading);
           },
           (link) => {
+            if (!link.takesCancellations) return;
             // Whatever it missed while there was no connection.
             this.tellCancellations([link]);
             speaking.add(link.member);
-            // Who has once shown that it knows them comes back with no earlier version.
-            if (speaking.size === settings.siblings.length) limits.allRead();
+            // Who has once shown that it reads them comes back with no earlier version.
+            if (speaking.size === settings.siblings.length) limits.allowSplitProgress();
           },
         ),
     );
@@ -123,7 +125,7 @@
       workerCalls: Math.floor(shares.workers / 4),
       limits,
       cancellations,
-      dependenciesKnown: () => this.dependenciesKnown(),
+      allSpeak: (version) => this.allSpeak(version),
       siblings: { cancellations: (deadlineMs) => this.askCancellations(deadlineMs) },
     };
     this.typeBook = new TypeBook(this.ctx);
@@ -178,15 +180,15 @@
       member: this.ctx.member,
       stateOk: this.reach.stateOk,
       leading: this.seat.leader?.epoch ?? null,
-      speaks: SPEAKS,
+      version: PROTOCOL_VERSION,
     };
   }
 
   /** No leader of an earlier version, as far as we know, and nobody around who could become one. */
-  private dependenciesKnown(): boolean {
+  private allSpeak(version: number): boolean {
     const { leader } = this.seat.election;
-    if (leader !== null && leader.speaks < SPEAKS) return false;
-    return this.links.every((l) => !l.alive || l.speaks);
+    if (leader !== null && leader.version < version) return false;
+    return this.links.every((link) => !link.alive || link.speaks(version));
   }
 
   // Cancellations
@@ -201,7 +203,7 @@
   }
 
   private tellCancellations(to: readonly PeerLink[], which?: readonly JobId[]): void {
-    const speaking = to.filter((l) => l.speaks);
+    const speaking = to.filter((link) => link.takesCancellations);
     if (speaking.length === 0) return;
     const payload = encodeCancellations(this.cancellationsWord(which));
     for (const link of speaking) link.send(Kind.Cancelled, 0, payload);
@@ -211,7 +213,7 @@
     const payload = encodeCancellations(this.cancellationsWord());
     return Promise.all(
       this.links.map(async (link) => {
-        const answer = link.speaks ? await link.ask(Kind.Cancelled, payload, deadlineMs) : null;
+        const answer = link.takesCancellations ? await link.ask(Kind.Cancelled, payload, deadlineMs) : null;
         return answer?.status === 200 ? decodeCancellations(answer.body) : null;
       }),
     );
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -5,7 +5,8 @@
 import { type Steady, sleep } from '../model/time.js';
 import { OpenJob } from '../scheduler/job-book.js';
 import { StateRefused } from '../store/client.js';
-import { CHUNK_TASKS, decodeJob, keys, parseOpenKey } from '../store/records.js';
+import { decodeJob, withDescription } from '../store/job-record.js';
+import { CHUNK_TASKS, keys, parseOpenKey } from '../store/keys.js';
 import type { Condition, Row } from '../wire/state.js';
 import type { LeaderContext } from './context.js';
 import type { StoredMachine } from './fleet-record.js';
@@ -43,15 +44,31 @@
   return new OpenJob(spec, stamp, acceptedAt, ctx.limits.chunkTasks(spec.tasks));
 }
 
-/** The dependencies of a job whose record has no room for them. */
-export async function readDependencies(ctx: LeaderContext, id: JobId, records: number): Promise<JobId[]> {
-  const ids: JobId[] = [];
+async function readParts<T>(
+  ctx: LeaderContext,
+  id: JobId,
+  records: number,
+  key: (id: JobId, n: number) => string,
+): Promise<T[]> {
+  const parts: T[] = [];
   for (let n = 0; n < records; n++) {
-    const row = await patiently(ctx, () => ctx.store.get(keys.dependencies(id, n)));
-    if (!row) throw new Error(`dependencies of ${id} cannot be read`);
-    ids.push(...(row.value as JobId[]));
+    const row = await patiently(ctx, () => ctx.store.get(key(id, n)));
+    if (!row) throw new Error(`${key(id, n)} is missing`);
+    parts.push(row.value as T);
   }
-  return ids;
+  return parts;
+}
+
+/** The dependencies of a job whose record has no room for them. */
+export async function readDependencies(ctx: LeaderContext, id: JobId, records: number): Promise<JobId[]> {
+  return (await readParts<JobId[]>(ctx, id, records, keys.dependencies)).flat();
+}
+
+/** A job's record with all its names, wherever they are. */
+export async function readDescription(ctx: LeaderContext, record: JobRecord): Promise<JobRecord> {
+  const { id, descriptionRecords } = record.spec;
+  if (descriptionRecords === 0) return record;
+  return withDescription(record, await readParts<string>(ctx, id, descriptionRecords, keys.description));
 }
 
 /** All unfinished work, and which of it was cancelled meanwhile. */
@@ -60,14 +77,15 @@
 ): Promise<{ jobs: OpenJob[]; cancelled: JobId[]; orphans: string[]; ledger: Stamp }> {
   const { rows, ledger } = await readAll(ctx, keys.open);
   // Whoever split a record knew that no version is left which couldn't read it.
-  if (rows.some((row) => (parseOpenKey(row.key)?.size ?? CHUNK_TASKS) < CHUNK_TASKS)) ctx.limits.allRead();
+  if (rows.some((row) => (parseOpenKey(row.key)?.size ?? CHUNK_TASKS) < CHUNK_TASKS))
+    ctx.limits.allowSplitProgress();
   const jobs = new Map<JobId, OpenJob>();
   const orphans: string[] = [];
   for (const row of rows) {
     const at = parseOpenKey(row.key);
     if (!at) continue;
     if (at.chunk === null) {
-      const record = decodeJob(at.job, row.value);
+      const record = await readDescription(ctx, decodeJob(at.job, row.value));
       // The head is written once, together with the job's record: their stamps are the same.
       jobs.set(at.job, openJob(ctx, record, row.stamp));
     } else {
--- a/src/model/job.ts
+++ b/src/model/job.ts
@@ -40,6 +40,8 @@
   readonly dependencies: readonly JobId[];
   /** They are too many for one record: so many further records hold them. */
   readonly dependencyRecords: number;
+  /** Its names are too long for one record: so many further records hold them. */
+  readonly descriptionRecords: number;
 }
 
 export type FinalState = 'done' | 'cancelled';
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -1,5 +1,6 @@
 import type { ToldCancellation } from '../cluster/cancellations.js';
 import { type Epoch, isJobId, type JobId } from '../model/ids.js';
+import { UNVERSIONED } from '../model/protocol.js';
 import { type Millis, ms } from '../model/time.js';
 
 /** The binary frames that our own processes exchange: u32 length, u8 kind, u32 request, payload. */
@@ -15,7 +16,7 @@
   PassOn = 7,
   /** A report that its taker had from another controller. */
   Passed = 8,
-  /** Confirmed cancellations; sent only to a peer that has shown that it knows this kind (`Ping.speaks`). */
+  /** Confirmed cancellations; sent only to a peer that has shown that it knows this kind (`Ping.version`). */
   Cancelled = 9,
 }
 
@@ -62,18 +63,15 @@
   }
 }
 
-/**
- * What this program understands beyond the kinds 1 to 8. A reader closes the connection on a kind that
- * it doesn't know, so later kinds go only to a peer whose pings say that it has them. A ping without
- * the number, from before it was there, counts as 0; older readers leave the extra byte unread.
- */
-export const SPEAKS = 1;
-
 export interface Ping {
   readonly member: string;
   readonly stateOk: boolean;
   readonly leading: Epoch | null;
-  readonly speaks: number;
+  /**
+   * The sender's protocol version. A reader closes the connection on a kind that it doesn't know, so kinds
+   * above 8 go only to a peer whose pings say that it has them. Older readers leave this last byte unread.
+   */
+  readonly version: number;
 }
 
 export function encodePing(ping: Ping): Buffer {
@@ -83,7 +81,7 @@
   out.writeBigUInt64BE(BigInt(ping.leading ?? 0), 1);
   out.writeUInt8(name.length, 9);
   name.copy(out, 10);
-  out.writeUInt8(ping.speaks, 10 + name.length);
+  out.writeUInt8(ping.version, 10 + name.length);
   return out;
 }
 
@@ -96,7 +94,7 @@
     stateOk: payload.readUInt8(0) === 1,
     leading: epoch === 0 ? null : (epoch as Epoch),
     member: payload.toString('utf8', 10, 10 + length),
-    speaks: payload.length > 10 + length ? payload.readUInt8(10 + length) : 0,
+    version: payload.length > 10 + length ? payload.readUInt8(10 + length) : UNVERSIONED,
   };
 }
 
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../log/logger.js';
 import type { MemberId } from '../model/ids.js';
 import { type Cancel, type Clock, type Steady, since } from '../model/time.js';
+import { DEPENDENCIES_VERSION, UNVERSIONED } from '../model/protocol.js';
 import { splitAddress } from '../net/server.js';
 import {
   type AnswerFrame,
@@ -14,7 +15,6 @@
   FrameReader,
   Kind,
   type Ping,
-  SPEAKS,
 } from './frames.js';
 
 const PING_MS = 500;
@@ -62,8 +62,8 @@
     private readonly log: Log,
     private readonly myPing: () => Ping,
     private readonly onPing: (ping: Ping) => void,
-    /** The other side has shown that it understands `SPEAKS`: on this connection for the first time. */
-    private readonly onSpeaks: (link: PeerLink) => void = () => {},
+    /** The other side has told its version: on this connection for the first time. */
+    private readonly onVersion: (link: PeerLink) => void = () => {},
   ) {}
 
   start(): void {
@@ -107,10 +107,10 @@
   private take(frame: Frame): void {
     this.lastHeard = this.clock.now();
     if (frame.kind === Kind.Ping) {
-      const before = this.ping?.speaks ?? 0;
+      const before = this.ping;
       this.ping = decodePing(frame.payload);
       this.onPing(this.ping);
-      if (before < SPEAKS && this.speaks) this.onSpeaks(this);
+      if (before === null) this.onVersion(this);
     } else if (frame.kind === Kind.Answer) {
       const done = this.waiting.get(frame.request);
       this.waiting.delete(frame.request);
@@ -124,9 +124,14 @@
     return true;
   }
 
-  /** The other side knows the kinds that came with `SPEAKS`. */
-  get speaks(): boolean {
-    return this.alive && (this.ping?.speaks ?? 0) >= SPEAKS;
+  /** Whether the other side is heard and has at least this protocol version. */
+  speaks(version: number): boolean {
+    return this.alive && (this.ping?.version ?? UNVERSIONED) >= version;
+  }
+
+  /** It takes confirmed cancellations. */
+  get takesCancellations(): boolean {
+    return this.speaks(DEPENDENCIES_VERSION);
   }
 
   /** Heard within the last moments. */
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -14,7 +14,8 @@
 import type { FinalState, JobSpec, Priority } from '../model/job.js';
 import type { AttemptState } from '../model/report.js';
 import type { Steady, WallTime } from '../model/time.js';
-import { CHUNK_TASKS, type ChunkProgress, decodeChunk, keys, type Placement } from '../store/records.js';
+import { CHUNK_TASKS, keys } from '../store/keys.js';
+import { type ChunkProgress, decodeChunk, type Placement } from '../store/progress-record.js';
 
 /**
  * `deciding`: chosen, not yet committed: no order has left. `placed`: committed; it may be on its
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -1,7 +1,9 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { reason } from '../log/logger.js';
 import type { JobId } from '../model/ids.js';
-import { encodeJob, decodeJob, encodeChunk, keys } from './records.js';
+import { decodeJob, encodeEnded, furtherKeys } from './job-record.js';
+import { keys } from './keys.js';
+import { encodeChunk } from './progress-record.js';
 import { type Committed, StateRefused, StateTooLarge } from './client.js';
 import type { Budget } from '../net/budget.js';
 import type { Chunk, OpenJob, Task } from '../scheduler/job-book.js';
@@ -125,19 +127,17 @@
   private addClosing(batch: Batch, job: OpenJob, max: number): void {
     const { id } = job.spec;
     const stored = [...job.chunks.values()].filter((c) => c.stamp > 0).map((c) => c.key);
-    const lists = Array.from({ length: job.spec.dependencyRecords }, (_, n) => keys.dependencies(id, n));
-    const drops = [...stored, ...job.superseded, ...lists];
+    const drops = [...stored, ...job.superseded, ...furtherKeys(job.spec)];
     const need = 2 + drops.length;
     if (batch.writes.length > 0 && batch.writes.length + need > max) return;
     if (tells(job)) {
       batch.conditions.push({ key: keys.job(id), stamp: job.stamp });
       batch.writes.push({
         set: keys.job(id),
-        value: encodeJob({
-          spec: job.spec,
-          state: job.doomed ? 'cancelled' : 'done',
-          acceptedAt: job.acceptedAt,
-        }),
+        value: encodeEnded(
+          { spec: job.spec, state: job.doomed ? 'cancelled' : 'done', acceptedAt: job.acceptedAt },
+          this.ctx.limits.valueBytes,
+        ),
       });
       batch.bytes += 500;
     }
@@ -177,7 +177,7 @@
     try {
       result = await this.ctx.store.commit(batch.conditions, batch.writes);
     } catch (error) {
-      this.ctx.limits.failed(error);
+      this.ctx.limits.recordsFailed(error);
       const level = error instanceof StateTooLarge ? 'error' : 'debug';
       this.ctx.log[level]({ error: reason(error), writes: batch.writes.length }, 'commit not answered');
       // Nothing has left on the strength of this batch; it is tried again as things then stand.
--- /dev/null
+++ b/src/store/limit-probe.ts
@@ -0,0 +1,33 @@
+/** Asks the state service whether the limits that the settings announce hold by now. */
+import { NO_STAMP } from '../model/ids.js';
+import type { Settings } from '../wire/settings.js';
+import { type StateStore, StateTooLarge } from './client.js';
+import { keys } from './keys.js';
+import type { LimitProbe } from './limits.js';
+
+/** A transaction may compare so many times the keys that it may write (PROTOCOL). */
+const CONDITIONS_PER_WRITE = 4;
+
+/**
+ * A transaction without writes that compares one key more than the announced limit allows and no more than
+ * today's does: it changes nothing, and is refused as malformed once the announced limit holds. Null: both
+ * limits allow the same.
+ */
+export function limitProbe(
+  store: StateStore,
+  { state, stateNext }: Pick<Settings, 'state' | 'stateNext'>,
+): LimitProbe | null {
+  if (stateNext.txnOps >= state.txnOps) return null;
+  const conditions = Array.from({ length: stateNext.txnOps * CONDITIONS_PER_WRITE + 1 }, (_, n) => ({
+    key: keys.unused(n),
+    stamp: NO_STAMP,
+  }));
+  return async () => {
+    try {
+      await store.commit(conditions, []);
+      return false;
+    } catch (error) {
+      return error instanceof StateTooLarge ? true : null;
+    }
+  };
+}
--- a/src/store/limits.ts
+++ b/src/store/limits.ts
@@ -1,27 +1,49 @@
+/** What the state service takes, now and after the change that the settings announce. */
 import type { Cancel, Clock } from '../model/time.js';
 import type { Settings, StateLimitsOf } from '../wire/settings.js';
 import { StateRefused, StateTooLarge } from './client.js';
-import { chunkTasks, CHUNK_TASKS } from './records.js';
+import { CHUNK_TASKS } from './keys.js';
+import { chunkTasks } from './progress-record.js';
 
-/** The announced rates are kept to for so long after the first refusal, and twice as long after each further one. */
+/**
+ * Where the service can't be asked whether its limits have fallen, the announced rates are kept to for so
+ * long after the first refusal, and twice as long after each further one.
+ */
 const FIRST_HELD_MS = 20_000;
+/** How long the answer that the limits have not fallen explains further refusals. */
+const ASKED_FOR_MS = 2000;
+/** A question that brought no answer is asked again after this. */
+const ASK_AGAIN_MS = 1000;
+/** What one machine takes in its record, with the longest names seen and room for longer ones. */
+const MACHINE_BYTES = 100;
+
+/** Whether the announced limits hold by now; null: the service has not said. */
+export type LimitProbe = () => Promise<boolean | null>;
 
 /**
  * What the state service takes, as we know it. Its limits may fall without notice to those that the
- * settings announce. Sizes keep to the smaller of both from the first write on; rates follow
- * a refusal at once, and are tried again ever more rarely.
+ * settings announce. Sizes keep to the smaller of both from the first write on. Rates follow a refusal at
+ * once; since a crowd of submissions is refused long before the limits fall, the service is then asked.
  */
 export class StateLimits {
   readonly valueBytes: number;
   readonly txnOps: number;
   private fallen = false;
+  /** The announced limits hold, once and for all. */
+  private forGood = false;
   private held = FIRST_HELD_MS;
+  private asking = false;
+  private explained = false;
   private split = false;
+  /** Entries take so many times the room that they are reckoned with. */
+  private entryScale = 1;
   private readonly listeners = new Set<() => void>();
 
   constructor(
     private readonly settings: Pick<Settings, 'state' | 'stateNext'>,
     private readonly clock: Clock,
+    /** Null: the announced limits can't be told from today's by asking. */
+    private readonly probe: LimitProbe | null = null,
   ) {
     const { state, stateNext } = settings;
     this.valueBytes = Math.min(state.valueBytes, stateNext.valueBytes);
@@ -49,41 +71,77 @@
 
   /** A call failed: a refusal for too much, or of something too large, tells of the limits. */
   failed(error: unknown): void {
-    if (error instanceof StateTooLarge) this.tooLarge();
+    if (error instanceof StateTooLarge) this.fallForGood();
     else if (error instanceof StateRefused && error.tooMany) this.refused();
   }
 
+  /**
+   * The same for a write of records whose entries are only reckoned. Where they keep to the announced limits
+   * already and are too large, entries are longer than reckoned: fewer of them share a record then.
+   */
+  recordsFailed(error: unknown): void {
+    if (error instanceof StateTooLarge && this.split) this.entryScale *= 2;
+    this.failed(error);
+  }
+
   private refused(): void {
     const { state, stateNext } = this.settings;
-    if (this.fallen || (stateNext.rps >= state.rps && stateNext.writeRps >= state.writeRps)) return;
+    if (this.fallen || this.explained) return;
+    if (stateNext.rps >= state.rps && stateNext.writeRps >= state.writeRps) return;
     this.rate(true);
-    // A crowd of submissions is refused too, long before the limits fall: then the old rates still hold.
-    this.clock.after(this.held, () => this.rate(false));
+    if (this.probe) {
+      void this.ask(this.probe);
+      return;
+    }
+    this.clock.after(this.held, () => this.rate(this.forGood));
     this.held *= 2;
   }
 
+  private async ask(probe: LimitProbe): Promise<void> {
+    if (this.asking) return;
+    this.asking = true;
+    const fallen = await probe();
+    this.asking = false;
+    if (this.forGood) return;
+    if (fallen === null) this.clock.after(ASK_AGAIN_MS, () => void this.ask(probe));
+    else if (fallen) this.forGood = true;
+    else {
+      this.rate(false);
+      this.explained = true;
+      this.clock.after(ASKED_FOR_MS, () => {
+        this.explained = false;
+      });
+    }
+  }
+
   private rate(fallen: boolean): void {
+    if (this.fallen === fallen) return;
     this.fallen = fallen;
     for (const listener of this.listeners) listener();
   }
 
-  /** The service took something as too large: the announced limits hold. */
-  private tooLarge(): void {
+  private fallForGood(): void {
     this.split = true;
-    this.refused();
+    this.forGood = true;
+    this.rate(true);
   }
 
   /**
    * No controller is left that could not read split records: it could take over. Chunks of a job then
    * keep to the smaller limit; until then to the size that every version reads.
    */
-  allRead(): void {
+  allowSplitProgress(): void {
     this.split = true;
   }
 
   /** How many tasks share one record of progress, in a job of so many. */
   chunkTasks(tasks: number): number {
-    const most = this.split ? chunkTasks(this.valueBytes) : CHUNK_TASKS;
+    const most = this.split ? chunkTasks(this.valueBytes / this.entryScale) : CHUNK_TASKS;
     return tasks <= most ? CHUNK_TASKS : most;
   }
+
+  /** How many machines share one record. */
+  machinesPerRecord(most: number): number {
+    return Math.max(1, Math.min(most, Math.floor(this.valueBytes / (MACHINE_BYTES * this.entryScale))));
+  }
 }
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -67,6 +67,7 @@
       deadlineS: w.dueS ?? null,
       dependencies: [...new Set(w.awaits ?? [])] as JobId[],
       dependencyRecords: 0,
+      descriptionRecords: 0,
     },
   };
 }
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -15,6 +15,8 @@
 export class StandInCloud {
   readonly machines = new Map<HostId, Rented1>();
   private readonly answers = new Map<string, HostId[]>();
+  /** Digits of a machine's number. */
+  idLength = 6;
   private next = 0;
   outage = false;
   /** Every rental and deletion comes once more, so many ms after it was carried out. */
@@ -33,7 +35,7 @@
   ) {}
 
   private create(type: TypeId, zone: ZoneId, spot: boolean): HostId {
-    const id = `host-${String(this.next++).padStart(6, '0')}` as HostId;
+    const id = `host-${String(this.next++).padStart(this.idLength, '0')}` as HostId;
     const machine: Rented1 = { id, type, zone, spot, at: this.clock.now(), up: false };
     this.machines.set(id, machine);
     if (this.deadBoots > 0) {
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -22,9 +22,11 @@
 import { splitTaskId } from '../../src/model/ids.js';
 import type { Machine, MachineType } from '../../src/model/machine.js';
 import type { Order, Report } from '../../src/model/report.js';
+import { PROTOCOL_VERSION } from '../../src/model/protocol.js';
 import { seconds } from '../../src/model/time.js';
 import type { CancellationsWord } from '../../src/peer/frames.js';
 import { NoAnswer } from '../../src/net/http-client.js';
+import { limitProbe } from '../../src/store/limit-probe.js';
 import { StateLimits } from '../../src/store/limits.js';
 import type { Row } from '../../src/wire/state.js';
 import { readSettings, type Settings } from '../../src/wire/settings.js';
@@ -48,6 +50,9 @@
   runS?: number;
   broken?: boolean;
   awaits?: readonly string[];
+  jobClass?: string;
+  image?: string;
+  types?: readonly string[];
   dueS?: number;
 }
 
@@ -137,6 +142,8 @@
   typesUnknown = false;
   /** Nodes of a version that knows nothing of cancellations told between controllers. */
   readonly old = new Set<string>();
+  /** The protocol version that all controllers have that are not `old`. */
+  version = PROTOCOL_VERSION;
   private repeating: number | null = null;
   private readonly heldOrders: { pair: string; run: () => void }[] = [];
 
@@ -205,8 +212,9 @@
   start(name: string): void {
     const clock = new ProcessClock(this.clock);
     const settings = settingsOf(name, this.size);
-    const limits = new StateLimits(settings, clock);
-    if (this.old.size === 0) limits.allRead();
+    const store = this.state.for(name, clock);
+    const limits = new StateLimits(settings, clock, limitProbe(store, settings));
+    if (this.old.size === 0) limits.allowSplitProgress();
     const cancellations = new Cancellations(clock, seconds(CANCEL_S));
     const ctx: NodeContext = {
       member: name as MemberId,
@@ -214,7 +222,7 @@
       log: silentLog,
       settings,
       ops: defaultOperators(),
-      store: this.state.for(name, clock),
+      store,
       cloud: this.cloud.for(clock),
       workers: this.callerFor(name, clock),
       random: this.random,
@@ -222,7 +230,7 @@
       workerCalls: 64,
       limits,
       cancellations,
-      dependenciesKnown: () => !this.nodes.some((other) => this.old.has(other)),
+      allSpeak: (version) => version <= this.version && !this.nodes.some((other) => this.old.has(other)),
       siblings: this.siblingsOf(name, clock),
     };
     const seat = new Seat(ctx, () => Promise.resolve());
@@ -601,7 +609,7 @@
     const kind = wish.kind ?? 'array';
     return {
       ref: wish.ref,
-      jobclass: kind === 'array' ? 'batch' : 'live',
+      jobclass: wish.jobClass ?? (kind === 'array' ? 'batch' : 'live'),
       owner: wish.team ?? 'red',
       shape: kind,
       rank: wish.rank ?? (kind === 'array' ? 'standard' : 'production'),
@@ -609,8 +617,9 @@
       cpus: wish.cpus ?? 2,
       gpus: 0,
       memoryGb: 4,
-      bundle: 'img-1',
+      bundle: wish.image ?? 'img-1',
       pullGb: 1,
+      flavours: wish.types ?? null,
       hall: wish.zone ?? null,
       samePlace: wish.samePlace ?? false,
       apart: wish.apart ?? false,
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -33,9 +33,14 @@
 ): string | null {
   if (writes.length > txnOps) return 'too many writes';
   if (conditions.length > txnOps * 4) return 'too many conditions';
-  if (writes.some((w) => 'set' in w && JSON.stringify(w.value).length > valueBytes))
+  if (writes.some((w) => 'set' in w && Buffer.byteLength(JSON.stringify(w.value)) > valueBytes))
     return 'a value too long';
-  return JSON.stringify({ conditions, writes }).length > TXN_BYTES ? 'too long' : null;
+  return Buffer.byteLength(JSON.stringify({ conditions, writes })) > TXN_BYTES ? 'too long' : null;
+}
+
+/** Compares nothing but keys that nobody writes, to learn the limits. */
+function isProbe(conditions: readonly Condition[], writes: readonly Write[]): boolean {
+  return writes.length === 0 && conditions.every(({ key }) => key.startsWith('unused/'));
 }
 
 /** A state service in memory, by the published protocol. */
@@ -53,6 +58,8 @@
   sizes: Sizes = { txnOps: 16, valueBytes: 16 * 1024 };
   /** What it would not even look at. */
   readonly malformed: string[] = [];
+  /** Comparisons that were refused because the limits have fallen, and that asked just that. */
+  probes = 0;
   outage = false;
   /** Requests and changes a second; more are answered 429, bursts of a second's worth aside. */
   limits: { readonly requests: Budget; readonly writes: Budget } | null = null;
@@ -155,7 +162,8 @@
       commit: (conditions, writes) => {
         const error = malformed(this.sizes, conditions, writes);
         if (error) {
-          this.malformed.push(error);
+          if (isProbe(conditions, writes)) this.probes++;
+          else this.malformed.push(error);
           return Promise.reject(new StateTooLarge(`state: commit refused ${error}`));
         }
         const late = writes.length > 0 && this.lateShare > 0 && this.random() < this.lateShare;
--- a/test/traces/state-limits.test.ts
+++ b/test/traces/state-limits.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { Budget } from '../../src/net/budget.js';
+import { DEPENDENCIES_VERSION, PROTOCOL_VERSION } from '../../src/model/protocol.js';
+import { StateRefused } from '../../src/store/client.js';
+import { limitProbe } from '../../src/store/limit-probe.js';
+import { StateLimits } from '../../src/store/limits.js';
+import { VirtualClock } from '../standins/clock.js';
+import { StandInState } from '../standins/state.js';
 import { Site } from '../standins/site.js';
 import { until } from './steps.js';
 
@@ -22,6 +28,8 @@
   };
 }
 
+const limitsOf = (writeRps: number, txnOps: number) => ({ rps: 200, writeRps, valueBytes: 2048, txnOps });
+
 async function done(site: Site, ref = REF): Promise<void> {
   await until(site, () => site.state.value(`open/${ref}`) === undefined, 240);
   await site.run(10);
@@ -90,6 +98,78 @@
     expect(site.state.malformed.length).toBeLessThanOrEqual(3);
   });
 
+  it('leave a job with long names its whole way: accepted, taken over, done or cancelled', async () => {
+    const site = large(NEXT);
+    site.startAll();
+    await site.run(1);
+    const long = {
+      jobClass: 'é'.repeat(200),
+      image: 'ü'.repeat(200),
+      types: ['small', ...Array.from({ length: 8 }, (_, n) => `${n}${'ß'.repeat(190)}`)],
+      zone: 'south',
+    };
+    // Accepted whole by a version that splits no descriptions, before the limits fall.
+    site.version = DEPENDENCIES_VERSION;
+    expect(await site.submit({ ref: 'j-000002', team: 'blue', runS: 30, ...long })).toBe(201);
+    expect(await site.submit({ ref: 'j-000003', team: 'blue', runS: 200, ...long })).toBe(201);
+    expect(longest(site)).toBeGreaterThan(NEXT.value_kb * 1024);
+    fall(site);
+    expect(await site.submit({ ref: REF, runS: 20, ...long })).toBe(503);
+    site.version = PROTOCOL_VERSION;
+    expect(await site.submit({ ref: REF, runS: 20, ...long })).toBe(201);
+    expect(await site.submit({ ref: 'j-000004', runS: 5, awaits: [REF], ...long }, 'node-1')).toBe(201);
+    await until(site, () => site.tasksOn(REF) === 1 && site.tasksOn('j-000003') === 1);
+    site.crash(site.leader as string);
+    await until(site, () => site.leader !== undefined, 10);
+    const node = site.leader as string;
+    expect(await site.cancel('j-000003', node)).toBe('cancelled');
+    await until(site, () => site.state.value('open/j-000004') === undefined, 90);
+    await site.run(5);
+    for (const ref of [REF, 'j-000002', 'j-000004']) expect(await site.query(ref, node)).toBe('done');
+    expect([...site.state.keys.keys()].filter((key) => /^(open|desc|deps)\//.test(key))).toEqual([]);
+    // The write of the one that came too long to an earlier version.
+    expect(site.state.malformed.length).toBeLessThanOrEqual(1);
+    await site.finish();
+    expect(site.rules.broken).toEqual([]);
+  });
+
+  it('are asked for once rates are refused: a crowd lowers nothing, the fall is known for good', async () => {
+    const clock = new VirtualClock();
+    const settings = { state: limitsOf(60, 16), stateNext: limitsOf(30, 5) };
+    const state = new StandInState(clock);
+    const limits = new StateLimits(settings, clock, limitProbe(state.for('node-0', clock), settings));
+    const refused = new StateRefused('state answered 429', true);
+    limits.failed(refused);
+    // At once, until the service has answered.
+    expect(limits.writeRps).toBe(30);
+    await clock.advance(100);
+    expect(limits.writeRps).toBe(60);
+    await clock.advance(3000);
+    state.sizes = { txnOps: 5, valueBytes: 2048 };
+    state.outage = true;
+    limits.failed(refused);
+    await clock.advance(1500);
+    expect(limits.writeRps).toBe(30);
+    state.outage = false;
+    await clock.advance(600_000);
+    expect(limits.writeRps).toBe(30);
+    expect(state.probes).toBe(1);
+    expect(state.malformed).toEqual([]);
+  });
+
+  it('are kept to by entries that are longer than reckoned: fewer of them share a record then', async () => {
+    const site = large({ value_kb: 1, txn_ops: 5 });
+    site.cloud.idLength = 120;
+    site.startAll();
+    await site.run(1);
+    site.state.sizes = { txnOps: 5, valueBytes: 1024 };
+    await site.submit({ ref: REF, tasks: 60, runS: 20 });
+    await done(site);
+    expect(longest(site)).toBeLessThanOrEqual(1024);
+    // Each refusal halves what shares a record: no loop.
+    expect(site.state.malformed.length).toBeLessThanOrEqual(8);
+  });
+
   it('fall during an outage', async () => {
     const site = large(NEXT);
     for (const name of site.nodes) site.old.add(name);
--- a/test/traces/upgrade.test.ts
+++ b/test/traces/upgrade.test.ts
@@ -10,9 +10,9 @@
   encodeUser,
   FrameReader,
   Kind,
-  SPEAKS,
 } from '../../src/peer/frames.js';
-import { leaderRecord } from '../../src/store/records.js';
+import { PROTOCOL_VERSION } from '../../src/model/protocol.js';
+import { leaderRecord } from '../../src/store/leader-record.js';
 import type { Row } from '../../src/wire/state.js';
 import { type JobWish, Site } from '../standins/site.js';
 import { begun, until } from './steps.js';
@@ -83,7 +83,7 @@
 
   it('name no leader that could serve what is new', () => {
     const row = production.records.find((r) => r.key === 'leader');
-    expect(leaderRecord(row?.value)).toMatchObject({ speaks: 0, member: 'node-0' });
+    expect(leaderRecord(row?.value)).toMatchObject({ version: 0, member: 'node-0' });
   });
 });
 
@@ -96,7 +96,7 @@
       member: 'node-0',
       stateOk: true,
       leading: 5,
-      speaks: 0,
+      version: 0,
     });
     const hex = (kind: Kind, request: number, payload: Buffer): string =>
       encodeFrame(kind, request, payload).toString('hex');
@@ -110,7 +110,7 @@
 
   it('differ from ours in a ping by one byte at its end, which it leaves unread', () => {
     const member = 'node-0' as MemberId;
-    const ours = encodePing({ member, stateOk: true, leading: 5 as Epoch, speaks: SPEAKS });
+    const ours = encodePing({ member, stateOk: true, leading: 5 as Epoch, version: PROTOCOL_VERSION });
     const theirs = Buffer.from(production.frames.ping, 'hex').subarray(9);
     expect(ours.subarray(0, theirs.length).equals(theirs)).toBe(true);
     expect(ours.length).toBe(theirs.length + 1);
--- a/test/unit/job-book.test.ts
+++ b/test/unit/job-book.test.ts
@@ -2,38 +2,13 @@
 import type { HostId, JobId, Stamp, TaskIndex } from '../../src/model/ids.js';
 import type { Steady, WallTime } from '../../src/model/time.js';
 import { JobBook, OpenJob } from '../../src/scheduler/job-book.js';
-import { CHUNK_TASKS, decodeJob, encodeJob, keys, parseOpenKey } from '../../src/store/records.js';
-import type { JobSpec } from '../../src/model/job.js';
-import { parseSubmission } from '../../src/wire/users.js';
+import { decodeJob, encodeJob } from '../../src/store/job-record.js';
+import { CHUNK_TASKS, keys, parseOpenKey } from '../../src/store/keys.js';
+import { submission } from '../standins/submission.js';
 
 const SMALL = 56;
 
-function spec(more: object): JobSpec {
-  const parsed = parseSubmission({
-    ref: 'j-000001',
-    jobclass: 'batch',
-    owner: 'red',
-    shape: 'array',
-    rank: 'standard',
-    shards: 200,
-    cpus: 1,
-    gpus: 0,
-    memoryGb: 1,
-    bundle: 'img',
-    pullGb: 1,
-    samePlace: false,
-    apart: false,
-    reclaimable: true,
-    expectedS: 10,
-    savepointS: 0,
-    flushS: 0,
-    ...more,
-  });
-  if (!parsed.ok) throw new Error(parsed.error);
-  return parsed.value;
-}
-
-const job = (size: number): OpenJob => new OpenJob(spec({}), 1 as Stamp, 0 as WallTime, size);
+const job = (size: number): OpenJob => new OpenJob(submission({}), 1 as Stamp, 0 as WallTime, size);
 
 const LARGE_RECORD = { p: [[0, 1, 'host-1'], [60, 1, 'host-1'], [61, 2, 'host-2']] }; // prettier-ignore
 const SMALL_RECORD = { d: [[0, 0]], u: [[1, 1]] };
@@ -89,7 +64,7 @@
 describe('a job’s record', () => {
   it('keeps the dependencies behind what earlier versions read', () => {
     const record = {
-      spec: spec({ awaits: ['j-000007', 'j-000008', 'j-000007'] }),
+      spec: submission({ awaits: ['j-000007', 'j-000008', 'j-000007'] }),
       state: 'accepted' as const,
       acceptedAt: 5 as WallTime,
     };
@@ -97,6 +72,6 @@
     expect(stored.j).toHaveLength(19);
     expect(stored.j[18]).toEqual(['j-000007', 'j-000008']);
     expect(decodeJob(record.spec.id, JSON.parse(JSON.stringify(stored)))).toEqual(record);
-    expect(encodeJob({ ...record, spec: spec({}) }).j).toHaveLength(18);
+    expect(encodeJob({ ...record, spec: submission({}) }).j).toHaveLength(18);
   });
 });
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -44,6 +44,7 @@
   deadlineS: null,
   dependencies: [],
   dependencyRecords: 0,
+  descriptionRecords: 0,
   ...over,
 });
 
--- a/test/unit/sockets.test.ts
+++ b/test/unit/sockets.test.ts
@@ -103,7 +103,7 @@
 
 describe('the peer link', () => {
   it('carries questions and pings between two nodes', async () => {
-    const ping = (member: string): Ping => ({ member, stateOk: true, leading: null, speaks: 0 });
+    const ping = (member: string): Ping => ({ member, stateOk: true, leading: null, version: 0 });
     const server = new PeerServer(
       {
         ping: () => ping('b'),
--- a/test/unit/wire.test.ts
+++ b/test/unit/wire.test.ts
@@ -9,7 +9,7 @@
   FrameReader,
   Kind,
 } from '../../src/peer/frames.js';
-import { decodeChunk, encodeChunk } from '../../src/store/records.js';
+import { decodeChunk, encodeChunk } from '../../src/store/progress-record.js';
 import { tooSmall } from '../../src/config/limits.js';
 import { readSettings } from '../../src/wire/settings.js';
 import { parseSubmission } from '../../src/wire/users.js';
