--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -75,7 +75,7 @@
   deposed(why: string): void;
   ended(): boolean;
   /** Something changed that decisions depend on. */
-  poke(): void;
+  requestDecision(): void;
   cancelled(job: JobId): void;
   /** The host is emptied: its work starts again elsewhere. */
   empty(host: HostId): void;
--- /dev/null
+++ b/src/cluster/job-watcher.ts
@@ -0,0 +1,105 @@
+/** Brings a leader every job that is accepted or cancelled while it leads. */
+import type { Mutex } from 'async-mutex';
+import { reason } from '../log/logger.js';
+import type { JobId, Stamp } from '../model/ids.js';
+import type { JobRecord } from '../model/job.js';
+import { sleep } from '../model/time.js';
+import { decodeJob } from '../store/job-record.js';
+import { keys } from '../store/keys.js';
+import type { Change } from '../wire/state.js';
+import { type Answering, watchedUpTo } from './answering.js';
+import type { LeaderContext } from './context.js';
+import { type LoadedJobs, loadOpenJobs, openJob, readDescription } from './takeover.js';
+import type { OpenJob } from '../scheduler/job-book.js';
+
+/** Each answer of the watch tells that nothing is missed up to then: see `Answering`. */
+const WATCH_MS = 5000;
+const WATCH_AGAIN_MS = 100;
+const WATCH_AGAIN_JITTER_MS = 150;
+/** A description that could not be read is asked for again after this. */
+const READ_AGAIN_MS = 300;
+
+/** What is done with the jobs that the records tell of. */
+export interface JobIntake {
+  /** A job that is not over, known already or not. */
+  open(job: OpenJob): void;
+  /** A job whose cancellation is confirmed, known or not. */
+  cancel(id: JobId): void;
+  /** Everything that was unfinished when the records were read. */
+  load(jobs: LoadedJobs): void;
+}
+
+/** Watches the jobs' records. */
+export class JobWatcher {
+  constructor(
+    private readonly ctx: LeaderContext,
+    private readonly intake: JobIntake,
+    private readonly answering: Answering,
+    private readonly lock: Mutex,
+  ) {}
+
+  /** Follows every change after this revision until the leadership ends. */
+  async run(from: Stamp): Promise<void> {
+    let after = from;
+    while (!this.ctx.ended()) {
+      try {
+        after = await this.next(after);
+      } catch (error) {
+        this.ctx.log.debug({ error: reason(error) }, 'watch interrupted');
+        await sleep(this.ctx.clock, WATCH_AGAIN_MS + this.ctx.random() * WATCH_AGAIN_JITTER_MS);
+      }
+    }
+  }
+
+  private async next(after: Stamp): Promise<Stamp> {
+    const { clock, store } = this.ctx;
+    const sentAt = clock.now();
+    const read = await store.changes(keys.jobs, after, WATCH_MS);
+    if (this.ctx.ended()) return after;
+    if (read === null) return this.resync();
+    await this.lock.runExclusive(() => read.changes.forEach((change) => this.take(change)));
+    this.answering.knew(watchedUpTo(sentAt, WATCH_MS, read.changes.length > 0, clock.now()));
+    return read.ledger;
+  }
+
+  /** The watch has missed changes: everything is read again. */
+  private async resync(): Promise<Stamp> {
+    const began = this.ctx.clock.now();
+    const loaded = await loadOpenJobs(this.ctx);
+    this.intake.load(loaded);
+    this.answering.knew(began);
+    this.ctx.requestDecision();
+    return loaded.ledger;
+  }
+
+  private take({ key, value, stamp }: Change): void {
+    if (value === undefined) return;
+    const id = key.slice(keys.jobs.length) as JobId;
+    const record = decodeJob(id, value);
+    if (record.state === 'cancelled') this.intake.cancel(id);
+    else if (record.state === 'accepted') this.accepted(record, stamp);
+  }
+
+  private accepted(record: JobRecord, stamp: Stamp): void {
+    if (record.spec.descriptionRecords > 0) void this.readAndOpen(record, stamp);
+    else this.open(record, stamp);
+  }
+
+  private async readAndOpen(record: JobRecord, stamp: Stamp): Promise<void> {
+    while (!this.ctx.ended()) {
+      try {
+        const whole = await readDescription(this.ctx, record);
+        await this.lock.runExclusive(() => this.open(whole, stamp));
+        return;
+      } catch (error) {
+        this.ctx.log.debug({ job: record.spec.id, error: reason(error) }, 'description not read yet');
+        await sleep(this.ctx.clock, READ_AGAIN_MS);
+      }
+    }
+  }
+
+  private open(record: JobRecord, stamp: Stamp): void {
+    this.intake.open(openJob(this.ctx, record, stamp));
+    this.ctx.requestDecision();
+  }
+}
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -31,7 +31,7 @@
 import { StateLimits } from '../store/limits.js';
 import type { Progress } from '../wire/users.js';
 import type { Settings } from '../wire/settings.js';
-import { parseReport, readCommandReply } from '../wire/workers.js';
+import { encodeOrders, parseReport, readCommandReply } from '../wire/workers.js';
 import { WorkerTargets } from '../workers/caller.js';
 import { Cancellations } from './cancellations.js';
 import type { NodeContext } from './context.js';
@@ -226,8 +226,8 @@
     if (this.seat.leader) {
       const parsed = parseReport(parseJson(body));
       if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
-      const own = await this.seat.beat(parsed.value, this.ctx.member);
-      if (own?.status === 200) return { status: 200, body: Buffer.from(JSON.stringify(own.body)) };
+      const own = await this.seat.report(parsed.value, this.ctx.member);
+      if (own?.kind === 'orders') return { status: 200, body: encodeOrders(own.token, own.orders) };
     }
     const relayed = await this.relayBeat(body);
     return relayed ?? { status: 503, body: null };
@@ -284,9 +284,9 @@
           if (!parsed.ok) return nothing;
           // Which controller the worker is with, the one before the last does not tell.
           const via = kind === Kind.Beat ? from : (`${from} and another` as MemberId);
-          const answer = await this.seat.beat(parsed.value, via);
-          if (!answer) return nothing;
-          return { status: answer.status, body: Buffer.from(JSON.stringify(answer.body ?? {})) };
+          const answer = await this.seat.report(parsed.value, via);
+          if (answer?.kind !== 'orders') return nothing;
+          return { status: 200, body: encodeOrders(answer.token, answer.orders) };
         }
       }
     } catch (error) {
--- a/src/cluster/seat.ts
+++ b/src/cluster/seat.ts
@@ -4,7 +4,8 @@
 import { aloneMs } from './answering.js';
 import type { NodeContext } from './context.js';
 import { Election, type Won } from './election.js';
-import { type Answer, Leader } from './leader.js';
+import { Leader } from './leader.js';
+import type { ReportAnswer } from './report-handler.js';
 
 /** After hearing no worker, a node leaves the leadership to others for this long. */
 const DEAF_PAUSE_MS = 15_000;
@@ -50,8 +51,8 @@
   }
 
   /** The leader's answer to a report; null: this node does not lead. */
-  async beat(report: Report, via: MemberId): Promise<Answer | null> {
+  async report(report: Report, via: MemberId): Promise<ReportAnswer | null> {
     if (!this.leader) return null;
-    return this.leader.beat(report, via);
+    return this.leader.report(report, via);
   }
 }
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -71,10 +71,19 @@
   return withDescription(record, await readParts<string>(ctx, id, descriptionRecords, keys.description));
 }
 
-/** All unfinished work, and which of it was cancelled meanwhile. */
-export async function loadOpenJobs(
-  ctx: LeaderContext,
-): Promise<{ jobs: OpenJob[]; cancelled: JobId[]; orphans: string[]; ledger: Stamp }> {
+/** All unfinished work, as the records tell of it. */
+export interface LoadedJobs {
+  readonly jobs: readonly OpenJob[];
+  /** Those of them that were cancelled meanwhile. */
+  readonly cancelled: readonly JobId[];
+  /** Keys of progress whose jobs are over. */
+  readonly orphans: readonly string[];
+  /** Changes after this revision are not in it. */
+  readonly ledger: Stamp;
+}
+
+/** Reads all unfinished work, and which of it was cancelled meanwhile. */
+export async function loadOpenJobs(ctx: LeaderContext): Promise<LoadedJobs> {
   const { rows, ledger } = await readAll(ctx, keys.open);
   // Whoever split a record knew that no version is left which couldn't read it.
   if (rows.some((row) => (parseOpenKey(row.key)?.size ?? CHUNK_TASKS) < CHUNK_TASKS))
@@ -121,10 +130,14 @@
   readonly up: boolean;
 }
 
-export async function restoreFleet(
-  ctx: LeaderContext,
-  fleet: FleetManager,
-): Promise<{ machines: RestoredMachine[]; records: Row[] }> {
+/** The machines that the records tell of, and these records. */
+export interface RestoredFleet {
+  readonly machines: readonly RestoredMachine[];
+  readonly records: readonly Row[];
+}
+
+/** Reads the machines, and hands the stored forecasts to the fleet. */
+export async function restoreFleet(ctx: LeaderContext, fleet: FleetManager): Promise<RestoredFleet> {
   const known: RestoredMachine[] = [];
   const { rows } = await readAll(ctx, keys.fleet);
   for (const row of rows) {
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -288,7 +288,7 @@
       for (const task of host.tasks) {
         const { spec } = task.job;
         if (!spec.spot) continue;
-        const run = this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
+        const run = this.lifetimes.expectedRun(spec);
         const ran = task.runningAt === null ? 0 : now - task.runningAt;
         sum += Math.max(run * 0.2, run - ran) * spec.cpus;
       }
@@ -410,7 +410,7 @@
           if (host) this.onGone(host);
         }
         this.saveFleet();
-        this.ctx.poke();
+        this.ctx.requestDecision();
       } catch (error) {
         this.ctx.log.info({ count: batch.length, error: reason(error) }, 'deletion not confirmed');
         await sleep(this.ctx.clock, 700 + this.ctx.random() * 300);
@@ -651,7 +651,7 @@
 
   private movable(task: Task, now: Steady): MovableTask {
     const { ranked: spec, readyAt } = task.job;
-    const run = this.lifetimes.expected(spec.jobClass, spec.estimateS * 1000);
+    const run = this.lifetimes.expectedRun(spec);
     const ran = task.runningAt === null ? 0 : since(now, task.runningAt);
     const leftMs = Math.max(run * 0.2, run - ran);
     const age = Math.max(0, this.ctx.clock.wall() - readyAt);
--- a/src/forecast/lifetimes.ts
+++ b/src/forecast/lifetimes.ts
@@ -39,6 +39,11 @@
     return estimateMs * Math.min(3, Math.max(0.3, sum.ran / sum.estimated));
   }
 
+  /** The same for a task of this job, in ms. */
+  expectedRun({ jobClass, estimateS }: { readonly jobClass: string; readonly estimateS: number }): number {
+    return this.expected(jobClass, estimateS * 1000);
+  }
+
   count(jobClass: string): number {
     return this.seen.get(jobClass)?.totalCount ?? 0;
   }
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -63,8 +63,9 @@
   return o.verb === 'kill' ? { ...base, drainS: o.graceS } : base;
 }
 
-export function ordersBody(token: Token, orders: readonly Order[]): object {
-  return { epoch: token, orders: orders.map(order) };
+/** The body of an answer to a report. */
+export function encodeOrders(token: Token, orders: readonly Order[]): Buffer {
+  return Buffer.from(JSON.stringify({ epoch: token, orders: orders.map(order) }));
 }
 
 export function commandBody(token: Token, tenure: Tenure, orders: readonly Order[]): object {
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -398,7 +398,7 @@
 
   private deliverCopy(report: Report): void {
     const name = this.leader;
-    if (name) void this.running.get(name)?.seat.beat(report, name as MemberId);
+    if (name) void this.running.get(name)?.seat.report(report, name as MemberId);
   }
 
   /** From now on the network delivers every command to a worker once more, so many seconds later. */
@@ -488,22 +488,14 @@
             return;
           }
           const take = async (): Promise<void> => {
-            const answer = await leader.seat.beat(report, node as MemberId);
-            const body = answer?.body as { epoch: number; orders: Record<string, unknown>[] } | undefined;
-            const orders = (body?.orders ?? []).map((o) => ({
-              verb: o['verb'],
-              task: o['shard'],
-              tryNo: o['try'],
-              graceS: o['drainS'],
-            }));
-            const token = (body?.epoch ?? 0) as BeatAnswer['token'];
+            const answer = await leader.seat.report(report, node as MemberId);
             if (!reached) return;
             this.clock.after(2, () =>
-              resolve({
-                status: answer?.status ?? 503,
-                token,
-                orders: orders as unknown as BeatAnswer['orders'],
-              }),
+              resolve(
+                answer?.kind === 'orders'
+                  ? { status: 200, token: answer.token, orders: answer.orders }
+                  : { status: 503, token: 0 as Token, orders: [] },
+              ),
             );
           };
           leader.clock.whenRunning(() => void take());
