--- a/src/cluster/decision-loop.ts
+++ b/src/cluster/decision-loop.ts
@@ -14,6 +14,8 @@
   type MachineView,
   place,
   type Plan,
+  preempts,
+  type Stop,
   type Victim,
 } from '../scheduler/place.js';
 import type { Patience } from '../scheduler/patience.js';
@@ -148,7 +150,9 @@
       const job = this.ctx.jobs.jobs.get(start.job);
       const host = this.ctx.hosts.hosts.get(start.host);
       if (!job || !host) continue;
-      host.put(job.decide(host.id, host.machine.zone, now));
+      const task = job.decide(host.id, host.machine.zone, now);
+      task.sheltered = start.starving;
+      host.put(task);
       host.idleSince = null;
       // The stop and the start leave together, once the start is committed.
       makingRoom.delete(host);
@@ -167,10 +171,21 @@
         if (host) hosts.add(host);
       }
     }
-    if (stops.length > 0) this.ctx.log.info({ stops: stops.length }, 'making room');
+    if (stops.length > 0)
+      this.ctx.log.info({ stops: stops.length, for: this.classesOf(stops) }, 'making room');
     return hosts;
   }
 
+  /** How many tasks are stopped for jobs of which class. */
+  private classesOf(stops: readonly Stop[]): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const stop of stops) {
+      const jobClass = this.ctx.jobs.jobs.get(stop.for)?.spec.jobClass ?? '';
+      counts[jobClass] = (counts[jobClass] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   /**
    * Who may be stopped at all is looked up by job, and only once somebody asks: mostly nobody does,
    * or nothing may be stopped.
@@ -181,7 +196,7 @@
     guaranteed: ReadonlySet<JobId>,
     now: Steady,
   ): (id: HostId) => Victim[] {
-    const production = waiting.some((job) => job.spec.priority === Priority.Production);
+    const preempting = waiting.some(preempts);
     let stoppable: Set<HostId> | null = null;
     return (id) => {
       stoppable ??= hostsOf(
@@ -189,7 +204,7 @@
           ({ heldCount, spec }) =>
             heldCount > 0 &&
             spec.priority !== Priority.Production &&
-            (production || !guaranteed.has(spec.id)),
+            (preempting || !guaranteed.has(spec.id)),
         ),
       );
       const host = stoppable.has(id) ? this.ctx.hosts.hosts.get(id) : undefined;
--- a/src/cluster/views.ts
+++ b/src/cluster/views.ts
@@ -38,7 +38,9 @@
     const { cpus, gpus, memoryGb, priority, team, checkpointS } = task.job.ranked;
     const ran = task.runningAt === null ? 0 : now - task.runningAt;
     const lostMs = checkpointS > 0 ? Math.min(ran, checkpointS * 1000) : ran;
-    list.push({ task: task.id, job: task.job.spec.id, team, priority, cpus, gpus, memoryGb, lostMs });
+    const { sheltered } = task;
+    const job = task.job.spec.id;
+    list.push({ task: task.id, job, team, priority, cpus, gpus, memoryGb, lostMs, sheltered });
   }
   return list.sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
 }
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/job-book.ts
@@ -44,6 +44,8 @@
   /** Placed by an earlier epoch: gone once a report under ours lacks it. */
   inherited = false;
   kill: Kill | null = null;
+  /** Given its machine because its job had waited for too long. */
+  sheltered = false;
 
   constructor(
     readonly job: OpenJob,
@@ -269,6 +271,7 @@
     task.sentToken = null;
     task.inherited = false;
     task.kill = null;
+    task.sheltered = false;
   }
 
   /** The start is durable: run orders may leave. */
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -25,6 +25,8 @@
   readonly priority: Priority;
   /** Work that stopping it would lose. */
   readonly lostMs: number;
+  /** Its job began after waiting for too long: urgent work must not take its place again. */
+  readonly sheltered: boolean;
 }
 
 export interface JobView {
@@ -45,11 +47,15 @@
 export interface Start {
   readonly job: JobId;
   readonly host: HostId;
+  /** It goes ahead because its job has waited for too long. */
+  readonly starving: boolean;
 }
 
 export interface Stop {
   readonly host: HostId;
   readonly task: TaskId;
+  /** The job that room is made for. */
+  readonly for: JobId;
 }
 
 export interface Plan {
@@ -217,17 +223,39 @@
   }
 }
 
+/** What a stopped task loses besides its work: its next start, mostly with its image. */
+const RESTART_MS = 3000;
+/**
+ * Urgent work is mostly a stage of something that others wait for: one task that starts again delays all of
+ * it. Its loss counts so many times.
+ */
+const URGENT_LOSS = 8;
+
+function lossOf(victim: Victim): number {
+  const weight = victim.priority >= Priority.High ? URGENT_LOSS : 1;
+  return (victim.lostMs + RESTART_MS) * victim.cpus * weight;
+}
+
+/**
+ * Whether a job may stop work of lower priorities for itself: production work, and urgent work with a
+ * deadline that it can still meet, its own or that of a job that needs it.
+ */
+export function preempts({ spec, slackMs }: Pick<JobView, 'spec' | 'slackMs'>): boolean {
+  if (spec.priority === Priority.Production) return true;
+  return spec.priority === Priority.High && spec.deadlineS !== null && slackMs !== null;
+}
+
 /**
- * Who may be stopped for a job (PROTOCOL, "Preemption"): lower priorities for production work;
+ * Who may be stopped for a job (PROTOCOL, "Preemption"): lower priorities for production and urgent work;
  * for a team's guarantee, what other teams run beyond theirs.
  */
 function mayStop(job: JobView, guaranteed: ReadonlySet<JobId>): ((v: Victim) => boolean) | null {
   const { spec } = job;
-  const production = spec.priority === Priority.Production;
+  const ahead = preempts(job);
   const within = guaranteed.has(spec.id);
-  if (!production && !within) return null;
+  if (!ahead && !within) return null;
   return (v) =>
-    (production && v.priority < spec.priority) ||
+    (ahead && v.priority < spec.priority && !(v.sheltered && spec.priority < Priority.Production)) ||
     (within && v.team !== spec.team && v.priority < Priority.Production && !guaranteed.has(v.job));
 }
 
@@ -251,7 +279,7 @@
     victims.push(v);
   }
   if (!fits(spec, free)) return null;
-  return { m, from, victims, lost: victims.reduce((sum, v) => sum + v.lostMs * v.cpus, 0) };
+  return { m, from, victims, lost: victims.reduce((sum, victim) => sum + lossOf(victim), 0) };
 }
 
 /** One decision over one snapshot. */
@@ -292,7 +320,7 @@
 
   private start(job: JobView, mine: TeamUse, m: MachineView): void {
     const { spec } = job;
-    this.plan.starts.push({ job: spec.id, host: m.id });
+    this.plan.starts.push({ job: spec.id, host: m.id, starving: job.starving });
     take(m.free, spec);
     mine.cpus += spec.cpus;
     mine.gpus += spec.gpus;
@@ -346,7 +374,7 @@
       if (!offer) break;
       const { m, from } = offer;
       for (const v of offer.victims) {
-        this.plan.stops.push({ host: m.id, task: v.task });
+        this.plan.stops.push({ host: m.id, task: v.task, for: job.spec.id });
         from.splice(from.indexOf(v), 1);
         give(m.free, v);
       }
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -84,6 +84,7 @@
   gpus: 0,
   memoryGb: 4,
   lostMs: 1000,
+  sheltered: false,
   ...over,
 });
 
@@ -133,8 +134,8 @@
     });
     const replica = job({ kind: 'service', priority: Priority.Production, spot: false });
     const plan = place([replica], [warm, machine('cold')], TEAMS, new Map());
-    expect(plan.starts).toEqual([{ job: 'j-000001', host: 'warm' }]);
-    expect(plan.stops).toEqual([{ host: 'warm', task: 'j-000009/0' }]);
+    expect(plan.starts).toEqual([{ job: 'j-000001', host: 'warm', starving: false }]);
+    expect(plan.stops).toEqual([{ host: 'warm', task: 'j-000009/0', for: 'j-000001' }]);
   });
 
   it('gives a team its guarantee from what others run beyond theirs, and nobody else’s', () => {
@@ -146,6 +147,31 @@
     expect(beyond.stops).toEqual([]);
   });
 
+  it('lets urgent work with a deadline that it can meet stop lower work, but not what had waited for too long', () => {
+    // Beyond the guarantee of its team, which could stop the work of another one as well.
+    const urgent = { priority: Priority.High, deadlineS: 60, tasks: 3 };
+    const full = (more: object): MachineWith =>
+      machine('a', {
+        free: { ...FULL },
+        victims: [victim('j-000009/0', { priority: Priority.Low, ...more })],
+      });
+    const stops = (one: JobView, more = {}): number =>
+      place([one], [full(more)], TEAMS, new Map()).stops.length;
+    expect(stops(job(urgent, { slackMs: 10_000 }))).toBe(1);
+    expect(stops(job(urgent, { slackMs: 10_000 }), { sheltered: true })).toBe(0);
+    expect(stops(job(urgent, { slackMs: null }))).toBe(0);
+    expect(stops(job({ ...urgent, deadlineS: null }, { slackMs: 10_000 }))).toBe(0);
+  });
+
+  it('stops urgent work last: what waits for it waits as well', () => {
+    const machineWith = (id: string, lostMs: number, priority: Priority): MachineWith =>
+      machine(id, { free: { ...FULL }, victims: [victim(`j-00000${id}/0`, { lostMs, priority })] });
+    const machines = [machineWith('7', 2000, Priority.High), machineWith('8', 20_000, Priority.Normal)];
+    const replica = job({ kind: 'service', priority: Priority.Production, spot: false });
+    const plan = place([replica], machines, TEAMS, new Map());
+    expect(plan.stops.map((stop) => stop.host)).toEqual(['8']);
+  });
+
   it('starts nothing of a job whose tasks are in unknown places', () => {
     const plan = place([job({ oneZone: true }, { heldBack: true })], [machine('a')], TEAMS, new Map());
     expect(plan.starts).toEqual([]);
@@ -163,6 +189,7 @@
       const victims = Array.from({ length: draw(4) }, (_v, k) =>
         victim(`j-000009/${i * 10 + k}`, {
           lostMs: draw(60_000),
+          sheltered: draw(5) === 0,
           cpus: 2,
           priority: draw(3) as Priority,
           job: `j-90000${draw(4)}` as JobId,
--- a/test/unit/plain-place.ts
+++ b/test/unit/plain-place.ts
@@ -57,6 +57,11 @@
 }
 
 /** Placement without any index: every job looks at every machine, every task at every victim. */
+/** Work lost and a start of 3 s, eight times as much for urgent work. */
+function lossOf(v: Victim): number {
+  return (v.lostMs + 3000) * v.cpus * (v.priority >= Priority.High ? 8 : 1);
+}
+
 export function plainPlace(now: Snapshot): Plan {
   const plan: Plan = { starts: [], stops: [], unmet: [] };
   const used = new Map([...now.use].map(([team, u]) => [team, { ...u }]));
@@ -69,7 +74,7 @@
     used.set(spec.team, mine);
     let left = Math.min(job.waiting, teamRoom(team, mine, spec));
     const start = (m: MachineView): void => {
-      plan.starts.push({ job: spec.id, host: m.id });
+      plan.starts.push({ job: spec.id, host: m.id, starving: job.starving });
       take(m.free, spec);
       mine.cpus += spec.cpus;
       mine.gpus += spec.gpus;
@@ -84,8 +89,10 @@
       }
     };
     const production = spec.priority === Priority.Production;
+    const urgent = spec.priority === Priority.High && spec.deadlineS !== null && job.slackMs !== null;
     const within = now.guaranteed.has(spec.id);
     const may = (v: Victim): boolean =>
+      (urgent && v.priority < Priority.High && !v.sheltered) ||
       (production && v.priority < spec.priority) ||
       (within && v.team !== spec.team && v.priority < Priority.Production && !now.guaranteed.has(v.job));
     const makeRoom = (which: (m: MachineView) => boolean): void => {
@@ -96,12 +103,12 @@
           if (!m.reachable || !which(m) || !allowed(spec, m)) continue;
           if (job.avoid.has(m.id) || !zoneAllows(job, m.zone)) continue;
           const stop = victimsFor(spec, m, from, may);
-          const lost = stop?.reduce((sum, v) => sum + v.lostMs * v.cpus, 0) ?? Infinity;
+          const lost = stop?.reduce((sum, v) => sum + lossOf(v), 0) ?? Infinity;
           if (stop && (!best || lost < best.lost)) best = { m, stop, lost };
         }
         if (!best) return;
         for (const v of best.stop) {
-          plan.stops.push({ host: best.m.id, task: v.task });
+          plan.stops.push({ host: best.m.id, task: v.task, for: spec.id });
           const from = victims.get(best.m.id) ?? [];
           from.splice(from.indexOf(v), 1);
           give(best.m.free, v);
