--- a/src/api/dependencies.ts
+++ b/src/api/dependencies.ts
@@ -79,7 +79,7 @@
     const final = this.cache.finalState(id);
     if (final) return final;
     const known = this.cache.known(id);
-    if (known && (await this.confirmations.same(keys.job(id), known.stamp))) return 'accepted';
+    if (known && (await this.confirmations.same(keys.job(id), known.revision))) return 'accepted';
     return (await this.lookAt(id))?.state ?? 'accepted';
   }
 
--- a/src/api/front.ts
+++ b/src/api/http-router.ts
@@ -10,7 +10,7 @@
 
 export class TooLong extends Error {}
 
-export interface FrontHandler {
+export interface RequestHandler {
   up(): boolean;
   beat(body: Buffer): Promise<{ status: number; body: Buffer | null }>;
   user(verb: UserVerb, body: Buffer): Promise<UserAnswer>;
@@ -35,7 +35,7 @@
 }
 
 /** Routes of the front address: users, workers and health checks. */
-export function frontListener(handler: FrontHandler): RequestListener {
+export function requestListener(handler: RequestHandler): RequestListener {
   const app = new Hono<{ Bindings: HttpBindings }>();
 
   app.get('/up', () => new Response(null, { status: handler.up() ? 200 : 503 }));
--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -1,4 +1,4 @@
-import type { JobId, Stamp } from '../model/ids.js';
+import type { JobId, Revision } from '../model/ids.js';
 import type { FinalState, JobKind, JobRecord } from '../model/job.js';
 import { type Clock, sleep } from '../model/time.js';
 import { type Committed, StateRefused, type StateStore } from '../store/client.js';
@@ -7,7 +7,7 @@
 import type { Change, Condition } from '../wire/state.js';
 
 export interface Known {
-  readonly stamp: Stamp;
+  readonly revision: Revision;
   readonly tasks: number;
   readonly kind: JobKind;
   readonly dependencies: readonly JobId[];
@@ -34,7 +34,7 @@
 
 /**
  * What this node has seen of jobs. Final states never change and may be told from here. Of an
- * accepted job it only knows the stamp that its record had: whether it still has it, the state
+ * accepted job it only knows the revision that its record had: whether it still has it, the state
  * service must say for every answer (`Confirmations`).
  */
 export class JobCache {
@@ -55,12 +55,12 @@
     return this.ended.get(id)?.state;
   }
 
-  learn(id: JobId, record: JobRecord, stamp: Stamp, body: object): void {
+  learn(id: JobId, record: JobRecord, revision: Revision, body: object): void {
     if (record.state === 'accepted') {
       const before = this.open.get(id);
-      if (!this.ended.has(id) && (!before || before.stamp < stamp)) {
+      if (!this.ended.has(id) && (!before || before.revision < revision)) {
         const { tasks, kind, dependencies, dependencyRecords } = record.spec;
-        this.open.set(id, { stamp, tasks, kind, dependencies, dependencyRecords });
+        this.open.set(id, { revision, tasks, kind, dependencies, dependencyRecords });
       }
       return;
     }
@@ -70,24 +70,24 @@
 
   /** Changes seen by a watch of the jobs' records. */
   take(changes: readonly Change[], body: (id: JobId, record: JobRecord) => object): void {
-    for (const { key, value, stamp } of changes) {
+    for (const { key, value, revision } of changes) {
       if (value === undefined) continue;
       const id = key.slice(keys.jobs.length) as JobId;
       const record = decodeJob(id, value);
-      this.learn(id, record, stamp, body(id, record));
+      this.learn(id, record, revision, body(id, record));
     }
   }
 }
 
 interface Asked {
   readonly key: string;
-  readonly stamp: Stamp;
+  readonly revision: Revision;
   readonly done: (same: boolean) => void;
   readonly failed: (error: unknown) => void;
 }
 
 /**
- * Many questions in one request: a transaction without writes compares the stamps of many records,
+ * Many questions in one request: a transaction without writes compares the revisions of many records,
  * at one moment after all of them were asked. Hundreds of users who each ask every few seconds would
  * otherwise use up the requests that the state service allows, and with them the leader's.
  */
@@ -102,10 +102,10 @@
     private readonly waitMs: number,
   ) {}
 
-  /** Whether the key still has this stamp. */
-  same(key: string, stamp: Stamp): Promise<boolean> {
+  /** Whether the key still has this revision. */
+  same(key: string, revision: Revision): Promise<boolean> {
     return new Promise((done, failed) => {
-      this.asked.push({ key, stamp, done, failed });
+      this.asked.push({ key, revision, done, failed });
       if (this.asked.length >= this.most) void this.ask();
       else if (!this.waiting) void this.later();
     });
@@ -133,13 +133,13 @@
     const asked = this.asked;
     this.asked = [];
     if (asked.length === 0) return;
-    // Two users may know one job by two stamps; a key is asked for once in a request.
+    // Two users may know one job by two revisions; a key is asked for once in a request.
     const byKey = new Map<string, Asked>();
     for (const a of asked) if (!byKey.has(a.key)) byKey.set(a.key, a);
     try {
-      const result = await this.compare([...byKey.values()].map(({ key, stamp }) => ({ key, stamp })));
+      const result = await this.compare([...byKey.values()].map(({ key, revision }) => ({ key, revision })));
       const failed = new Set(result.ok ? [] : result.failed);
-      for (const a of asked) a.done(!failed.has(a.key) && byKey.get(a.key)?.stamp === a.stamp);
+      for (const a of asked) a.done(!failed.has(a.key) && byKey.get(a.key)?.revision === a.revision);
     } catch (error) {
       for (const a of asked) a.failed(error);
     }
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -1,7 +1,7 @@
 import type { ToldCancellation } from '../cluster/cancellations.js';
 import type { NodeContext } from '../cluster/context.js';
-import type { JobId, Stamp } from '../model/ids.js';
-import { isJobId, NO_STAMP } from '../model/ids.js';
+import type { JobId, Revision } from '../model/ids.js';
+import { isJobId, NO_REVISION } from '../model/ids.js';
 import { reason } from '../log/logger.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import { fits } from '../model/job.js';
@@ -65,7 +65,7 @@
 
 interface Found {
   readonly record: JobRecord;
-  readonly stamp: Stamp;
+  readonly revision: Revision;
 }
 
 /**
@@ -100,12 +100,12 @@
 
   /** Sees every job's record change, so that most questions need only a confirmation. */
   async watch(): Promise<void> {
-    let after: Stamp | null = null;
+    let after: Revision | null = null;
     for (;;) {
       try {
-        after ??= (await this.ctx.store.range(keys.epoch)).ledger;
+        after ??= (await this.ctx.store.range(keys.epoch)).revision;
         const read = await this.ctx.store.changes(keys.jobs, after, WATCH_MS);
-        after = read?.ledger ?? null;
+        after = read?.revision ?? null;
         if (read) this.take(read.changes);
       } catch (error) {
         this.ctx.log.debug({ error: reason(error) }, 'jobs not watched');
@@ -179,7 +179,7 @@
     const acceptance = this.acceptance(job, named);
     if (!acceptance) return unavailable('a submission of this length is not served yet', NOT_YET_RETRY_S);
     const { records, writes } = acceptance;
-    const unknown: Condition[] = [{ key: keys.job(id), stamp: NO_STAMP }];
+    const unknown: Condition[] = [{ key: keys.job(id), revision: NO_REVISION }];
     let written = 0;
     for (let tries = 1; ; tries++) {
       // Every node takes its share of what all may write: this one's acceptances cost as many times more.
@@ -242,7 +242,7 @@
     for (let tries = 1; ; tries++) {
       try {
         const row = await this.ctx.store.get(keys.job(id));
-        return row ? { record: decodeJob(id, row.value), stamp: row.stamp } : null;
+        return row ? { record: decodeJob(id, row.value), revision: row.revision } : null;
       } catch (error) {
         if (!worthAgain(error) || tries >= TRIES) throw error;
         await sleep(this.ctx.clock, 40 * tries + this.ctx.random() * 40);
@@ -254,9 +254,9 @@
     return jobStatus(id, state, spec.tasks, this.progressOf(id) ?? { done: 0, running: 0 });
   }
 
-  private known(id: JobId, { record, stamp }: Found): UserAnswer {
+  private known(id: JobId, { record, revision }: Found): UserAnswer {
     const body = this.bodyOf(id, record);
-    this.cache.learn(id, record, stamp, body);
+    this.cache.learn(id, record, revision, body);
     if (record.state === 'cancelled') this.ctx.cancellations.learn([{ id, age: ms(0) }]);
     return { status: 200, body };
   }
@@ -283,7 +283,7 @@
     }
     if (await this.dependencies.anyCancelled(id)) return this.cancelWithNeeded(id);
     // Its own record last: while the others were asked, it may have been cancelled with one of them.
-    if (await this.confirmations.same(keys.job(id), known.stamp)) {
+    if (await this.confirmations.same(keys.job(id), known.revision)) {
       const progress = this.progressOf(id) ?? { done: 0, running: 0 };
       return { status: 200, body: jobStatus(id, 'accepted', known.tasks, progress) };
     }
@@ -315,7 +315,7 @@
     return { status: 200, body: { ref: id, status: 'cancelled' } };
   }
 
-  /** Durable on the job's record before it is told; the record's stamp decides against done. */
+  /** Durable on the job's record before it is told; the record's revision decides against done. */
   async cancel(id: string): Promise<UserAnswer> {
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
     const told = (status: string): UserAnswer => ({ status: 200, body: { ref: id, status } });
@@ -329,7 +329,7 @@
       this.writes.force(CANCEL_WRITES * this.sharers());
       try {
         const result = await this.ctx.store.commit(
-          [{ key: keys.job(id), stamp: found.stamp }],
+          [{ key: keys.job(id), revision: found.revision }],
           [
             {
               set: keys.job(id),
--- a/src/cluster/reach.ts
+++ b/src/cluster/connectivity.ts
@@ -5,7 +5,7 @@
 const CUT_OFF_MS = 2500;
 
 /** Whether this node reaches the state service, as far as its last calls tell. */
-export class Reach {
+export class ConnectivityMonitor {
   private okAt: Steady;
   private failedAt: Steady | null = null;
 
--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -2,24 +2,24 @@
 import type { Cloud } from '../cloud/client.js';
 import type { Operators } from '../config/operators.js';
 import type { Log } from '../log/logger.js';
-import type { Epoch, HostId, JobId, MemberId, Stamp, Tenure, Token, TypeId } from '../model/ids.js';
+import type { Epoch, HostId, JobId, MemberId, Revision, SessionNumber, Token, TypeId } from '../model/ids.js';
 import type { MachineType } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import type { Clock, Steady } from '../model/time.js';
-import type { JobBook } from '../scheduler/job-book.js';
+import type { JobStore } from '../scheduler/job-store.js';
 import type { CancellationsWord } from '../peer/frames.js';
 import type { StateLimits } from '../store/limits.js';
 import type { StateStore } from '../store/client.js';
 import type { Settings } from '../wire/settings.js';
 import type { CommandReply } from '../wire/workers.js';
-import type { HostBook } from '../workers/host-book.js';
+import type { HostRegistry } from '../workers/host-registry.js';
 
 /** Direct calls to a worker's own address. */
 export interface WorkerCaller {
   command(
     address: string,
     token: Token,
-    tenure: Tenure,
+    session: SessionNumber,
     orders: readonly Order[],
     deadlineMs: number,
   ): Promise<CommandReply>;
@@ -61,11 +61,11 @@
 /** What the parts of one leadership share. */
 export interface LeaderContext extends NodeContext {
   readonly epoch: Epoch;
-  readonly epochStamp: Stamp;
+  readonly epochRevision: Revision;
   /** When the takeover's transaction had been answered. */
   readonly startedAt: Steady;
-  readonly jobs: JobBook;
-  readonly hosts: HostBook;
+  readonly jobs: JobStore;
+  readonly hosts: HostRegistry;
   /**
    * Whether our grant surely lives. Without it no machine is rented or deleted: behind a cut the
    * network may hold such calls and deliver them long after another leader has put work there.
--- a/src/cluster/decision-loop.ts
+++ b/src/cluster/decision-loop.ts
@@ -7,7 +7,8 @@
 import { Priority } from '../model/job.js';
 import type { Team } from '../model/team.js';
 import { type Steady, since } from '../model/time.js';
-import type { OpenJob, Task } from '../scheduler/job-book.js';
+import type { OpenJob } from '../scheduler/open-job.js';
+import type { Task } from '../scheduler/task.js';
 import {
   guaranteedJobs,
   type JobView,
@@ -18,13 +19,13 @@
   type Stop,
   type Victim,
 } from '../scheduler/place.js';
-import type { Patience } from '../scheduler/patience.js';
+import type { SlackFactors } from '../scheduler/slack-factors.js';
 import { isStarving, type Urgency } from '../scheduler/urgency.js';
 import type { Committer } from '../store/committer.js';
 import type { Dispatcher } from '../workers/dispatcher.js';
-import type { Host } from '../workers/host-book.js';
+import type { Host } from '../workers/host.js';
 import type { LeaderContext } from './context.js';
-import { jobView, machineView, victims } from './views.js';
+import { jobView, machineView, victims } from './placement-views.js';
 
 /**
  * What asks for a decision within this is decided together: at size that also means fewer transactions,
@@ -43,7 +44,7 @@
   readonly dispatcher: Dispatcher;
   readonly lifetimes: Lifetimes;
   readonly urgency: Urgency;
-  readonly patience: Patience;
+  readonly slackFactors: SlackFactors;
   readonly lock: Mutex;
 }
 
@@ -85,7 +86,7 @@
     const now = this.ctx.clock.now();
     const wake = new Set<Host>();
     for (const task of tasks) {
-      const host = task.host === null ? undefined : this.ctx.hosts.hosts.get(task.host);
+      const host = task.host === null ? undefined : this.ctx.hosts.get(task.host);
       if (!host || host.removing || task.job.cancelled) {
         host?.drop(task);
         task.job.release(task, now);
@@ -105,9 +106,7 @@
   }
 
   private decide(now: Steady): void {
-    const open = [...this.ctx.jobs.jobs.values()].filter(
-      (job) => !job.cancelled && !job.complete && !job.blocked,
-    );
+    const open = [...this.ctx.jobs.values()].filter((job) => !job.cancelled && !job.complete && !job.blocked);
     const waiting = open.filter((job) => job.waiting > 0).map((job) => this.viewOf(job, now));
     if (waiting.length === 0) {
       this.parts.fleet.unmet([]);
@@ -124,12 +123,12 @@
     });
     this.carryOut(plan, now);
     this.parts.fleet.unmet(plan.unmet.map(({ job, tasks }) => this.queued(job, tasks)));
-    this.parts.committer.poke();
+    this.parts.committer.schedule();
   }
 
   private machines(): MachineView[] {
     const machines: MachineView[] = [];
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (host.closed || !host.known || host.takenAt !== null || host.unreached) continue;
       machines.push(machineView(host));
     }
@@ -147,8 +146,8 @@
   private carryOut(plan: Plan, now: Steady): void {
     const makingRoom = this.stop(plan, now);
     for (const start of plan.starts) {
-      const job = this.ctx.jobs.jobs.get(start.job);
-      const host = this.ctx.hosts.hosts.get(start.host);
+      const job = this.ctx.jobs.get(start.job);
+      const host = this.ctx.hosts.get(start.host);
       if (!job || !host) continue;
       const task = job.decide(host.id, host.machine.zone, now);
       task.sheltered = start.starving;
@@ -164,7 +163,7 @@
   private stop({ stops }: Plan, now: Steady): Set<Host> {
     const hosts = new Set<Host>();
     for (const stop of stops) {
-      const host = this.ctx.hosts.hosts.get(stop.host);
+      const host = this.ctx.hosts.get(stop.host);
       for (const task of host?.tasks ?? []) {
         if (task.id !== stop.task || task.phase !== 'placed' || task.kill) continue;
         task.kill = { graceS: 0, why: 'room', at: now };
@@ -180,7 +179,7 @@
   private classesOf(stops: readonly Stop[]): Record<string, number> {
     const counts: Record<string, number> = {};
     for (const stop of stops) {
-      const jobClass = this.ctx.jobs.jobs.get(stop.for)?.spec.jobClass ?? '';
+      const jobClass = this.ctx.jobs.get(stop.for)?.spec.jobClass ?? '';
       counts[jobClass] = (counts[jobClass] ?? 0) + 1;
     }
     return counts;
@@ -207,7 +206,7 @@
             (preempting || !guaranteed.has(spec.id)),
         ),
       );
-      const host = stoppable.has(id) ? this.ctx.hosts.hosts.get(id) : undefined;
+      const host = stoppable.has(id) ? this.ctx.hosts.get(id) : undefined;
       return host ? victims(host, now) : [];
     };
   }
@@ -218,13 +217,13 @@
   }
 
   /** What a machine rented now can still save: the job's next target that its boot leaves reachable. */
-  private waitAfterBoot(job: JobView, runMs: number): { slackMs: number | null; patience: number } {
-    const { fleet, urgency, patience } = this.parts;
+  private waitAfterBoot(job: JobView, runMs: number): { slackMs: number | null; slackFactor: number } {
+    const { fleet, urgency, slackFactors } = this.parts;
     const age = Math.max(0, this.ctx.clock.wall() - job.readyAt) + fleet.slowestBoot();
     const target = urgency.next(job.spec, age, runMs);
     return {
       slackMs: urgency.slack(job.spec, age, runMs),
-      patience: patience.factor(job.spec.jobClass, target?.allowed ?? DEFAULT_ALLOWED),
+      slackFactor: slackFactors.factor(job.spec.jobClass, target?.allowed ?? DEFAULT_ALLOWED),
     };
   }
 
--- a/src/cluster/dependency-tracker.ts
+++ b/src/cluster/dependency-tracker.ts
@@ -5,7 +5,7 @@
 import type { JobId } from '../model/ids.js';
 import { type Steady, since, sleep } from '../model/time.js';
 import type { DependencyGraph } from '../scheduler/dependencies.js';
-import type { OpenJob } from '../scheduler/job-book.js';
+import type { OpenJob } from '../scheduler/open-job.js';
 import { decodeJob } from '../store/job-record.js';
 import { keys } from '../store/keys.js';
 import type { LeaderContext } from './context.js';
@@ -66,10 +66,10 @@
   foreseen(within: number): OpenJob[] {
     const now = this.ctx.clock.now();
     const list: OpenJob[] = [];
-    for (const job of this.ctx.jobs.jobs.values()) {
+    for (const job of this.ctx.jobs.values()) {
       if (!job.blocked || job.unread || job.cancelled) continue;
       let ready = 0;
-      for (const id of job.waitsFor) ready = Math.max(ready, this.endsIn(this.ctx.jobs.jobs.get(id), now));
+      for (const id of job.waitsFor) ready = Math.max(ready, this.endsIn(this.ctx.jobs.get(id), now));
       if (ready <= within) list.push(job);
     }
     return list;
@@ -79,7 +79,7 @@
     const { jobs } = this.ctx;
     if (jobs.endOf(id) === 'done') return;
     job.waitsFor.add(id);
-    if (!jobs.jobs.has(id)) this.unknown.add(id);
+    if (!jobs.has(id)) this.unknown.add(id);
   }
 
   /**
@@ -97,7 +97,7 @@
 
   private isCancelled(id: JobId): boolean {
     const { jobs, cancellations } = this.ctx;
-    return jobs.endOf(id) === 'cancelled' || cancellations.has(id) || jobs.jobs.get(id)?.cancelled === true;
+    return jobs.endOf(id) === 'cancelled' || cancellations.has(id) || jobs.get(id)?.cancelled === true;
   }
 
   private async readRest(id: JobId, records: number): Promise<void> {
@@ -115,7 +115,7 @@
   }
 
   private addRest(id: JobId, rest: readonly JobId[]): void {
-    const job = this.ctx.jobs.jobs.get(id);
+    const job = this.ctx.jobs.get(id);
     if (!job || job.cancelled) return;
     for (const needed of rest) this.need(job, needed);
     job.unread = false;
@@ -139,7 +139,7 @@
 
   private async lookUpOne(id: JobId): Promise<void> {
     try {
-      const row = this.ctx.jobs.jobs.has(id) ? null : await this.ctx.store.get(keys.job(id));
+      const row = this.ctx.jobs.has(id) ? null : await this.ctx.store.get(keys.job(id));
       this.unknown.delete(id);
       // One that is still accepted is known by now, or its watch brings it.
       const state = row ? decodeJob(id, row.value).state : 'accepted';
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -1,6 +1,6 @@
 import { reason } from '../log/logger.js';
-import type { Epoch, GrantId, MemberId, Stamp } from '../model/ids.js';
-import { NO_STAMP } from '../model/ids.js';
+import type { Epoch, GrantId, MemberId, Revision } from '../model/ids.js';
+import { NO_REVISION } from '../model/ids.js';
 import { PROTOCOL_VERSION } from '../model/protocol.js';
 import { atLeast, type Millis, ms, type Steady, plus, since, sleep } from '../model/time.js';
 import { StateRefused } from '../store/client.js';
@@ -10,7 +10,7 @@
 
 export interface Won {
   readonly epoch: Epoch;
-  readonly epochStamp: Stamp;
+  readonly epochRevision: Revision;
 }
 
 const WATCH_MS = 15_000;
@@ -19,7 +19,7 @@
 
 /**
  * Leadership: a key bound to a grant, and a durable epoch raised in the same transaction.
- * What a deposed leader still tries fails on the epoch's stamp, so safety never rests on clocks
+ * What a deposed leader still tries fails on the epoch's revision, so safety never rests on clocks
  * here; the clock only says how long the leader may still answer workers.
  */
 export class Election {
@@ -80,14 +80,14 @@
         this.leader = row ? leaderRecord(row.value) : null;
         const paused = this.notBefore !== null && clock.now() < this.notBefore;
         if (!this.leading && !paused && (!row || this.leader?.member === this.ctx.member)) {
-          await this.tryTakeover(row?.stamp ?? NO_STAMP);
+          await this.tryTakeover(row?.revision ?? NO_REVISION);
           continue;
         }
         if (paused && !row) {
           await sleep(clock, 300);
           continue;
         }
-        await store.changes(keys.leader, page.ledger, WATCH_MS);
+        await store.changes(keys.leader, page.revision, WATCH_MS);
       } catch (error) {
         this.ctx.log.debug({ error: reason(error) }, 'election waits');
         await sleep(clock, 100 + this.ctx.random() * 150);
@@ -95,7 +95,7 @@
     }
   }
 
-  private async tryTakeover(leaderStamp: Stamp): Promise<void> {
+  private async tryTakeover(leaderRevision: Revision): Promise<void> {
     const { store, member, clock } = this.ctx;
     const epochRow = await store.get(keys.epoch);
     const epoch = (epochOf(epochRow?.value) + 1) as Epoch;
@@ -103,8 +103,8 @@
     const grant = await store.grant(this.ttl);
     const result = await store.commit(
       [
-        { key: keys.leader, stamp: leaderStamp },
-        { key: keys.epoch, stamp: epochRow?.stamp ?? NO_STAMP },
+        { key: keys.leader, revision: leaderRevision },
+        { key: keys.epoch, revision: epochRow?.revision ?? NO_REVISION },
       ],
       [
         { set: keys.leader, value: encodeLeader({ member, epoch, version: PROTOCOL_VERSION }), grant },
@@ -118,7 +118,7 @@
     }
     this.grant = grant;
     this.sureUntil = plus(sentAt, atLeast(this.ttl));
-    this.leading = { epoch, epochStamp: result.stamp };
+    this.leading = { epoch, epochRevision: result.revision };
     this.leader = { member: member as MemberId, epoch, version: PROTOCOL_VERSION };
     this.onWon(this.leading);
   }
--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -1,10 +1,10 @@
 import type { FleetManager } from '../fleet/manager.js';
-import { type HostId, NO_STAMP, type Stamp } from '../model/ids.js';
+import { type HostId, NO_REVISION, type Revision } from '../model/ids.js';
 import { type Steady, since } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
 import { keys } from '../store/keys.js';
 import type { Row, Write } from '../wire/state.js';
-import type { Host } from '../workers/host-book.js';
+import type { Host } from '../workers/host.js';
 import type { LeaderContext } from './context.js';
 
 export type StoredMachine = [
@@ -48,7 +48,7 @@
   /** What each key was last written with. */
   private readonly written = new Map<string, string>();
   /** Each write replaces what we know: one of our own that is applied late, or once more, changes nothing. */
-  private readonly stamps = new Map<string, Stamp>();
+  private readonly revisions = new Map<string, Revision>();
   private writing = false;
   private lastAt: Steady | null = null;
 
@@ -60,7 +60,7 @@
 
   /** An earlier leader's records: what we do not fill again must not bring machines back that are gone. */
   found(records: readonly Row[]): void {
-    for (const { key, stamp } of records) this.stamps.set(key, stamp);
+    for (const { key, revision } of records) this.revisions.set(key, revision);
     this.stored = Math.max(this.stored, records.filter((r) => r.key.startsWith(keys.fleet)).length);
   }
 
@@ -81,8 +81,8 @@
         this.budget.force(part.length);
         const result = await this.ctx.store.commit(
           [
-            { key: keys.epoch, stamp: this.ctx.epochStamp },
-            ...part.map(({ key }) => ({ key, stamp: this.stamps.get(key) ?? NO_STAMP })),
+            { key: keys.epoch, revision: this.ctx.epochRevision },
+            ...part.map(({ key }) => ({ key, revision: this.revisions.get(key) ?? NO_REVISION })),
           ],
           part.map((c): Write => ({ set: c.key, value: c.value })),
         );
@@ -92,7 +92,7 @@
         }
         for (const { key, text } of part) {
           this.written.set(key, text);
-          this.stamps.set(key, result.stamp);
+          this.revisions.set(key, result.revision);
         }
       }
     } finally {
@@ -107,10 +107,10 @@
     }
     // A write of ours that brought no answer was carried out after all.
     for (const key of failed) {
-      this.stamps.set(key, (await this.ctx.store.get(key))?.stamp ?? NO_STAMP);
+      this.revisions.set(key, (await this.ctx.store.get(key))?.revision ?? NO_REVISION);
       this.written.delete(key);
     }
-    throw new Error('a record had another stamp');
+    throw new Error('a record had another revision');
   }
 
   /** What fits one transaction each. */
@@ -147,7 +147,7 @@
   }
 
   private chunks(): StoredMachine[][] {
-    const { hosts } = this.ctx.hosts;
+    const { hosts } = this.ctx;
     for (const [id, n] of this.chunkOf) {
       if (hosts.has(id)) continue;
       this.chunkOf.delete(id);
--- a/src/cluster/host-drainer.ts
+++ b/src/cluster/host-drainer.ts
@@ -1,9 +1,9 @@
 /** Ends work on machines that are to be empty: taken by the cloud, or given back. */
 import type { HostId } from '../model/ids.js';
 import type { Steady } from '../model/time.js';
-import type { Task } from '../scheduler/job-book.js';
+import type { Task } from '../scheduler/task.js';
 import type { Dispatcher } from '../workers/dispatcher.js';
-import type { Host } from '../workers/host-book.js';
+import type { Host } from '../workers/host.js';
 import type { LeaderContext } from './context.js';
 
 /** An order's way to the machine, and its answer's back. */
@@ -20,7 +20,7 @@
 
   /** Repeats what has not been carried out yet. */
   tick(now: Steady): void {
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (host.takenAt !== null) this.drainNoticed(host, host.takenAt, now);
       if (!host.known && host.address !== '' && (host.listed || host.up || !host.empty)) {
         this.dispatcher.wake(host);
@@ -30,7 +30,7 @@
 
   /** The host is emptied: its work starts again elsewhere. */
   empty(id: HostId): void {
-    const host = this.ctx.hosts.hosts.get(id);
+    const host = this.ctx.hosts.get(id);
     if (!host || host.closed) return;
     host.closed = 'emptying';
     const now = this.ctx.clock.now();
--- a/src/cluster/job-canceller.ts
+++ b/src/cluster/job-canceller.ts
@@ -4,10 +4,11 @@
 import type { JobId } from '../model/ids.js';
 import { ms, type Steady, since } from '../model/time.js';
 import type { DependencyGraph } from '../scheduler/dependencies.js';
-import type { OpenJob, Task } from '../scheduler/job-book.js';
+import type { OpenJob } from '../scheduler/open-job.js';
+import type { Task } from '../scheduler/task.js';
 import type { Committer } from '../store/committer.js';
 import type { Dispatcher } from '../workers/dispatcher.js';
-import type { Host } from '../workers/host-book.js';
+import type { Host } from '../workers/host.js';
 import type { LeaderContext } from './context.js';
 
 /** The part of a cancellation's limit after which a host that keeps its task is fenced. */
@@ -33,7 +34,7 @@
   cancel(id: JobId): void {
     this.ctx.cancellations.learn([{ id, age: ms(0) }]);
     const dependents = this.parts.graph.below(id);
-    const job = this.ctx.jobs.jobs.get(id);
+    const job = this.ctx.jobs.get(id);
     for (const dependent of dependents) if (!dependent.cancelled) this.cancelDependent(dependent);
     if (job && !job.cancelled) this.stop(job);
   }
@@ -51,7 +52,7 @@
   fenceOverdue(now: Steady): void {
     const limit = this.ctx.settings.cancelWithin * FENCE_AFTER;
     const overdue = ({ kill }: Task): boolean => kill?.why === 'cancelled' && since(now, kill.at) > limit;
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if ([...host.tasks].some(overdue)) this.parts.fleet.remove(host, 'cancelled task not gone', true);
     }
   }
@@ -64,7 +65,7 @@
     job.cancelled = true;
     const wake = new Set<Host>();
     for (const task of [...job.held()]) {
-      const host = task.host === null ? undefined : this.ctx.hosts.hosts.get(task.host);
+      const host = task.host === null ? undefined : this.ctx.hosts.get(task.host);
       if (neverSent(task)) {
         host?.drop(task);
         job.release(task, now);
@@ -76,7 +77,7 @@
     }
     this.ctx.jobs.changed(job);
     for (const host of wake) this.parts.dispatcher.wake(host);
-    this.parts.committer.poke();
+    this.parts.committer.schedule();
     this.ctx.requestDecision();
   }
 
@@ -89,5 +90,5 @@
 
 /** No order has left: the task cannot be on the machine. */
 function neverSent(task: Task): boolean {
-  return task.phase === 'deciding' || (task.sentTenure === null && !task.inherited);
+  return task.phase === 'deciding' || (task.sentSession === null && !task.inherited);
 }
--- a/src/cluster/job-outcomes.ts
+++ b/src/cluster/job-outcomes.ts
@@ -2,8 +2,8 @@
 import type { FleetManager } from '../fleet/manager.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
 import { type Steady, since } from '../model/time.js';
-import type { OpenJob } from '../scheduler/job-book.js';
-import type { Patience } from '../scheduler/patience.js';
+import type { OpenJob } from '../scheduler/open-job.js';
+import type { SlackFactors } from '../scheduler/slack-factors.js';
 import type { Urgency } from '../scheduler/urgency.js';
 import type { LeaderContext } from './context.js';
 
@@ -11,7 +11,7 @@
   readonly fleet: FleetManager;
   readonly lifetimes: Lifetimes;
   readonly urgency: Urgency;
-  readonly patience: Patience;
+  readonly slackFactors: SlackFactors;
 }
 
 /** In seconds, with one decimal. */
@@ -49,10 +49,10 @@
 
   /** Judged by the first target that renting for the job could have met. */
   private judge(job: OpenJob): void {
-    const { fleet, lifetimes, urgency, patience } = this.parts;
+    const { fleet, lifetimes, urgency, slackFactors } = this.parts;
     const target = urgency.next(job.ranked, fleet.slowestBoot(), lifetimes.expectedRun(job.spec));
     if (!target) return;
     const age = this.ctx.clock.wall() - job.readyAt;
-    patience.over(job.spec.jobClass, age > target.ms, target.allowed);
+    slackFactors.over(job.spec.jobClass, age > target.ms, target.allowed);
   }
 }
--- a/src/cluster/job-watcher.ts
+++ b/src/cluster/job-watcher.ts
@@ -1,7 +1,7 @@
 /** Brings a leader every job that is accepted or cancelled while it leads. */
 import type { Mutex } from 'async-mutex';
 import { reason } from '../log/logger.js';
-import type { JobId, Stamp } from '../model/ids.js';
+import type { JobId, Revision } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
 import { sleep } from '../model/time.js';
 import { decodeJob } from '../store/job-record.js';
@@ -10,7 +10,7 @@
 import { type Answering, watchedUpTo } from './answering.js';
 import type { LeaderContext } from './context.js';
 import { type LoadedJobs, loadOpenJobs, openJob, readDescription } from './takeover.js';
-import type { OpenJob } from '../scheduler/job-book.js';
+import type { OpenJob } from '../scheduler/open-job.js';
 
 /** Each answer of the watch tells that nothing is missed up to then: see `Answering`. */
 const WATCH_MS = 5000;
@@ -39,7 +39,7 @@
   ) {}
 
   /** Follows every change after this revision until the leadership ends. */
-  async run(from: Stamp): Promise<void> {
+  async run(from: Revision): Promise<void> {
     let after = from;
     while (!this.ctx.ended()) {
       try {
@@ -51,7 +51,7 @@
     }
   }
 
-  private async next(after: Stamp): Promise<Stamp> {
+  private async next(after: Revision): Promise<Revision> {
     const { clock, store } = this.ctx;
     const sentAt = clock.now();
     const read = await store.changes(keys.jobs, after, WATCH_MS);
@@ -59,37 +59,37 @@
     if (read === null) return this.resync();
     await this.lock.runExclusive(() => read.changes.forEach((change) => this.take(change)));
     this.answering.knew(watchedUpTo(sentAt, WATCH_MS, read.changes.length > 0, clock.now()));
-    return read.ledger;
+    return read.revision;
   }
 
   /** The watch has missed changes: everything is read again. */
-  private async resync(): Promise<Stamp> {
+  private async resync(): Promise<Revision> {
     const began = this.ctx.clock.now();
     const loaded = await loadOpenJobs(this.ctx);
     this.intake.load(loaded);
     this.answering.knew(began);
     this.ctx.requestDecision();
-    return loaded.ledger;
+    return loaded.revision;
   }
 
-  private take({ key, value, stamp }: Change): void {
+  private take({ key, value, revision }: Change): void {
     if (value === undefined) return;
     const id = key.slice(keys.jobs.length) as JobId;
     const record = decodeJob(id, value);
     if (record.state === 'cancelled') this.intake.cancel(id);
-    else if (record.state === 'accepted') this.accepted(record, stamp);
+    else if (record.state === 'accepted') this.accepted(record, revision);
   }
 
-  private accepted(record: JobRecord, stamp: Stamp): void {
-    if (record.spec.descriptionRecords > 0) void this.readAndOpen(record, stamp);
-    else this.open(record, stamp);
+  private accepted(record: JobRecord, revision: Revision): void {
+    if (record.spec.descriptionRecords > 0) void this.readAndOpen(record, revision);
+    else this.open(record, revision);
   }
 
-  private async readAndOpen(record: JobRecord, stamp: Stamp): Promise<void> {
+  private async readAndOpen(record: JobRecord, revision: Revision): Promise<void> {
     while (!this.ctx.ended()) {
       try {
         const whole = await readDescription(this.ctx, record);
-        await this.lock.runExclusive(() => this.open(whole, stamp));
+        await this.lock.runExclusive(() => this.open(whole, revision));
         return;
       } catch (error) {
         this.ctx.log.debug({ job: record.spec.id, error: reason(error) }, 'description not read yet');
@@ -98,8 +98,8 @@
     }
   }
 
-  private open(record: JobRecord, stamp: Stamp): void {
-    this.intake.open(openJob(this.ctx, record, stamp));
+  private open(record: JobRecord, revision: Revision): void {
+    this.intake.open(openJob(this.ctx, record, revision));
     this.ctx.requestDecision();
   }
 }
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -3,20 +3,23 @@
 import { FleetManager } from '../fleet/manager.js';
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
-import type { Epoch, HostId, JobId, MemberId, Stamp } from '../model/ids.js';
+import type { Epoch, HostId, JobId, MemberId, Revision } from '../model/ids.js';
 import { Priority } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import type { Report } from '../model/report.js';
 import { type Cancel, type Steady, since, sleep } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { DependencyGraph } from '../scheduler/dependencies.js';
-import { JobBook, type OpenJob, type Task } from '../scheduler/job-book.js';
-import { Patience } from '../scheduler/patience.js';
+import { JobStore } from '../scheduler/job-store.js';
+import type { OpenJob } from '../scheduler/open-job.js';
+import type { Task } from '../scheduler/task.js';
+import { SlackFactors } from '../scheduler/slack-factors.js';
 import { Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
 import { Dispatcher } from '../workers/dispatcher.js';
 import { Health } from '../workers/health.js';
-import { type Host, HostBook } from '../workers/host-book.js';
+import { type Host } from '../workers/host.js';
+import { HostRegistry } from '../workers/host-registry.js';
 import { loseAll } from '../workers/reports.js';
 import { aloneMs, Answering, type Grant } from './answering.js';
 import type { LeaderContext, NodeContext } from './context.js';
@@ -29,7 +32,7 @@
 import { JobWatcher } from './job-watcher.js';
 import { type ReportAnswer, ReportHandler } from './report-handler.js';
 import { type LoadedJobs, loadOpenJobs, type RestoredFleet, restoreFleet } from './takeover.js';
-import { summaryOf } from './views.js';
+import { summaryOf } from './summary.js';
 
 const TICK_MS = 500;
 /** By then a new leader has met the machines that live. */
@@ -44,8 +47,8 @@
 /** Everything that one epoch decides. */
 export class Leader {
   private readonly ctx: LeaderContext;
-  private readonly jobs = new JobBook();
-  private readonly hosts = new HostBook();
+  private readonly jobs = new JobStore();
+  private readonly hosts = new HostRegistry();
   private readonly lock = new Mutex();
   private readonly fleet: FleetManager;
   private readonly committer: Committer;
@@ -70,22 +73,20 @@
   constructor(
     node: NodeContext,
     epoch: Epoch,
-    epochStamp: Stamp,
+    epochRevision: Revision,
     grant: Grant,
     private readonly onOver: (why: string) => void,
   ) {
     const { clock, settings } = node;
-    this.ctx = this.contextOf(node, epoch, epochStamp, grant);
+    this.ctx = this.contextOf(node, epoch, epochRevision, grant);
     const { ctx, lock } = this;
     this.answering = new Answering(node, grant, (newer) => {
       if (newer > epoch) this.end('another node leads a newer epoch');
     });
     const lifetimes = new Lifetimes();
-    const patience = new Patience();
+    const slackFactors = new SlackFactors();
     const urgency = new Urgency(settings.objectives);
-    const graph = new DependencyGraph(this.jobs.jobs, (job) =>
-      urgency.takes(lifetimes.expectedRun(job.spec)),
-    );
+    const graph = new DependencyGraph(this.jobs, (job) => urgency.takes(lifetimes.expectedRun(job.spec)));
     const stateBudget = new Budget(clock, 1, 1);
     this.stopRating = node.limits.whenRated(() => {
       const rate = node.limits.writeRps * STATE_SHARE;
@@ -95,7 +96,7 @@
       ctx,
       new Budget(clock, settings.cloudRps * CLOUD_SHARE, settings.cloudRps),
       lifetimes,
-      patience,
+      slackFactors,
       urgency,
       (host) => this.hostGone(host),
       () => {
@@ -126,7 +127,7 @@
       dispatcher,
       lifetimes,
       urgency,
-      patience,
+      slackFactors,
       lock,
     });
     this.canceller = new JobCanceller(ctx, { graph, lifetimes, dispatcher, committer, fleet });
@@ -142,14 +143,14 @@
       lock,
     });
     this.watcher = new JobWatcher(ctx, this, answering, lock);
-    this.outcomes = new JobOutcomes(ctx, { fleet, lifetimes, urgency, patience });
+    this.outcomes = new JobOutcomes(ctx, { fleet, lifetimes, urgency, slackFactors });
   }
 
-  private contextOf(node: NodeContext, epoch: Epoch, epochStamp: Stamp, grant: Grant): LeaderContext {
+  private contextOf(node: NodeContext, epoch: Epoch, epochRevision: Revision, grant: Grant): LeaderContext {
     return {
       ...node,
       epoch,
-      epochStamp,
+      epochRevision,
       startedAt: node.clock.now(),
       jobs: this.jobs,
       hosts: this.hosts,
@@ -185,7 +186,7 @@
     this.reports.start();
     this.dependencies.start();
     this.ctx.log.info(
-      { epoch: this.ctx.epoch, jobs: this.jobs.jobs.size, hosts: this.hosts.hosts.size },
+      { epoch: this.ctx.epoch, jobs: this.jobs.size, hosts: this.hosts.size },
       'leadership begun',
     );
     for (const host of this.inOrderOfNeed()) this.dispatcher.wake(host);
@@ -195,14 +196,14 @@
   }
 
   /** The revision from which changes are to be followed; null: the leadership is over. */
-  private async takeOver(): Promise<Stamp | null> {
+  private async takeOver(): Promise<Revision | null> {
     while (!this.over) {
       const began = this.ctx.clock.now();
       try {
         const jobs = await loadOpenJobs(this.ctx);
         this.restore(jobs, await restoreFleet(this.ctx, this.fleet));
         this.answering.knew(began);
-        return jobs.ledger;
+        return jobs.revision;
       } catch (error) {
         this.ctx.log.info({ error: reason(error) }, 'takeover waits for the state service');
         await sleep(this.ctx.clock, TAKEOVER_AGAIN_MS);
@@ -229,7 +230,7 @@
       for (const task of host.tasks) if (task.job.spec.priority === Priority.Production) return 0;
       return host.free.cpus > 0 ? 1 : 2;
     };
-    return [...this.hosts.hosts.values()]
+    return [...this.hosts.values()]
       .filter((host) => host.up || !host.empty)
       .map((host) => ({ host, need: need(host) }))
       .sort((a, b) => a.need - b.need)
@@ -272,8 +273,8 @@
     const size = limits.chunkTasks(Infinity);
     if (size === this.chunkTasks) return;
     this.chunkTasks = size;
-    for (const job of this.jobs.jobs.values()) job.rechunk(limits.chunkTasks(job.spec.tasks), now);
-    this.committer.poke();
+    for (const job of this.jobs.values()) job.rechunk(limits.chunkTasks(job.spec.tasks), now);
+    this.committer.schedule();
   }
 
   // What the records tell of jobs (`JobIntake`)
@@ -306,9 +307,9 @@
 
   /** Every task that may be on a machine holds its place there, known machine or not. */
   private attachHeld(): void {
-    for (const job of this.jobs.jobs.values()) {
+    for (const job of this.jobs.values()) {
       for (const task of job.held()) {
-        const host = task.host === null ? undefined : this.hosts.hosts.get(task.host);
+        const host = task.host === null ? undefined : this.hosts.get(task.host);
         if (host) {
           task.zone = host.machine.zone;
           host.put(task);
@@ -327,7 +328,7 @@
   }
 
   private wake(id: HostId): void {
-    const host = this.hosts.hosts.get(id);
+    const host = this.hosts.get(id);
     if (host) this.dispatcher.wake(host);
   }
 
@@ -348,7 +349,7 @@
         { host: host.id, tasks: lost.length, some: lost.slice(0, 4).map((task) => task.id) },
         'tasks freed from a machine proven gone',
       );
-    this.committer.poke();
+    this.committer.schedule();
   }
 
   private leaseOver(host: Host): void {
@@ -371,7 +372,7 @@
 
   /** For display to users: tasks done and running. */
   progress(): { id: JobId; done: number; running: number }[] {
-    return [...this.jobs.jobs.values()]
+    return [...this.jobs.values()]
       .filter((job) => !job.cancelled)
       .map((job) => ({ id: job.spec.id, done: job.done, running: job.running }));
   }
--- a/src/cluster/seat.ts
+++ b/src/cluster/leadership.ts
@@ -11,7 +11,7 @@
 const DEAF_PAUSE_MS = 15_000;
 
 /** A node's part in leadership: it stands for election and, while elected, leads. */
-export class Seat {
+export class Leadership {
   readonly election: Election;
   leader: Leader | null = null;
   /** How long a leader that lost its grant may go on answering reports, without orders. */
@@ -36,7 +36,7 @@
   }
 
   private lead(won: Won): void {
-    const leader = new Leader(this.ctx, won.epoch, won.epochStamp, this.election, (why) => {
+    const leader = new Leader(this.ctx, won.epoch, won.epochRevision, this.election, (why) => {
       if (this.leader === leader) this.leader = null;
       void this.election.resign(why === 'no worker is heard' ? DEAF_PAUSE_MS : 0);
     });
--- a/src/cluster/type-book.ts
+++ b/src/cluster/machine-types.ts
@@ -10,7 +10,7 @@
  * The machine types: from the cloud, or, while its interface is down, as they were last written.
  * Prices move, so they are read again now and then.
  */
-export class TypeBook {
+export class MachineTypeCatalogue {
   private readonly waiting: (() => void)[] = [];
 
   constructor(private readonly ctx: NodeContext) {}
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -1,5 +1,5 @@
 import { Admission } from '../api/admission.js';
-import { type FrontHandler, frontListener } from '../api/front.js';
+import { type RequestHandler, requestListener } from '../api/http-router.js';
 import { Busy, unavailable, type UserAnswer, UserService } from '../api/users.js';
 import { CloudClient } from '../cloud/client.js';
 import type { Operators } from '../config/operators.js';
@@ -35,9 +35,9 @@
 import { WorkerTargets } from '../workers/caller.js';
 import { Cancellations } from './cancellations.js';
 import type { NodeContext } from './context.js';
-import { Reach } from './reach.js';
-import { Seat } from './seat.js';
-import { TypeBook } from './type-book.js';
+import { ConnectivityMonitor } from './connectivity.js';
+import { Leadership } from './leadership.js';
+import { MachineTypeCatalogue } from './machine-types.js';
 
 const STATE_MS = 1000;
 const CLOUD_MS = 4000;
@@ -51,17 +51,17 @@
 /** One controller: takes users and workers, relays to the leader, and leads when elected. */
 export class Node {
   private readonly ctx: NodeContext;
-  private readonly seat: Seat;
+  private readonly leadership: Leadership;
   private readonly users: UserService;
   private readonly links: PeerLink[];
   private readonly targets: WorkerTargets;
   private readonly front: FrontServer;
   private readonly peers: PeerServer;
   private readonly admission: Admission;
-  private readonly typeBook: TypeBook;
+  private readonly machineTypes: MachineTypeCatalogue;
   private progress = new Map<JobId, Progress>();
   private progressAt: Steady | null = null;
-  private readonly reach: Reach;
+  private readonly connectivity: ConnectivityMonitor;
 
   constructor(
     private readonly settings: Settings,
@@ -72,14 +72,14 @@
     const clock = realClock;
     const shares = shareSockets(settings.sockets, settings.siblings.length);
     this.targets = new WorkerTargets(shares.workers);
-    this.reach = new Reach(clock);
+    this.connectivity = new ConnectivityMonitor(clock);
     const cancellations = new Cancellations(clock, settings.cancelWithin);
     const speaking = new Set<string>();
     const store = new StateClient(
       new HttpTarget(settings.stateAddress, shares.state),
       new HttpTarget(settings.stateAddress, shares.watches),
       STATE_MS,
-      (answered) => this.reach.stateAnswered(answered),
+      (answered) => this.connectivity.stateAnswered(answered),
     );
     const limits = new StateLimits(settings, clock, limitProbe(store, settings));
     if (settings.siblings.length === 0) limits.allowSplitProgress();
@@ -92,7 +92,7 @@
           log,
           () => this.ping(),
           (ping) => {
-            if (ping.leading !== null) this.seat.heardOf(ping.leading);
+            if (ping.leading !== null) this.leadership.heardOf(ping.leading);
           },
           (link) => {
             if (!link.takesCancellations) return;
@@ -128,25 +128,25 @@
       allSpeak: (version) => this.allSpeak(version),
       siblings: { cancellations: (deadlineMs) => this.askCancellations(deadlineMs) },
     };
-    this.typeBook = new TypeBook(this.ctx);
+    this.machineTypes = new MachineTypeCatalogue(this.ctx);
     this.users = new UserService(
       this.ctx,
       (id) => this.progressOf(id),
       () => 1 + links.filter((l) => l.alive).length,
     );
-    this.seat = new Seat(this.ctx, () => this.typeBook.known());
+    this.leadership = new Leadership(this.ctx, () => this.machineTypes.known());
     cancellations.onLearned((ids) => {
-      this.seat.leader?.cancelled(ids);
+      this.leadership.leader?.cancelled(ids);
       this.tellCancellations(this.links, ids);
     });
     this.admission = new Admission(clock, { submission: 48, query: 96 });
-    const handler: FrontHandler = {
-      up: () => this.ctx.types.size > 0 && !this.reach.cutOff(this.links),
+    const handler: RequestHandler = {
+      up: () => this.ctx.types.size > 0 && !this.connectivity.cutOff(this.links),
       beat: (body) => this.beat(body),
       user: (verb, body) => this.user(verb, body, true),
     };
     this.front = new FrontServer(
-      frontListener(handler),
+      requestListener(handler),
       { sockets: shares.front, headersMs: 10_000, requestMs: 15_000, idleMs: 75_000 },
       log,
     );
@@ -166,11 +166,11 @@
       this.front.listen(this.settings.front),
       this.peers.listen(this.settings.clusterListen),
     ]);
-    this.log.info({ front: this.settings.front, answerAloneMs: this.seat.answerAloneMs }, 'listening');
+    this.log.info({ front: this.settings.front, answerAloneMs: this.leadership.answerAloneMs }, 'listening');
     for (const link of this.links) link.start();
-    this.seat.run();
+    this.leadership.run();
     void this.users.watch();
-    this.typeBook.run();
+    this.machineTypes.run();
     this.tellProgress();
     this.summarise();
   }
@@ -178,15 +178,15 @@
   private ping(): Ping {
     return {
       member: this.ctx.member,
-      stateOk: this.reach.stateOk,
-      leading: this.seat.leader?.epoch ?? null,
+      stateOk: this.connectivity.stateOk,
+      leading: this.leadership.leader?.epoch ?? null,
       version: PROTOCOL_VERSION,
     };
   }
 
   /** No leader of an earlier version, as far as we know, and nobody around who could become one. */
   private allSpeak(version: number): boolean {
-    const { leader } = this.seat.election;
+    const { leader } = this.leadership.election;
     if (leader !== null && leader.version < version) return false;
     return this.links.every((link) => !link.alive || link.speaks(version));
   }
@@ -197,7 +197,7 @@
     const { cancellations } = this.ctx;
     return {
       upFor: cancellations.upFor,
-      leading: this.seat.leader?.epoch ?? null,
+      leading: this.leadership.leader?.epoch ?? null,
       told: cancellations.list(which),
     };
   }
@@ -223,13 +223,13 @@
 
   private async beat(body: Buffer): Promise<{ status: number; body: Buffer | null }> {
     // Whoever leads reads the report: one that is passed on is not read here as well.
-    if (this.seat.leader) {
+    if (this.leadership.leader) {
       const parsed = parseReport(parseJson(body));
       if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
-      const own = await this.seat.report(parsed.value, this.ctx.member);
+      const own = await this.leadership.report(parsed.value, this.ctx.member);
       if (own?.kind === 'orders') return { status: 200, body: encodeOrders(own.token, own.orders) };
     }
-    const relayed = await this.relayBeat(body);
+    const relayed = await this.relayHeartbeat(body);
     return relayed ?? { status: 503, body: null };
   }
 
@@ -237,17 +237,19 @@
   private leaderLink(): PeerLink | undefined {
     const leading = this.links.filter((l) => l.alive && l.ping?.leading != null);
     leading.sort((a, b) => (b.ping?.leading ?? 0) - (a.ping?.leading ?? 0));
-    return leading[0] ?? this.links.find((l) => l.alive && l.member === this.seat.election.leader?.member);
+    return (
+      leading[0] ?? this.links.find((l) => l.alive && l.member === this.leadership.election.leader?.member)
+    );
   }
 
-  private async relayBeat(body: Buffer): Promise<{ status: number; body: Buffer | null } | null> {
+  private async relayHeartbeat(body: Buffer): Promise<{ status: number; body: Buffer | null } | null> {
     const link = this.leaderLink();
     if (link) {
-      const answer = await link.ask(Kind.Beat, body, RELAY_MS);
+      const answer = await link.ask(Kind.Heartbeat, body, RELAY_MS);
       return answer?.status === 200 ? { status: 200, body: Buffer.from(answer.body) } : null;
     }
     // The leader's zone may be cut off from ours, but not from a third one.
-    if (this.seat.leader || !this.seat.election.leader) return null;
+    if (this.leadership.leader || !this.leadership.election.leader) return null;
     for (const other of this.links.filter((l) => l.alive)) {
       const answer = await other.ask(Kind.PassOn, body, RELAY_MS / 2);
       if (answer?.status === 200) return { status: 200, body: Buffer.from(answer.body) };
@@ -275,16 +277,16 @@
         }
         case Kind.PassOn:
         case Kind.Passed:
-        case Kind.Beat: {
-          if (!this.seat.leader) {
+        case Kind.Heartbeat: {
+          if (!this.leadership.leader) {
             const link = kind === Kind.PassOn ? this.leaderLink() : undefined;
             return (await link?.ask(Kind.Passed, payload, RELAY_MS / 2)) ?? nothing;
           }
           const parsed = parseReport(parseJson(payload));
           if (!parsed.ok) return nothing;
           // Which controller the worker is with, the one before the last does not tell.
-          const via = kind === Kind.Beat ? from : (`${from} and another` as MemberId);
-          const answer = await this.seat.report(parsed.value, via);
+          const via = kind === Kind.Heartbeat ? from : (`${from} and another` as MemberId);
+          const answer = await this.leadership.report(parsed.value, via);
           if (answer?.kind !== 'orders') return nothing;
           return { status: 200, body: encodeOrders(answer.token, answer.orders) };
         }
@@ -301,7 +303,7 @@
     const rank = verb === 'submit' ? 'submission' : 'query';
     if (!this.admission.enter(rank)) return unavailable('overloaded', 2);
     try {
-      if (mayForward && !this.reach.stateOk) {
+      if (mayForward && !this.connectivity.stateOk) {
         const forwarded = await this.forward(verb, body);
         if (forwarded) return forwarded;
       }
@@ -360,8 +362,8 @@
 
   private tellProgress(): void {
     this.ctx.clock.after(PROGRESS_MS, () => {
-      if (this.seat.leader) {
-        const payload = encodeProgress(this.seat.leader.progress());
+      if (this.leadership.leader) {
+        const payload = encodeProgress(this.leadership.leader.progress());
         this.takeProgress(payload);
         for (const link of this.links) link.send(Kind.Progress, 0, payload);
       }
@@ -376,9 +378,9 @@
       const cpu = process.cpuUsage();
       this.log.info(
         {
-          ...this.seat.leader?.summary(),
-          leads: this.seat.leader?.epoch ?? null,
-          stateOk: this.reach.stateOk,
+          ...this.leadership.leader?.summary(),
+          leads: this.leadership.leader?.epoch ?? null,
+          stateOk: this.connectivity.stateOk,
           peers: this.links.filter((l) => l.alive).length,
           lateMs: this.admission.lateMs,
           rssMb: memory,
--- a/src/cluster/views.ts
+++ b/src/cluster/placement-views.ts
@@ -1,9 +1,8 @@
-import { seriesKey } from '../fleet/plan.js';
 import type { HostId } from '../model/ids.js';
 import type { Steady } from '../model/time.js';
-import type { JobBook, OpenJob } from '../scheduler/job-book.js';
+import type { OpenJob } from '../scheduler/open-job.js';
 import type { JobView, MachineView, Victim } from '../scheduler/place.js';
-import type { Host, HostBook } from '../workers/host-book.js';
+import type { Host } from '../workers/host.js';
 
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
 
@@ -58,46 +57,3 @@
     reachable: host.unreachable === 0,
   };
 }
-
-/** What the log tells of a leadership every few seconds. */
-export function summaryOf(book: JobBook, hostBook: HostBook): object {
-  let waiting = 0;
-  let held = 0;
-  let up = 0;
-  let cpus = 0;
-  let usedCpus = 0;
-  let runningCpus = 0;
-  for (const job of book.jobs.values()) {
-    waiting += job.waiting;
-    held += job.heldCount;
-    runningCpus += job.running * job.spec.cpus;
-  }
-  const pools: Record<string, Record<string, number>> = {};
-  for (const host of hostBook.hosts.values()) {
-    if (!host.up) continue;
-    up++;
-    cpus += host.type.cpus;
-    usedCpus += host.type.cpus - host.free.cpus;
-    const pool = (pools[seriesKey(host.machine.type, host.machine.spot)] ??= {
-      up: 0,
-      empty: 0,
-      free: 0,
-      withReplicas: 0,
-    });
-    pool['up'] = (pool['up'] ?? 0) + 1;
-    pool['empty'] = (pool['empty'] ?? 0) + (host.empty ? 1 : 0);
-    pool['free'] = Math.round((pool['free'] ?? 0) + host.free.cpus);
-    pool['withReplicas'] = (pool['withReplicas'] ?? 0) + (host.hasReplicas ? 1 : 0);
-  }
-  return {
-    jobs: book.jobs.size,
-    waiting,
-    held,
-    hosts: hostBook.hosts.size,
-    up,
-    cpus,
-    usedCpus: Math.round(usedCpus),
-    runningCpus: Math.round(runningCpus),
-    pools,
-  };
-}
--- a/src/cluster/report-handler.ts
+++ b/src/cluster/report-handler.ts
@@ -6,11 +6,11 @@
 import type { Machine } from '../model/machine.js';
 import type { Order, Report } from '../model/report.js';
 import { type Steady, plus } from '../model/time.js';
-import type { OpenJob } from '../scheduler/job-book.js';
+import type { OpenJob } from '../scheduler/open-job.js';
 import type { Committer } from '../store/committer.js';
 import { type Dispatcher, markSent } from '../workers/dispatcher.js';
 import type { Health } from '../workers/health.js';
-import type { Host } from '../workers/host-book.js';
+import type { Host } from '../workers/host.js';
 import { clearsFor, killsOf, mustForget, needsRaise, ordersFor } from '../workers/orders.js';
 import { applyReport, type Told } from '../workers/reports.js';
 import type { Answering } from './answering.js';
@@ -70,7 +70,7 @@
       const fresh = epochOfToken(report.token) === this.ctx.epoch && host.newer(report);
       if (fresh) this.parts.health.heard(host, now);
       this.learn(host, applyReport(host, report, this.ctx.epoch, this.ctx.jobs, now));
-      const another = host.learnTenure(report, now);
+      const another = host.learnSession(report, now);
       const ordersWait = host.known && ordersFor(host, now, this.ctx.sure()).length > 0;
       if (another || ordersWait) this.parts.dispatcher.wake(host);
     });
@@ -108,7 +108,7 @@
     // A machine that we do not know may be long gone, and this a late copy of what it once said: only
     // a report that knows our epoch was made in our time. A living worker's next one does.
     const ours = epochOfToken(report.token) === this.ctx.epoch;
-    if (!this.ctx.hosts.hosts.has(report.host) && !ours) return null;
+    if (!this.ctx.hosts.has(report.host) && !ours) return null;
     const machine: Machine = { id: report.host, type: report.type, zone: report.zone, spot: report.spot };
     const host = this.parts.fleet.adopt(machine, now);
     if (host && host.address === '') host.address = report.address;
@@ -126,7 +126,7 @@
       host.answered(report, via, now);
       return true;
     }
-    host.learnTenure(report, now);
+    host.learnSession(report, now);
     if (!host.known) this.parts.dispatcher.wake(host);
     // Even a late copy's answer may reach a worker that waits for one: its lease counts from here.
     host.answeredAt = now;
@@ -164,7 +164,7 @@
     for (const task of told.lost) log.info({ host: host.id, task: task.id }, 'task lost with its session');
     this.closeIfFailing(host);
     if (told.changed) {
-      this.parts.committer.poke();
+      this.parts.committer.schedule();
       this.ctx.requestDecision();
     }
   }
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -1,9 +1,9 @@
 import type { FleetManager } from '../fleet/manager.js';
-import type { HostId, JobId, Stamp, TypeId, ZoneId } from '../model/ids.js';
+import type { HostId, JobId, Revision, TypeId, ZoneId } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
 import { type Steady, sleep } from '../model/time.js';
-import { OpenJob } from '../scheduler/job-book.js';
+import { OpenJob } from '../scheduler/open-job.js';
 import { StateRefused } from '../store/client.js';
 import { decodeJob, withDescription } from '../store/job-record.js';
 import { CHUNK_TASKS, keys, parseOpenKey } from '../store/keys.js';
@@ -23,25 +23,25 @@
   }
 }
 
-async function readAll(ctx: LeaderContext, prefix: string): Promise<{ rows: Row[]; ledger: Stamp }> {
+async function readAll(ctx: LeaderContext, prefix: string): Promise<{ rows: Row[]; revision: Revision }> {
   const rows: Row[] = [];
-  let ledger: Stamp | null = null;
+  let revision: Revision | null = null;
   let after: string | undefined;
   for (;;) {
     const page = await patiently(ctx, () => ctx.store.range(prefix, after));
     // Changes that come between two pages are seen again by a watch from the first page on.
-    ledger ??= page.ledger;
+    revision ??= page.revision;
     rows.push(...page.rows);
     const last = page.rows[page.rows.length - 1];
-    if (!page.more || !last) return { rows, ledger };
+    if (!page.more || !last) return { rows, revision };
     after = last.key;
   }
 }
 
 /** A job that is not over, as the limits of the state service want its progress kept. */
-export function openJob(ctx: LeaderContext, record: JobRecord, stamp: Stamp): OpenJob {
+export function openJob(ctx: LeaderContext, record: JobRecord, revision: Revision): OpenJob {
   const { spec, acceptedAt } = record;
-  return new OpenJob(spec, stamp, acceptedAt, ctx.limits.chunkTasks(spec.tasks));
+  return new OpenJob(spec, revision, acceptedAt, ctx.limits.chunkTasks(spec.tasks));
 }
 
 async function readParts<T>(
@@ -79,12 +79,12 @@
   /** Keys of progress whose jobs are over. */
   readonly orphans: readonly string[];
   /** Changes after this revision are not in it. */
-  readonly ledger: Stamp;
+  readonly revision: Revision;
 }
 
 /** Reads all unfinished work, and which of it was cancelled meanwhile. */
 export async function loadOpenJobs(ctx: LeaderContext): Promise<LoadedJobs> {
-  const { rows, ledger } = await readAll(ctx, keys.open);
+  const { rows, revision } = await readAll(ctx, keys.open);
   // Whoever split a record knew that no version is left which couldn't read it.
   if (rows.some((row) => (parseOpenKey(row.key)?.size ?? CHUNK_TASKS) < CHUNK_TASKS))
     ctx.limits.allowSplitProgress();
@@ -95,17 +95,17 @@
     if (!at) continue;
     if (at.chunk === null) {
       const record = await readDescription(ctx, decodeJob(at.job, row.value));
-      // The head is written once, together with the job's record: their stamps are the same.
-      jobs.set(at.job, openJob(ctx, record, row.stamp));
+      // The head is written once, together with the job's record: their revisions are the same.
+      jobs.set(at.job, openJob(ctx, record, row.revision));
     } else {
       const job = jobs.get(at.job);
-      if (job) job.restore(at.chunk, at.size, row.value, row.stamp);
+      if (job) job.restore(at.chunk, at.size, row.value, row.revision);
       else orphans.push(row.key);
     }
   }
   for (const job of jobs.values()) job.settle();
   const all = [...jobs.values()];
-  return { jobs: all, cancelled: await findChanged(ctx, all), orphans, ledger };
+  return { jobs: all, cancelled: await findChanged(ctx, all), orphans, revision };
 }
 
 /** Jobs whose record has changed since they were accepted: they were cancelled. */
@@ -115,7 +115,7 @@
   for (let i = 0; i < jobs.length; i += most) {
     const conditions: Condition[] = jobs
       .slice(i, i + most)
-      .map((job) => ({ key: keys.job(job.spec.id), stamp: job.stamp }));
+      .map((job) => ({ key: keys.job(job.spec.id), revision: job.revision }));
     const result = await patiently(ctx, () => ctx.store.commit(conditions, []));
     if (!result.ok) changed.push(...result.failed.map((key) => key.slice(keys.jobs.length) as JobId));
   }
--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -8,8 +8,8 @@
   readonly runMs: number;
   /** How long its last task may still wait after a boot; null: no target is left then. */
   readonly slackMs: number | null;
-  /** How much longer than that it may wait (`Patience`). */
-  readonly patience: number;
+  /** How much longer than that it may wait (`SlackFactors`). */
+  readonly slackFactor: number;
 }
 
 /** Work without a target left is still worked off within this. */
@@ -20,7 +20,7 @@
 const WAVE_MS = 45_000;
 
 /**
- * Patience is for waves, which mostly pass before a machine has booted. While the queue stays too
+ * SlackFactors is for waves, which mostly pass before a machine has booted. While the queue stays too
  * long it runs out: work that will need the machines anyway gets them sooner.
  */
 export class LateWatch {
@@ -41,13 +41,13 @@
  * one job after the other, behind `busyCpuMs` of work that is already running: the expected frees
  * of the design, counted until each job's own limit instead of one slot.
  *
- * `patienceLeft`: the part that is left of the jobs' patience, from 1 to 0.
+ * `slackFactorLeft`: the part that is left of the jobs' slack factors, from 1 to 0.
  */
 export function lateNeeds(
   queue: readonly QueuedWork[],
   cpus: number,
   busyCpuMs: number,
-  patienceLeft = 1,
+  slackFactorLeft = 1,
 ): Need[] {
   const needs: Need[] = [];
   let ahead = busyCpuMs;
@@ -57,8 +57,8 @@
     ahead += job.tasks * job.runMs * size;
     // Its last wave starts one run before the work ahead of it is done.
     const ready = Math.max(LEAST_MS, job.slackMs ?? NO_TARGET_MS) + job.runMs;
-    const patience = ready * (1 + (job.patience - 1) * patienceLeft);
-    const deficit = ahead / patience - rate;
+    const slackFactor = ready * (1 + (job.slackFactor - 1) * slackFactorLeft);
+    const deficit = ahead / slackFactor - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
     needs.push({ spec: job.spec, tasks });
--- a/src/fleet/outlook.ts
+++ b/src/fleet/capacity-projection.ts
@@ -2,12 +2,12 @@
 import type { TypeId } from '../model/ids.js';
 import type { MachineType } from '../model/machine.js';
 import { type Millis, type Steady, since } from '../model/time.js';
-import type { Host } from '../workers/host-book.js';
+import type { Host } from '../workers/host.js';
 import type { QueuedWork } from './backlog.js';
 import { allPools, cheapestPool, perMachine, type Pool, seriesKey } from './plan.js';
 
 /** What the fleet looks like from here: its expected frees of a slot and its idle room. */
-export interface Outlook {
+export interface CapacityProjection {
   /** Expected frees of work that needs ordinary machines, in machines, by series. */
   readonly frees: ReadonlyMap<string, number>;
   /** Idle room, up or coming, in machines, by series. */
@@ -33,7 +33,12 @@
   map.set(key, (map.get(key) ?? 0) + n);
 };
 
-export function lookOut(fleet: Fleet, lifetimes: Lifetimes, slot: Millis, now: Steady): Outlook {
+export function projectCapacity(
+  fleet: Fleet,
+  lifetimes: Lifetimes,
+  slot: Millis,
+  now: Steady,
+): CapacityProjection {
   const frees = new Map<string, number>();
   const reserves = new Map<string, number>();
   const replicasOn = new Set<TypeId>();
--- a/src/fleet/gather.ts
+++ b/src/fleet/consolidation.ts
@@ -38,7 +38,11 @@
  * `surplus`: idle CPUs beyond the reserve that the forecast wants. `cpuPrice`: what an hour of one
  * CPU costs where the work is done again.
  */
-export function gather(machines: readonly PartlyUsed[], surplus: number, cpuPrice: number): HostId[] {
+export function machinesToEmpty(
+  machines: readonly PartlyUsed[],
+  surplus: number,
+  cpuPrice: number,
+): HostId[] {
   const chosen: HostId[] = [];
   let left = surplus;
   let freeCpus = machines.reduce((sum, m) => sum + m.freeCpus, 0);
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -1,10 +1,10 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { CloudRefused, type Rented } from '../cloud/client.js';
 import { lateNeeds, LateWatch, type QueuedWork } from './backlog.js';
-import { gather, type MovableTask, type PartlyUsed } from './gather.js';
-import { lookOut, type Outlook } from './outlook.js';
+import { machinesToEmpty, type MovableTask, type PartlyUsed } from './consolidation.js';
+import { projectCapacity, type CapacityProjection } from './capacity-projection.js';
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
-import type { Patience } from '../scheduler/patience.js';
+import type { SlackFactors } from '../scheduler/slack-factors.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
 import { Arrivals } from '../forecast/arrivals.js';
 import { autoregression, highQuantile, movingAverage } from '../forecast/predictors.js';
@@ -13,10 +13,11 @@
 import type { ListedMachine, Machine } from '../model/machine.js';
 import { type Steady, plus, seconds, since, sleep } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
-import type { OpenJob, Task } from '../scheduler/job-book.js';
+import type { OpenJob } from '../scheduler/open-job.js';
+import type { Task } from '../scheduler/task.js';
 import type { Urgency } from '../scheduler/urgency.js';
 import type { Rental } from '../wire/cloud.js';
-import { Host } from '../workers/host-book.js';
+import { Host } from '../workers/host.js';
 import {
   allPools,
   cheapestPool,
@@ -88,13 +89,13 @@
   private firstSlot = true;
   private readonly lateWatch = new LateWatch();
   private emptiedAt: Steady | null = null;
-  private looked: Outlook | null = null;
+  private looked: CapacityProjection | null = null;
 
   constructor(
     private readonly ctx: LeaderContext,
     private readonly budget: Budget,
     private readonly lifetimes: Lifetimes,
-    private readonly patience: Patience,
+    private readonly slackFactors: SlackFactors,
     private readonly urgency: Urgency,
     private readonly onGone: (host: Host) => void,
     private readonly saveFleet: () => void,
@@ -124,13 +125,13 @@
   }
 
   restoreForecast(key: string, stored: unknown): void {
-    if (key === PATIENCE) this.patience.restore(stored);
+    if (key === PATIENCE) this.slackFactors.restore(stored);
     else this.ensemble(key).restore(stored);
   }
 
   forecastRecords(): Map<string, unknown> {
     const records = new Map<string, unknown>([...this.ensembles].map(([k, e]) => [k, e.record()]));
-    return records.set(PATIENCE, this.patience.record());
+    return records.set(PATIENCE, this.slackFactors.record());
   }
 
   /** New demand: counted once for the type that would serve it best, refused or not. */
@@ -197,7 +198,7 @@
   private coming(): Coming[] {
     const now = this.ctx.clock.now();
     const list: Coming[] = [];
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (host.up || host.closed) continue;
       if (since(now, host.since) > host.type.boot * 1.7 + 3000) continue;
       list.push({ ...host.machine, free: host.free });
@@ -230,7 +231,7 @@
       }
       return;
     }
-    const most = this.ctx.ops.fleet.max_machines - this.ctx.hosts.hosts.size - this.pending.size;
+    const most = this.ctx.ops.fleet.max_machines - this.ctx.hosts.size - this.pending.size;
     const wishes = this.wishes(most);
     for (const wish of wishes.slice(0, MOST_PENDING - this.pending.size)) this.rent(wish, 'queue');
     const now = this.ctx.clock.now();
@@ -272,7 +273,7 @@
   /** What works off the queue of spot work: machines up and coming, less what others hold there. */
   private workingCpus(coming: readonly Coming[]): number {
     let cpus = coming.reduce((sum, c) => sum + c.free.cpus, 0);
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (!host.up || host.closed) continue;
       cpus += host.type.cpus;
       for (const task of host.tasks) if (!task.job.spec.spot) cpus -= task.job.spec.cpus;
@@ -284,7 +285,7 @@
   private busyCpuMs(): number {
     const now = this.ctx.clock.now();
     let sum = 0;
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       for (const task of host.tasks) {
         const { spec } = task.job;
         if (!spec.spot) continue;
@@ -366,7 +367,7 @@
   /** `placeholder`: known only by a predecessor's task, until a list or a report tells the rest. */
   adopt(machine: Machine, since: Steady, address = '', placeholder = false): Host | null {
     if (this.ctx.hosts.isGone(machine.id)) return null;
-    const known = this.ctx.hosts.hosts.get(machine.id);
+    const known = this.ctx.hosts.get(machine.id);
     let host = known;
     if (!host || (host.placeholder && !placeholder)) {
       const type = this.ctx.types.get(machine.type);
@@ -405,7 +406,7 @@
         for (const id of batch) {
           this.removing.delete(id);
           this.mustGo.delete(id);
-          const host = this.ctx.hosts.hosts.get(id);
+          const host = this.ctx.hosts.get(id);
           this.ctx.hosts.remove(id);
           if (host) this.onGone(host);
         }
@@ -431,7 +432,7 @@
   }
 
   private dropLate(now: Steady): void {
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (!host.up && !host.removing && now > this.bootLimit(host)) this.remove(host, 'never came up');
     }
   }
@@ -458,7 +459,7 @@
   }
 
   private listed(m: ListedMachine, now: Steady): void {
-    const known = this.ctx.hosts.hosts.has(m.id);
+    const known = this.ctx.hosts.has(m.id);
     const host = this.adopt(m, (now - m.age) as Steady, m.address);
     if (!host) return;
     host.listed = m.status === 'running';
@@ -469,11 +470,11 @@
   }
 
   /** Expected frees and idle room, reckoned at most once a tick. */
-  private outlook(now: Steady): Outlook {
+  private projection(now: Steady): CapacityProjection {
     const { hosts, ops, types } = this.ctx;
-    this.looked ??= lookOut(
+    this.looked ??= projectCapacity(
       {
-        hosts: hosts.hosts.values(),
+        hosts: hosts.values(),
         pending: this.pending.values(),
         queue: this.queue,
         types: types.values(),
@@ -505,41 +506,41 @@
    * wherever there is room, so what one type frees serves the need of another: reckoned type by
    * type, machines would be kept for demand that the others' frees have long met.
    */
-  private spotNet(outlook: Outlook): { need: number; net: number } {
+  private spotNet(projection: CapacityProjection): { need: number; net: number } {
     let need = 0;
     for (const key of this.ensembles.keys()) {
       const { type, spot } = readSeriesKey(key);
       if (spot) need += this.forecastOf(key) * (this.ctx.types.get(type)?.cpus ?? 0);
     }
-    return { need, net: Math.max(0, need * (1 - outlook.spotOwnFrees) - outlook.spotFrees) };
+    return { need, net: Math.max(0, need * (1 - projection.spotOwnFrees) - projection.spotFrees) };
   }
 
   /**
    * The reserve wanted: new need less expected frees. What is rented now serves only after its boot:
    * ordinary machines are wanted for a slot and a boot, since their work must not wait for either.
    */
-  private wanted(key: string, outlook: Outlook): number {
+  private wanted(key: string, projection: CapacityProjection): number {
     const { type: id, spot } = readSeriesKey(key);
     const forecast = this.forecastOf(key);
     if (spot) {
-      const { need, net } = this.spotNet(outlook);
+      const { need, net } = this.spotNet(projection);
       return need > 0 ? (forecast * net) / need : 0;
     }
-    const perSlot = forecast - (outlook.frees.get(key) ?? 0);
+    const perSlot = forecast - (projection.frees.get(key) ?? 0);
     const type = this.ctx.types.get(id);
     if (!type) return perSlot;
     // One machine's replicas find room at once when it dies.
-    const floor = outlook.replicasOn.has(type.id) ? 1 : 0;
+    const floor = projection.replicasOn.has(type.id) ? 1 : 0;
     return Math.max(floor, perSlot * (1 + type.boot / (this.ctx.ops.forecast.slot_s * 1000)));
   }
 
   /** Machines to rent ahead: the reserve wanted, less the one that is there. */
-  private missing(key: string, outlook: Outlook): number {
+  private missing(key: string, projection: CapacityProjection): number {
     const { type: id, spot } = readSeriesKey(key);
-    const count = Math.ceil(this.wanted(key, outlook) - (outlook.reserves.get(key) ?? 0) - ROUND_DOWN);
+    const count = Math.ceil(this.wanted(key, projection) - (projection.reserves.get(key) ?? 0) - ROUND_DOWN);
     if (!spot) return count;
     // Idle room on other machines serves spot work as well.
-    const short = this.spotNet(outlook).net - outlook.spotIdle;
+    const short = this.spotNet(projection).net - projection.spotIdle;
     return Math.min(count, Math.ceil(short / (this.ctx.types.get(id)?.cpus ?? 1) - ROUND_DOWN));
   }
 
@@ -549,10 +550,10 @@
    */
   private topUp(now: Steady): void {
     if (this.pending.size > 0) return;
-    const outlook = this.outlook(now);
+    const projection = this.projection(now);
     for (const key of new Set([...this.ensembles.keys(), ...this.slotNeed.keys()])) {
       if (readSeriesKey(key).spot) continue;
-      const count = this.missing(key, outlook);
+      const count = this.missing(key, projection);
       if (count > 0) this.rentAhead(key, count);
     }
   }
@@ -561,8 +562,8 @@
     const first = this.firstSlot;
     this.firstSlot = false;
     this.slotEnds = plus(now, this.ctx.ops.forecast.slot_s * 1000);
-    const outlook = this.outlook(now);
-    const { frees, reserves } = outlook;
+    const projection = this.projection(now);
+    const { frees, reserves } = projection;
     for (const key of this.slotNeed.keys()) this.ensemble(key);
     this.foresee();
     const told: Record<string, unknown> = {};
@@ -577,10 +578,10 @@
       );
     }
     for (const key of this.ensembles.keys()) {
-      const count = this.missing(key, outlook);
+      const count = this.missing(key, projection);
       if (count > 0) this.rentAhead(key, count);
     }
-    const { spotFrees, spotIdle } = outlook;
+    const { spotFrees, spotIdle } = projection;
     this.ctx.log.info(
       { needForecastFreesReserve: told, spotFrees: Math.round(spotFrees), spotIdle: Math.round(spotIdle) },
       'slot',
@@ -625,10 +626,10 @@
     if (this.queue.length > 0 || this.pending.size > 0) return;
     if (this.emptiedAt !== null && since(now, this.emptiedAt) < EMPTY_EVERY_MS) return;
     this.emptiedAt = now;
-    const outlook = this.outlook(now);
-    const surplus = outlook.spotIdle - this.spotNet(outlook).net;
+    const projection = this.projection(now);
+    const surplus = projection.spotIdle - this.spotNet(projection).net;
     const machines: PartlyUsed[] = [];
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (!host.up || !host.known || host.closed || host.takenAt !== null || host.unreachable > 0) continue;
       if (since(now, host.since) < PAID_MS) continue;
       machines.push({
@@ -644,7 +645,7 @@
     for (const pool of allPools(this.ctx.types.values())) {
       cpuPrice = Math.min(cpuPrice, price(pool) / pool.type.cpus);
     }
-    const chosen = gather(machines, surplus, cpuPrice);
+    const chosen = machinesToEmpty(machines, surplus, cpuPrice);
     if (chosen.length > 0) this.ctx.log.info({ machines: chosen.length, surplus }, 'emptying machines');
     for (const id of chosen) this.ctx.empty(id);
   }
@@ -672,7 +673,7 @@
   /** Idle machines beyond what the forecast still wants go back after the wait. */
   private giveBack(now: Steady): void {
     const idle = new Map<string, Host[]>();
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (!host.up || host.removing || !host.empty || host.idleSince === null) continue;
       if (host.closed === 'sick' || host.closed === 'emptying') {
         this.remove(host, host.closed);
@@ -686,10 +687,10 @@
       else idle.set(key, [host]);
     }
     if (idle.size === 0) return;
-    const outlook = this.outlook(now);
+    const projection = this.projection(now);
     for (const [key, hosts] of idle) {
-      const need = Math.max(0, this.wanted(key, outlook));
-      const surplus = Math.floor((outlook.reserves.get(key) ?? 0) - need + ROUND_DOWN);
+      const need = Math.max(0, this.wanted(key, projection));
+      const surplus = Math.floor((projection.reserves.get(key) ?? 0) - need + ROUND_DOWN);
       for (const host of hosts.slice(0, Math.max(0, surplus))) this.remove(host, 'surplus');
     }
   }
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -12,14 +12,14 @@
 export type ImageId = Branded<string, 'ImageId'>;
 export type RentalName = Branded<string, 'RentalName'>;
 /** Revision of a key of the state service; 0: the key does not exist. */
-export type Stamp = Branded<number, 'Stamp'>;
+export type Revision = Branded<number, 'Revision'>;
 export type GrantId = Branded<number, 'GrantId'>;
 /** A leadership. Raised by every takeover. */
 export type Epoch = Branded<number, 'Epoch'>;
 /** What workers compare: the epoch, and within it a round of its own for each machine. */
 export type Token = Branded<number, 'Token'>;
 export type Round = Branded<number, 'Round'>;
-export type Tenure = Branded<number, 'Tenure'>;
+export type SessionNumber = Branded<number, 'SessionNumber'>;
 export type Counter = Branded<number, 'Counter'>;
 /** Number of an attempt at a task. Never used twice. */
 export type TryNo = Branded<number, 'TryNo'>;
@@ -27,7 +27,7 @@
 /** `j-000412/3` */
 export type TaskId = Branded<string, 'TaskId'>;
 
-export const NO_STAMP = 0 as Stamp;
+export const NO_REVISION = 0 as Revision;
 
 /** Rounds of one machine in one epoch: at two a second more than three months of one leadership. */
 const ROUNDS = 2 ** 24;
--- a/src/model/report.ts
+++ b/src/model/report.ts
@@ -1,4 +1,4 @@
-import type { Counter, HostId, TaskId, Tenure, Token, TryNo, TypeId, ZoneId } from './ids.js';
+import type { Counter, HostId, TaskId, SessionNumber, Token, TryNo, TypeId, ZoneId } from './ids.js';
 import type { Millis } from './time.js';
 
 export type AttemptState = 'fetching' | 'running' | 'saving' | 'exited';
@@ -17,7 +17,7 @@
   readonly type: TypeId;
   readonly zone: ZoneId;
   readonly spot: boolean;
-  readonly tenure: Tenure;
+  readonly session: SessionNumber;
   readonly counter: Counter;
   /** The highest token that the worker has seen. */
   readonly token: Token;
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -6,7 +6,7 @@
 /** The binary frames that our own processes exchange: u32 length, u8 kind, u32 request, payload. */
 export enum Kind {
   Ping = 1,
-  Beat = 2,
+  Heartbeat = 2,
   Answer = 3,
   Progress = 4,
   User = 5,
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -160,8 +160,8 @@
   }
 }
 
-const ASKED = new Set([Kind.Beat, Kind.PassOn, Kind.Passed, Kind.User, Kind.Call, Kind.Cancelled]);
-export type Asked = Kind.Beat | Kind.PassOn | Kind.Passed | Kind.User | Kind.Call | Kind.Cancelled;
+const ASKED = new Set([Kind.Heartbeat, Kind.PassOn, Kind.Passed, Kind.User, Kind.Call, Kind.Cancelled]);
+export type Asked = Kind.Heartbeat | Kind.PassOn | Kind.Passed | Kind.User | Kind.Call | Kind.Cancelled;
 
 export interface PeerHandler {
   ping(): Ping;
--- a/src/peer/routed-caller.ts
+++ b/src/peer/routed-caller.ts
@@ -1,5 +1,5 @@
 import type { WorkerCaller } from '../cluster/context.js';
-import type { Tenure, Token } from '../model/ids.js';
+import type { SessionNumber, Token } from '../model/ids.js';
 import type { Order, Report } from '../model/report.js';
 import { type Clock, type Steady, plus } from '../model/time.js';
 import { NoAnswer, NoSocket } from '../net/http-client.js';
@@ -32,11 +32,11 @@
   async command(
     address: string,
     token: Token,
-    tenure: Tenure,
+    session: SessionNumber,
     orders: readonly Order[],
     deadlineMs: number,
   ): Promise<CommandReply> {
-    const body = commandBody(token, tenure, orders);
+    const body = commandBody(token, session, orders);
     const until = this.detours.get(address);
     if (until !== undefined && until > this.clock.now()) {
       const reply = await this.throughPeers('commands', address, body, deadlineMs);
--- a/src/scheduler/dependencies.ts
+++ b/src/scheduler/dependencies.ts
@@ -1,6 +1,6 @@
 import type { JobId } from '../model/ids.js';
 import type { WallTime } from '../model/time.js';
-import type { OpenJob } from './job-book.js';
+import type { OpenJob } from './open-job.js';
 
 /**
  * Which unfinished jobs need which others. Only accepted jobs are named, so the graph has no cycles.
@@ -11,7 +11,7 @@
   private readonly dependents = new Map<JobId, Set<OpenJob>>();
 
   constructor(
-    private readonly open: ReadonlyMap<JobId, OpenJob>,
+    private readonly open: { get(id: JobId): OpenJob | undefined },
     /** How long a job will take once it may start. */
     private readonly runMs: (job: OpenJob) => number,
   ) {}
--- a/src/scheduler/job-book.ts
+++ b/src/scheduler/open-job.ts
@@ -1,141 +1,21 @@
-import type {
-  HostId,
-  JobId,
-  Stamp,
-  TaskId,
-  TaskIndex,
-  TeamId,
-  Tenure,
-  Token,
-  TryNo,
-  ZoneId,
-} from '../model/ids.js';
-import { NO_STAMP, taskId } from '../model/ids.js';
-import type { FinalState, JobSpec, Priority } from '../model/job.js';
-import type { AttemptState } from '../model/report.js';
+/** An unfinished job as its leader knows it: its tasks, its progress, what it waits for. */
+import type { HostId, JobId, Revision, TaskIndex, TryNo, ZoneId } from '../model/ids.js';
+import type { JobSpec, Priority } from '../model/job.js';
 import type { Steady, WallTime } from '../model/time.js';
 import { CHUNK_TASKS, keys } from '../store/keys.js';
-import { type ChunkProgress, decodeChunk, type Placement } from '../store/progress-record.js';
-
-/**
- * `deciding`: chosen, not yet committed: no order has left. `placed`: committed; it may be on its
- * host until proven gone. Both count for quota, placement and room.
- */
-export type TaskPhase = 'waiting' | 'deciding' | 'placed' | 'done';
-
-export interface Kill {
-  readonly graceS: number;
-  readonly why: 'cancelled' | 'room' | 'drain';
-  readonly at: Steady;
-}
-
-export class Task {
-  phase: TaskPhase = 'waiting';
-  tryNo = 0 as TryNo;
-  host: HostId | null = null;
-  zone: ZoneId | null = null;
-  private lastShown: AttemptState | null = null;
-  runningAt: Steady | null = null;
-  placedAt: Steady | null = null;
-  /** The host's tenure when a run order first left; null: none has left under our epoch. */
-  sentTenure: Tenure | null = null;
-  /** The token that a run order last left with; null: none has left under our epoch. */
-  sentToken: Token | null = null;
-  /** Placed by an earlier epoch: gone once a report under ours lacks it. */
-  inherited = false;
-  kill: Kill | null = null;
-  /** Given its machine because its job had waited for too long. */
-  sheltered = false;
-
-  constructor(
-    readonly job: OpenJob,
-    readonly index: TaskIndex,
-  ) {}
-
-  get id(): TaskId {
-    return taskId(this.job.spec.id, this.index);
-  }
-
-  get held(): boolean {
-    return this.phase === 'deciding' || this.phase === 'placed';
-  }
-
-  /** What the host last showed of this attempt. */
-  get shown(): AttemptState | null {
-    return this.lastShown;
-  }
-
-  set shown(state: AttemptState | null) {
-    if (this.lastShown === 'running') this.job.running--;
-    if (state === 'running') this.job.running++;
-    this.lastShown = state;
-  }
-}
-
-export class Chunk {
-  stamp: Stamp = NO_STAMP;
-  /** Raised by each change; the change is durable once `durable` has caught up. */
-  version = 0;
-  durable = 0;
-  dirtySince: Steady | null = null;
-  /** Tasks whose start is being decided. */
-  readonly deciding = new Set<Task>();
-  readonly tasks = new Map<TaskIndex, Task>();
-
-  /** The chunks of another size that took its place, each with the version that holds all this one held. */
-  private successors: { readonly chunk: Chunk; readonly version: number }[] | null = null;
-
-  constructor(
-    readonly job: OpenJob,
-    readonly index: number,
-    readonly size: number,
-  ) {}
-
-  get key(): string {
-    return keys.openChunk(this.job.spec.id, this.index, this.size);
-  }
-
-  get dirty(): boolean {
-    return this.version > this.durable;
-  }
-
-  /** Whether what it held at this version is in the state service. */
-  holds(version: number): boolean {
-    if (this.durable >= version) return true;
-    return this.successors?.every(({ chunk, version: v }) => chunk.holds(v)) ?? false;
-  }
-
-  replacedBy(chunks: readonly Chunk[]): void {
-    this.successors = chunks.map((chunk) => ({ chunk, version: chunk.version }));
-  }
-
-  touch(now: Steady): void {
-    this.version++;
-    this.dirtySince ??= now;
-    this.job.book?.dirty.add(this);
-  }
-
-  /** The progress to be written; decisions being made count as placed. */
-  progress(): ChunkProgress {
-    const done = new Set<TaskIndex>();
-    const placed = new Map<TaskIndex, Placement>();
-    const used = new Map<TaskIndex, TryNo>();
-    for (const task of this.tasks.values()) {
-      if (task.phase === 'done') done.add(task.index);
-      else if (task.held && task.host) placed.set(task.index, { tryNo: task.tryNo, host: task.host });
-      else if (task.tryNo > 0) used.set(task.index, task.tryNo);
-    }
-    return { done, placed, used };
-  }
-}
+import { decodeChunk, type Placement } from '../store/progress-record.js';
+import { Chunk } from './chunk.js';
+import type { JobStore } from './job-store.js';
+import { Task } from './task.js';
 
+/** Tasks that were never begun exist as a number only: a hundred thousand of them cost nothing. */
 export class OpenJob {
   readonly tasks = new Map<TaskIndex, Task>();
   readonly chunks = new Map<number, Chunk>();
   private fresh = 0;
   private readonly again: TaskIndex[] = [];
-  /** The book that lists this job; it is told of every change. */
-  book: JobBook | null = null;
+  /** The store that lists this job; it is told of every change. */
+  store: JobStore | null = null;
   cancelled = false;
   done = 0;
   heldCount = 0;
@@ -164,13 +44,13 @@
   lifted: { readonly priority: Priority; readonly latestEnd: WallTime | null };
   private rankedSpec: JobSpec | null = null;
   /** Progress as found, chunks of all sizes; applied by `settle`. */
-  private found: { chunk: number; size: number; value: unknown; stamp: Stamp }[] = [];
+  private found: { chunk: number; size: number; value: unknown; revision: Revision }[] = [];
   /** Records of progress that others have taken the place of. */
   readonly superseded: string[] = [];
 
   constructor(
     readonly spec: JobSpec,
-    readonly stamp: Stamp,
+    readonly revision: Revision,
     readonly acceptedAt: WallTime,
     private chunkTasks = CHUNK_TASKS,
   ) {
@@ -267,7 +147,7 @@
   private resetAttempt(task: Task): void {
     task.shown = null;
     task.runningAt = null;
-    task.sentTenure = null;
+    task.sentSession = null;
     task.sentToken = null;
     task.inherited = false;
     task.kill = null;
@@ -293,7 +173,7 @@
     this.lost++;
     this.again.push(task.index);
     chunk.touch(now);
-    this.book?.changed(this);
+    this.store?.changed(this);
   }
 
   finish(task: Task, now: Steady): void {
@@ -306,12 +186,12 @@
     task.shown = null;
     this.done++;
     chunk.touch(now);
-    this.book?.changed(this);
+    this.store?.changed(this);
   }
 
   /** Takes over what an earlier leader wrote. */
-  restore(chunk: number, size: number, value: unknown, stamp: Stamp): void {
-    this.found.push({ chunk, size, value, stamp });
+  restore(chunk: number, size: number, value: unknown, revision: Revision): void {
+    this.found.push({ chunk, size, value, revision });
   }
 
   /**
@@ -320,9 +200,9 @@
    */
   settle(): void {
     const told = new Map<TaskIndex, { done: boolean; placed?: Placement; tryNo?: TryNo }>();
-    for (const { chunk, size, value, stamp } of this.found.sort((a, b) => b.size - a.size)) {
+    for (const { chunk, size, value, revision } of this.found.sort((a, b) => b.size - a.size)) {
       const first = chunk * size;
-      if (size === this.chunkTasks) this.chunkOf(first as TaskIndex).stamp = stamp;
+      if (size === this.chunkTasks) this.chunkOf(first as TaskIndex).revision = revision;
       else this.superseded.push(keys.openChunk(this.spec.id, chunk, size));
       const stored = decodeChunk(value);
       for (const index of stored.done) told.set(index, { done: true });
@@ -370,9 +250,9 @@
         parts.add(part);
       }
       if (old.dirty) for (const part of parts) part.touch(now);
-      this.book?.dirty.delete(old);
+      this.store?.dirty.delete(old);
       old.replacedBy([...parts]);
-      if (old.stamp > 0) this.superseded.push(old.key);
+      if (old.revision > 0) this.superseded.push(old.key);
     }
   }
 
@@ -380,70 +260,3 @@
     for (const task of this.tasks.values()) if (task.held) yield task;
   }
 }
-
-export interface TeamUse {
-  cpus: number;
-  gpus: number;
-}
-
-/** All unfinished jobs, as the leader knows them. */
-export class JobBook {
-  readonly jobs = new Map<JobId, OpenJob>();
-  /** Jobs that ended while we led: an old event must not open them again. */
-  private readonly ended = new Map<JobId, FinalState>();
-  /** Chunks with changes that are not durable yet. */
-  readonly dirty = new Set<Chunk>();
-  /** Raised whenever a job joins or leaves what is unfinished. */
-  version = 0;
-  /** Jobs whose records wait to be closed. */
-  readonly over = new Set<OpenJob>();
-
-  add(job: OpenJob): boolean {
-    if (this.jobs.has(job.spec.id) || this.ended.has(job.spec.id)) return false;
-    this.jobs.set(job.spec.id, job);
-    job.book = this;
-    this.version++;
-    for (const chunk of job.chunks.values()) if (chunk.dirty) this.dirty.add(chunk);
-    this.changed(job);
-    return true;
-  }
-
-  /** How a job ended while we led. */
-  endOf(id: JobId): FinalState | undefined {
-    return this.ended.get(id);
-  }
-
-  changed(job: OpenJob): void {
-    if (!job.over && !job.cancelled) return;
-    this.version++;
-    if (job.over) this.over.add(job);
-  }
-
-  end(id: JobId): void {
-    const job = this.jobs.get(id);
-    if (job) {
-      this.over.delete(job);
-      for (const chunk of job.chunks.values()) this.dirty.delete(chunk);
-      job.book = null;
-    }
-    this.version++;
-    this.jobs.delete(id);
-    this.ended.set(id, job?.cancelled ? 'cancelled' : 'done');
-    if (this.ended.size > 20_000) {
-      const oldest = this.ended.keys().next().value;
-      if (oldest !== undefined) this.ended.delete(oldest);
-    }
-  }
-
-  teamUse(): Map<TeamId, TeamUse> {
-    const use = new Map<TeamId, TeamUse>();
-    for (const job of this.jobs.values()) {
-      if (job.heldCount === 0) continue;
-      const team = use.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
-      team.cpus += job.heldCount * job.spec.cpus;
-      team.gpus += job.heldCount * job.spec.gpus;
-      use.set(job.spec.team, team);
-    }
-    return use;
-  }
-}
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -2,7 +2,7 @@
 import { fits, give, type JobSpec, Priority, type Resources, type Room, take } from '../model/job.js';
 import type { Team } from '../model/team.js';
 import type { WallTime } from '../model/time.js';
-import type { TeamUse } from './job-book.js';
+import type { TeamUse } from './job-store.js';
 
 /** Pure: a snapshot in, decisions out. */
 export interface MachineView {
--- a/src/scheduler/patience.ts
+++ b/src/scheduler/slack-factors.ts
@@ -8,7 +8,7 @@
  * rented for it. Learned from how often its jobs come too late: a site whose spot machines catch up
  * pays for hardly any others, one that falls behind rents early.
  */
-export class Patience {
+export class SlackFactors {
   /** The share of each class that has lately come too late. */
   private readonly missed = new Map<string, number>();
 
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -1,4 +1,4 @@
-import type { GrantId, Stamp } from '../model/ids.js';
+import type { GrantId, Revision } from '../model/ids.js';
 import type { HttpCaller, Reply } from '../net/http-client.js';
 import { NoAnswer } from '../net/http-client.js';
 import {
@@ -9,7 +9,7 @@
   readChanges,
   readFailed,
   readGrant,
-  readLedger,
+  readRevision,
   readPage,
   readRow,
   type Row,
@@ -31,7 +31,7 @@
 /** No answer, or one that we cannot read: it may have been carried out, or may be later. */
 export class StateUnknown extends Error {}
 
-export type Committed = { ok: true; stamp: Stamp } | { ok: false; failed: string[] };
+export type Committed = { ok: true; revision: Revision } | { ok: false; failed: string[] };
 
 /** What the controllers need of the state service. */
 export interface StateStore {
@@ -43,7 +43,11 @@
   touch(grant: GrantId): Promise<boolean>;
   release(grant: GrantId): Promise<void>;
   /** Null: `after` is too old, the keys must be read again. */
-  changes(prefix: string, after: Stamp, waitMs: number): Promise<{ ledger: Stamp; changes: Change[] } | null>;
+  changes(
+    prefix: string,
+    after: Revision,
+    waitMs: number,
+  ): Promise<{ revision: Revision; changes: Change[] } | null>;
 }
 
 const PAGE = 500;
@@ -99,7 +103,7 @@
 
   async commit(conditions: readonly Condition[], writes: readonly Write[]): Promise<Committed> {
     const reply = await this.ask('POST', '/commit', commitBody(conditions, writes));
-    if (reply.status === 200) return { ok: true, stamp: StateClient.read(reply, readLedger) };
+    if (reply.status === 200) return { ok: true, revision: StateClient.read(reply, readRevision) };
     if (reply.status === 409) return { ok: false, failed: StateClient.read(reply, readFailed) };
     if (reply.status === 400) throw new StateTooLarge(`state: commit refused ${JSON.stringify(reply.body)}`);
     throw new StateUnknown(`state: commit answered ${reply.status}`);
@@ -122,9 +126,9 @@
 
   async changes(
     prefix: string,
-    after: Stamp,
+    after: Revision,
     waitMs: number,
-  ): Promise<{ ledger: Stamp; changes: Change[] } | null> {
+  ): Promise<{ revision: Revision; changes: Change[] } | null> {
     const path = `/changes?under=${prefix}&after=${after}&waitMs=${waitMs}`;
     let reply: Reply;
     try {
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -6,7 +6,9 @@
 import { encodeChunk } from './progress-record.js';
 import { type Committed, StateRefused, StateTooLarge } from './client.js';
 import type { Budget } from '../net/budget.js';
-import type { Chunk, OpenJob, Task } from '../scheduler/job-book.js';
+import type { Chunk } from '../scheduler/chunk.js';
+import type { OpenJob } from '../scheduler/open-job.js';
+import type { Task } from '../scheduler/task.js';
 import type { Condition, Write } from '../wire/state.js';
 import { since, sleep } from '../model/time.js';
 
@@ -35,7 +37,7 @@
  * Writes decisions and progress, many in one transaction, one transaction at a time.
  *
  * Every transaction is conditioned on the epoch, so one that is applied late by the state service
- * after a takeover fails; and on the stamps of the chunks it replaces, so a late one of our own
+ * after a takeover fails; and on the revisions of the chunks it replaces, so a late one of our own
  * cannot undo a newer one. A start is also conditioned on its job's record: cancelling changes it.
  */
 export class Committer {
@@ -50,7 +52,8 @@
     private readonly onEnded: (job: OpenJob) => void,
   ) {}
 
-  poke(): void {
+  /** Something is to be written. */
+  schedule(): void {
     if (this.running || this.ctx.ended()) return;
     this.running = true;
     void this.run();
@@ -60,7 +63,7 @@
     if (this.timer) return;
     this.timer = this.ctx.clock.after(ms, () => {
       this.timer = null;
-      this.poke();
+      this.schedule();
     });
   }
 
@@ -91,7 +94,7 @@
       return null;
     }
     const batch: Batch = { conditions: [], writes: [], chunks: [], closing: [], bytes: 0 };
-    batch.conditions.push({ key: keys.epoch, stamp: this.ctx.epochStamp });
+    batch.conditions.push({ key: keys.epoch, revision: this.ctx.epochRevision });
     const now = this.ctx.clock.now();
     const available = Math.floor(this.budget.available());
     const max = Math.min(limits.txnOps, Math.max(1, available));
@@ -126,12 +129,12 @@
 
   private addClosing(batch: Batch, job: OpenJob, max: number): void {
     const { id } = job.spec;
-    const stored = [...job.chunks.values()].filter((c) => c.stamp > 0).map((c) => c.key);
+    const stored = [...job.chunks.values()].filter((c) => c.revision > 0).map((c) => c.key);
     const drops = [...stored, ...job.superseded, ...furtherKeys(job.spec)];
     const need = 2 + drops.length;
     if (batch.writes.length > 0 && batch.writes.length + need > max) return;
     if (tells(job)) {
-      batch.conditions.push({ key: keys.job(id), stamp: job.stamp });
+      batch.conditions.push({ key: keys.job(id), revision: job.revision });
       batch.writes.push({
         set: keys.job(id),
         value: encodeEnded(
@@ -161,9 +164,9 @@
   private addChunk(batch: Batch, chunk: Chunk): void {
     const decided = [...chunk.deciding];
     const progress = chunk.progress();
-    batch.conditions.push({ key: chunk.key, stamp: chunk.stamp });
+    batch.conditions.push({ key: chunk.key, revision: chunk.revision });
     if (decided.length > 0) {
-      batch.conditions.push({ key: keys.job(chunk.job.spec.id), stamp: chunk.job.stamp });
+      batch.conditions.push({ key: keys.job(chunk.job.spec.id), revision: chunk.job.revision });
     }
     batch.writes.push({ set: chunk.key, value: encodeChunk(progress) });
     batch.chunks.push({ chunk, version: chunk.version, decided });
@@ -191,7 +194,7 @@
     }
     const placed: Task[] = [];
     batch.chunks.forEach(({ chunk, version, decided }, c) => {
-      chunk.stamp = result.stamp;
+      chunk.revision = result.revision;
       chunk.durable = Math.max(chunk.durable, version);
       chunk.dirtySince = chunk.dirty ? this.ctx.clock.now() : null;
       if (!chunk.dirty) this.ctx.jobs.dirty.delete(chunk);
@@ -223,7 +226,7 @@
       const chunk = batch.chunks.find((c) => c.chunk.key === key)?.chunk;
       try {
         // An earlier commit without an answer was carried out after all.
-        if (chunk) chunk.stamp = ((await this.ctx.store.get(key))?.stamp ?? 0) as Chunk['stamp'];
+        if (chunk) chunk.revision = ((await this.ctx.store.get(key))?.revision ?? 0) as Chunk['revision'];
         else await this.refresh(key.slice(keys.jobs.length) as JobId);
       } catch (error) {
         this.ctx.log.debug({ key, error: reason(error) }, 'conflict not resolved yet');
@@ -234,7 +237,7 @@
 
   private async refresh(id: JobId): Promise<void> {
     const row = await this.ctx.store.get(keys.job(id));
-    const job = this.ctx.jobs.jobs.get(id);
+    const job = this.ctx.jobs.get(id);
     if (!job || !row) return;
     const state = decodeJob(id, row.value).state;
     if (state === 'cancelled') {
--- a/src/store/limit-probe.ts
+++ b/src/store/limit-probe.ts
@@ -1,5 +1,5 @@
 /** Asks the state service whether the limits that the settings announce hold by now. */
-import { NO_STAMP } from '../model/ids.js';
+import { NO_REVISION } from '../model/ids.js';
 import type { Settings } from '../wire/settings.js';
 import { type StateStore, StateTooLarge } from './client.js';
 import { keys } from './keys.js';
@@ -20,7 +20,7 @@
   if (stateNext.txnOps >= state.txnOps) return null;
   const conditions = Array.from({ length: stateNext.txnOps * CONDITIONS_PER_WRITE + 1 }, (_, n) => ({
     key: keys.unused(n),
-    stamp: NO_STAMP,
+    revision: NO_REVISION,
   }));
   return async () => {
     try {
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod/mini';
-import type { GrantId, Stamp } from '../model/ids.js';
+import type { GrantId, Revision } from '../model/ids.js';
 import { count } from './common.js';
 
 const row = z.object({ key: z.string(), data: z.unknown(), stamp: count, tether: z.nullish(count) });
@@ -24,63 +24,63 @@
 export interface Row {
   readonly key: string;
   readonly value: unknown;
-  readonly stamp: Stamp;
+  readonly revision: Revision;
 }
 
 export interface Page {
   readonly rows: Row[];
   readonly more: boolean;
-  readonly ledger: Stamp;
+  readonly revision: Revision;
 }
 
 /** A key that was set, or dropped when `value` is undefined. */
 export interface Change {
   readonly key: string;
   readonly value: unknown;
-  readonly stamp: Stamp;
+  readonly revision: Revision;
 }
 
 export interface Condition {
   readonly key: string;
-  readonly stamp: Stamp;
+  readonly revision: Revision;
 }
 
 export type Write =
   { readonly set: string; readonly value: unknown; readonly grant?: GrantId } | { readonly drop: string };
 
-const toRow = (r: z.infer<typeof row>): Row => ({ key: r.key, value: r.data, stamp: r.stamp as Stamp });
+const toRow = (r: z.infer<typeof row>): Row => ({ key: r.key, value: r.data, revision: r.stamp as Revision });
 
 export const readRow = (body: unknown): Row => toRow(row.parse(body));
 
 export function readPage(body: unknown): Page {
   const page = rows.parse(body);
-  return { rows: page.rows.map(toRow), more: page.more ?? false, ledger: page.ledger as Stamp };
+  return { rows: page.rows.map(toRow), more: page.more ?? false, revision: page.ledger as Revision };
 }
 
-export const readLedger = (body: unknown): Stamp => committed.parse(body).ledger as Stamp;
+export const readRevision = (body: unknown): Revision => committed.parse(body).ledger as Revision;
 export const readFailed = (body: unknown): string[] => conflict.parse(body).failed;
 export const readGrant = (body: unknown): GrantId => grant.parse(body).tether as GrantId;
 
-export function readChanges(body: unknown): { ledger: Stamp; changes: Change[] } {
+export function readChanges(body: unknown): { revision: Revision; changes: Change[] } {
   const read = changes.parse(body);
   const list: Change[] = [];
   for (const c of read.news ?? []) {
     const key = c.set ?? c.drop;
     if (key == null) continue;
-    list.push({ key, value: c.set == null ? undefined : c.data, stamp: c.stamp as Stamp });
+    list.push({ key, value: c.set == null ? undefined : c.data, revision: c.stamp as Revision });
   }
-  return { ledger: read.ledger as Stamp, changes: list };
+  return { revision: read.ledger as Revision, changes: list };
 }
 
 export function commitBody(conditions: readonly Condition[], writes: readonly Write[]): object {
   return {
-    if: conditions.map((c) => ({ key: c.key, stamp: c.stamp })),
-    writes: writes.map((w) =>
-      'set' in w
-        ? w.grant === undefined
-          ? { set: w.set, data: w.value }
-          : { set: w.set, data: w.value, tether: w.grant }
-        : { drop: w.drop },
-    ),
+    if: conditions.map((c) => ({ key: c.key, stamp: c.revision })),
+    writes: writes.map(writeBody),
   };
 }
+
+function writeBody(write: Write): object {
+  if ('drop' in write) return { drop: write.drop };
+  const { set, value, grant: tether } = write;
+  return tether === undefined ? { set, data: value } : { set, data: value, tether };
+}
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod/mini';
-import type { Counter, HostId, TaskId, Tenure, Token, TryNo, TypeId, ZoneId } from '../model/ids.js';
+import type { Counter, HostId, TaskId, SessionNumber, Token, TryNo, TypeId, ZoneId } from '../model/ids.js';
 import type { Attempt, AttemptState, Order, Report } from '../model/report.js';
 import { seconds } from '../model/time.js';
 import { amount, count, firstIssue, word } from './common.js';
@@ -49,7 +49,7 @@
       type: w.flavour as TypeId,
       zone: w.hall as ZoneId,
       spot: w.reclaimable,
-      tenure: w.tenure as Tenure,
+      session: w.tenure as SessionNumber,
       counter: w.counter as Counter,
       token: w.epoch as Token,
       notice: w.warningS == null ? null : seconds(w.warningS),
@@ -68,8 +68,8 @@
   return Buffer.from(JSON.stringify({ epoch: token, orders: orders.map(order) }));
 }
 
-export function commandBody(token: Token, tenure: Tenure, orders: readonly Order[]): object {
-  return { epoch: token, tenure, orders: orders.map(order) };
+export function commandBody(token: Token, session: SessionNumber, orders: readonly Order[]): object {
+  return { epoch: token, tenure: session, orders: orders.map(order) };
 }
 
 export interface CommandReply {
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -4,7 +4,7 @@
 import { NoSocket } from '../net/http-client.js';
 import type { Order, Report } from '../model/report.js';
 import { type Steady, since } from '../model/time.js';
-import type { Host } from './host-book.js';
+import type { Host } from './host.js';
 import { ordersFor } from './orders.js';
 
 const COMMAND_MS = 1500;
@@ -90,7 +90,7 @@
     this.inFlight++;
     const sentAt = this.ctx.clock.now();
     try {
-      const answer = await this.ctx.workers.command(host.address, token, host.tenure, orders, COMMAND_MS);
+      const answer = await this.ctx.workers.command(host.address, token, host.session, orders, COMMAND_MS);
       host.unreachable = 0;
       host.contactAt = this.ctx.clock.now();
       this.restUntil.delete(host.id);
@@ -125,7 +125,7 @@
   if (runs.size === 0) return;
   for (const task of host.tasks) {
     if (!runs.has(task.id)) continue;
-    task.sentTenure ??= host.tenure;
+    task.sentSession ??= host.session;
     task.sentToken = token;
   }
 }
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -3,7 +3,7 @@
 import type { Report } from '../model/report.js';
 import { NoSocket } from '../net/http-client.js';
 import { atMost, type Millis, ms, type Steady, plus, since } from '../model/time.js';
-import type { Host } from './host-book.js';
+import type { Host } from './host.js';
 
 const PROBES = 2;
 /** A report's way here. */
@@ -80,7 +80,7 @@
   /** Nobody is judged while it is not sure that we lead; leases that run out meanwhile still do. */
   unsure(now: Steady): void {
     this.lastTick = now;
-    for (const host of this.ctx.hosts.hosts.values()) if (this.leasePassed(host, now)) this.leaseOver(host);
+    for (const host of this.ctx.hosts.values()) if (this.leasePassed(host, now)) this.leaseOver(host);
   }
 
   private silentFor(host: Host, now: Steady): Millis {
@@ -101,7 +101,7 @@
     // Held up ourselves, we have not listened either.
     if (held > TICK_LATE_MS) this.lastHeard = plus(this.lastHeard, held);
     let up = 0;
-    for (const host of this.ctx.hosts.hosts.values()) if (host.up || !host.empty) up++;
+    for (const host of this.ctx.hosts.values()) if (host.up || !host.empty) up++;
     if (up < 2) return false;
     const expected = (this.ctx.settings.reportEvery / up) * DEAF_REPORTS;
     return since(now, this.lastHeard) > Math.min(DEAF_MOST_MS, Math.max(DEAF_LEAST_MS, expected));
@@ -114,7 +114,7 @@
     const mute: Host[] = [];
     const zones = new Map<ZoneId, { up: number; lost: number; asked: number; mute: number }>();
     let up = 0;
-    for (const host of this.ctx.hosts.hosts.values()) {
+    for (const host of this.ctx.hosts.values()) {
       if (!host.up && host.empty) continue;
       up++;
       const zone = zones.get(host.machine.zone) ?? { up: 0, lost: 0, asked: 0, mute: 0 };
@@ -160,8 +160,8 @@
    * shortly before their leases would end it.
    */
   private givenUp(host: Host, now: Steady): boolean {
-    const patience = this.ctx.settings.workerLease * CUT_PATIENCE;
-    return since(now, host.answeredAt ?? this.ctx.startedAt) > patience;
+    const givenUpAfter = this.ctx.settings.workerLease * CUT_PATIENCE;
+    return since(now, host.answeredAt ?? this.ctx.startedAt) > givenUpAfter;
   }
 
   /**
--- a/src/workers/host-book.ts
+++ b/src/workers/host.ts
@@ -8,7 +8,7 @@
   type MemberId,
   type Round,
   type TaskId,
-  type Tenure,
+  type SessionNumber,
   type Token,
   tokenOf,
   type TryNo,
@@ -17,7 +17,8 @@
 import type { Machine, MachineType } from '../model/machine.js';
 import type { Attempt, Report } from '../model/report.js';
 import { type Steady, plus } from '../model/time.js';
-import type { Chunk, Task } from '../scheduler/job-book.js';
+import type { Chunk } from '../scheduler/chunk.js';
+import type { Task } from '../scheduler/task.js';
 
 /** An attempt that has ended and that the host still shows. */
 export interface EndedAttempt {
@@ -36,7 +37,7 @@
   known = false;
   up = false;
   /** Most machines are in their first session: the first direct call then hits. */
-  tenure = 1 as Tenure;
+  session = 1 as SessionNumber;
   counter = 0 as Counter;
   heardAt: Steady | null = null;
   /** When we first heard it under our epoch. */
@@ -144,9 +145,9 @@
    * A report that proves nothing yet, being of an earlier epoch, still tells the session to address.
    * True: it is another one than we thought.
    */
-  learnTenure(report: Report, now: Steady): boolean {
-    if (this.known || report.tenure <= this.tenure) return false;
-    this.session(report.tenure, now);
+  learnSession(report: Report, now: Steady): boolean {
+    if (this.known || report.session <= this.session) return false;
+    this.beginSession(report.session, now);
     return true;
   }
 
@@ -171,7 +172,9 @@
   }
 
   newer(report: Report): boolean {
-    return report.tenure > this.tenure || (report.tenure === this.tenure && report.counter > this.counter);
+    return (
+      report.session > this.session || (report.session === this.session && report.counter > this.counter)
+    );
   }
 
   keepImage(image: ImageId, gb: number): void {
@@ -197,8 +200,8 @@
   }
 
   /** A session that we hear of for the first time. */
-  session(tenure: Tenure, now: Steady): void {
-    this.tenure = tenure;
+  beginSession(session: SessionNumber, now: Steady): void {
+    this.session = session;
     this.sessionAt = now;
   }
 
@@ -211,27 +214,3 @@
     return plus(from, lease);
   }
 }
-
-/** All machines that may exist, as the leader knows them. */
-export class HostBook {
-  readonly hosts = new Map<HostId, Host>();
-  /** Machines proven gone: a late report or list must not bring them back. */
-  private readonly gone = new Set<HostId>();
-
-  isGone(id: HostId): boolean {
-    return this.gone.has(id);
-  }
-
-  add(host: Host): void {
-    if (!this.gone.has(host.id)) this.hosts.set(host.id, host);
-  }
-
-  remove(id: HostId): void {
-    this.hosts.delete(id);
-    this.gone.add(id);
-    if (this.gone.size > 5000) {
-      const oldest = this.gone.values().next().value;
-      if (oldest !== undefined) this.gone.delete(oldest);
-    }
-  }
-}
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -1,7 +1,7 @@
 import { type Epoch, type JobId, splitTaskId, type Token } from '../model/ids.js';
 import type { Order, Report } from '../model/report.js';
 import type { Steady } from '../model/time.js';
-import type { EndedAttempt, Host } from './host-book.js';
+import type { EndedAttempt, Host } from './host.js';
 
 /** A cancelled task whose start may be on its way is tombstoned only this long; then its host is fenced. */
 export const TOMBSTONE_MS = 15_000;
@@ -29,7 +29,7 @@
   for (const task of host.tasks) {
     if (task.phase !== 'placed' || !task.kill) continue;
     if (task.shown === null) {
-      if (task.sentTenure === null) continue;
+      if (task.sentSession === null) continue;
       if (task.kill.why === 'cancelled' && now - task.kill.at > TOMBSTONE_MS) continue;
       orders.push({ verb: 'run', task: task.id, tryNo: task.tryNo });
     }
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,8 +1,9 @@
 import { type Epoch, epochOfToken, splitTaskId, type Token } from '../model/ids.js';
 import type { Attempt, Report } from '../model/report.js';
 import type { Steady } from '../model/time.js';
-import type { JobBook, Task } from '../scheduler/job-book.js';
-import { type EndedAttempt, type Host } from './host-book.js';
+import type { JobStore } from '../scheduler/job-store.js';
+import type { Task } from '../scheduler/task.js';
+import { type EndedAttempt, type Host } from './host.js';
 
 /** What a report told that others want to know. */
 export interface Told {
@@ -22,13 +23,13 @@
  * Only such a report proves a task gone: an older one may have been held back by the network
  * while the task started.
  */
-export function applyReport(host: Host, report: Report, epoch: Epoch, jobs: JobBook, now: Steady): Told {
+export function applyReport(host: Host, report: Report, epoch: Epoch, jobs: JobStore, now: Steady): Told {
   const told: Told = { changed: false, finished: [], failed: [], lost: [], started: [] };
   if (epochOfToken(report.token) !== epoch || !host.newer(report)) return told;
 
-  const newTenure = host.known && report.tenure > host.tenure;
-  if (!host.known || !host.up || newTenure) told.changed = true;
-  if (!host.known || newTenure) host.session(report.tenure, now);
+  const newSession = host.known && report.session > host.session;
+  if (!host.known || !host.up || newSession) told.changed = true;
+  if (!host.known || newSession) host.beginSession(report.session, now);
   host.known = true;
   host.up = true;
   host.counter = report.counter;
@@ -38,7 +39,7 @@
     if (host.takenAt === null) told.changed = true;
     host.takenAt = host.takenAt === null || takenAt < host.takenAt ? takenAt : host.takenAt;
   }
-  if (newTenure) host.ended.clear();
+  if (newSession) host.ended.clear();
 
   const current = new Map<string, Task>();
   for (const task of host.tasks) current.set(attemptKey({ task: task.id, tryNo: task.tryNo }), task);
@@ -69,16 +70,16 @@
   // Orders of earlier epochs are refused by a worker that has seen ours.
   if (task.inherited) return true;
   // No order has left yet; it will, unless it is to be killed.
-  if (task.sentTenure === null) return task.kill !== null;
+  if (task.sentSession === null) return task.kill !== null;
   // Orders of an earlier session are refused, and the session's tasks were killed.
-  if (report.tenure > task.sentTenure) return true;
+  if (report.session > task.sentSession) return true;
   // Every run order that left, and every copy of one, is refused from now on.
   return task.sentToken === null || report.token > task.sentToken;
 }
 
 function show(host: Host, task: Task, attempt: Attempt, now: Steady, told: Told): void {
   task.inherited = false;
-  task.sentTenure ??= host.tenure;
+  task.sentSession ??= host.session;
   if (attempt.state === 'exited') {
     exit(host, task, attempt, now, told);
     return;
@@ -121,9 +122,9 @@
  * An ended attempt that is not the current one of its task: nothing of it is still wanted. What run
  * orders it had is not known any more: any of ours may have been one.
  */
-function endedStray(attempt: Attempt, jobs: JobBook, sentToken: Token): EndedAttempt {
+function endedStray(attempt: Attempt, jobs: JobStore, sentToken: Token): EndedAttempt {
   const id = splitTaskId(attempt.task);
-  const job = id ? jobs.jobs.get(id.job) : undefined;
+  const job = id ? jobs.get(id.job) : undefined;
   const chunk = job && id ? job.chunkOf(id.index) : null;
   return {
     task: attempt.task,
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -3,7 +3,7 @@
 import { UserService } from '../../src/api/users.js';
 import { Cancellations } from '../../src/cluster/cancellations.js';
 import type { NodeContext, Siblings, WorkerCaller } from '../../src/cluster/context.js';
-import { Seat } from '../../src/cluster/seat.js';
+import { Leadership } from '../../src/cluster/leadership.js';
 import { defaultOperators } from '../../src/config/operators.js';
 import { silentLog } from '../../src/log/logger.js';
 import type {
@@ -13,7 +13,7 @@
   MemberId,
   TaskId,
   TeamId,
-  Tenure,
+  SessionNumber,
   Token,
   TryNo,
   TypeId,
@@ -34,7 +34,7 @@
 import { address, StandInCloud } from './cloud.js';
 import { RuleChecker } from './rules.js';
 import { StandInState } from './state.js';
-import { type BeatAnswer, type JobFacts, StandInWorker, type WorkerWorld } from './worker.js';
+import { type HeartbeatAnswer, type JobFacts, StandInWorker, type WorkerWorld } from './worker.js';
 
 export interface JobWish {
   ref: string;
@@ -109,7 +109,7 @@
 
 interface Running {
   readonly clock: ProcessClock;
-  readonly seat: Seat;
+  readonly leadership: Leadership;
   readonly users: UserService;
   readonly cancellations: Cancellations;
 }
@@ -201,7 +201,7 @@
       const job = /^open\/(j-\d+)\/\d+$/.exec(key)?.[1];
       if (job === undefined) continue;
       for (const [index, tryNo, host] of (value as { p?: [number, TryNo, HostId][] }).p ?? [])
-        this.worker(host).command(token, 1 as Tenure, [
+        this.worker(host).command(token, 1 as SessionNumber, [
           { verb: 'run', task: `${job}/${index}` as TaskId, tryNo },
         ]);
     }
@@ -233,10 +233,10 @@
       allSpeak: (version) => version <= this.version && !this.nodes.some((other) => this.old.has(other)),
       siblings: this.siblingsOf(name, clock),
     };
-    const seat = new Seat(ctx, () => Promise.resolve());
+    const leadership = new Leadership(ctx, () => Promise.resolve());
     this.running.set(name, {
       clock,
-      seat,
+      leadership,
       cancellations,
       users: new UserService(
         ctx,
@@ -245,7 +245,7 @@
       ),
     });
     cancellations.onLearned((ids) => {
-      seat.leader?.cancelled(ids);
+      leadership.leader?.cancelled(ids);
       const told = cancellations.list(ids);
       for (const other of this.nodes) {
         if (other === name || !this.hears(name, other)) continue;
@@ -256,7 +256,7 @@
       }
     });
     this.trace(`${name}     starts`);
-    seat.run();
+    leadership.run();
   }
 
   /** Whether cancellations pass between two controllers: both know of them and nothing cuts them off. */
@@ -274,7 +274,7 @@
           to?.clock.whenRunning(() => {
             const word: CancellationsWord = {
               upFor: to.cancellations.upFor,
-              leading: to.seat.leader?.epoch ?? null,
+              leading: to.leadership.leader?.epoch ?? null,
               told: to.cancellations.list(),
             };
             clock.after(PEER_MS, () => resolve(word));
@@ -317,7 +317,7 @@
 
   /** Of several the one with the newest epoch, as a node hears of them that reaches the others. */
   private leaderSeenFrom(node: string | null): string | undefined {
-    const epoch = (name: string): number => this.running.get(name)?.seat.leader?.epoch ?? 0;
+    const epoch = (name: string): number => this.running.get(name)?.leadership.leader?.epoch ?? 0;
     return this.nodes
       .filter((name) => epoch(name) > 0)
       .filter((name) => name === node || !(this.alone.has(name) || (node !== null && this.alone.has(node))))
@@ -325,12 +325,12 @@
   }
 
   leads(node: string): boolean {
-    return this.running.get(node)?.seat.leader != null;
+    return this.running.get(node)?.leadership.leader != null;
   }
 
   /** Machines in the leader's book. */
   get fleetSize(): number {
-    const summary = this.running.get(this.leader ?? '')?.seat.leader?.summary() as
+    const summary = this.running.get(this.leader ?? '')?.leadership.leader?.summary() as
       { hosts: number } | undefined;
     return summary?.hosts ?? 0;
   }
@@ -364,12 +364,12 @@
         else this.clock.after(2, arrive);
       });
     return {
-      command: (addr, token, tenure, orders, deadline) =>
+      command: (addr, token, session, orders, deadline) =>
         reach(addr, deadline, (w) => {
           const after = this.repeating;
           if (after !== null && orders.length > 0)
-            this.clock.after(after * 1000, () => this.repeat(w, token, tenure, orders));
-          return w.command(token, tenure, orders);
+            this.clock.after(after * 1000, () => this.repeat(w, token, session, orders));
+          return w.command(token, session, orders);
         }),
       show: (addr, deadline) => reach(addr, deadline, (w) => w.show()),
     };
@@ -398,7 +398,7 @@
 
   private deliverCopy(report: Report): void {
     const name = this.leader;
-    if (name) void this.running.get(name)?.seat.report(report, name as MemberId);
+    if (name) void this.running.get(name)?.leadership.report(report, name as MemberId);
   }
 
   /** From now on the network delivers every command to a worker once more, so many seconds later. */
@@ -407,9 +407,14 @@
     this.trace(`network    delivers commands once more, ${s} s later`);
   }
 
-  private repeat(worker: StandInWorker, token: Token, tenure: Tenure, orders: readonly Order[]): void {
+  private repeat(
+    worker: StandInWorker,
+    token: Token,
+    session: SessionNumber,
+    orders: readonly Order[],
+  ): void {
     worker.whenAwake(() => {
-      const { executed } = worker.command(token, tenure, orders);
+      const { executed } = worker.command(token, session, orders);
       this.trace(`${worker.machine.id} ${executed ? 'carries out' : 'refuses'} a copy of ${orders.length}`);
     });
   }
@@ -462,7 +467,7 @@
     this.rules.left(task, worker.machine.id, why === 'done');
   }
 
-  beat(worker: StandInWorker, node: string, report: Report): Promise<BeatAnswer | null> {
+  beat(worker: StandInWorker, node: string, report: Report): Promise<HeartbeatAnswer | null> {
     if (this.copyShare > 0 && this.random() < this.copyShare) {
       this.clock.after(2000 + 38_000 * this.random(), () => this.deliverCopy(report));
     }
@@ -478,17 +483,17 @@
       this.clock.after(3, () =>
         clock?.whenRunning(() => {
           // A follower passes the report on to whoever leads.
-          const own = this.running.get(node)?.seat;
+          const own = this.running.get(node)?.leadership;
           const leads = own?.leader ? node : this.leaderSeenFrom(node);
           const leader = this.running.get(leads ?? '');
           const reached = !this.oneWay.has(worker.machine.id);
           if (!leader) {
             if (!reached) return;
-            resolve({ status: 503, token: 0 as BeatAnswer['token'], orders: [] });
+            resolve({ status: 503, token: 0 as HeartbeatAnswer['token'], orders: [] });
             return;
           }
           const take = async (): Promise<void> => {
-            const answer = await leader.seat.report(report, node as MemberId);
+            const answer = await leader.leadership.report(report, node as MemberId);
             if (!reached) return;
             this.clock.after(2, () =>
               resolve(
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -1,4 +1,4 @@
-import type { GrantId, Stamp } from '../../src/model/ids.js';
+import type { GrantId, Revision } from '../../src/model/ids.js';
 import type { Clock } from '../../src/model/time.js';
 import type { Budget } from '../../src/net/budget.js';
 import {
@@ -12,7 +12,7 @@
 
 interface Entry {
   value: unknown;
-  stamp: Stamp;
+  revision: Revision;
   grant: GrantId | null;
 }
 
@@ -49,7 +49,7 @@
   private readonly log: Change[] = [];
   private readonly grants = new Map<GrantId, { ttl: number; until: number }>();
   private readonly watchers = new Set<() => void>();
-  private ledger = 0;
+  private revision = 0;
   private nextGrant = 1;
   /** Puts and deletes that were asked for, carried out or not. */
   writes = 0;
@@ -96,25 +96,27 @@
     if (drops.length > 0) this.apply(drops);
   }
 
-  private apply(writes: readonly Write[]): Stamp {
-    this.ledger++;
-    const stamp = this.ledger as Stamp;
+  private apply(writes: readonly Write[]): Revision {
+    this.revision++;
+    const revision = this.revision as Revision;
     for (const w of writes) {
       if ('set' in w) {
         const value: unknown = JSON.parse(JSON.stringify(w.value));
-        this.keys.set(w.set, { value, stamp, grant: w.grant ?? null });
-        this.log.push({ key: w.set, value, stamp });
-      } else if (this.keys.delete(w.drop)) this.log.push({ key: w.drop, value: undefined, stamp });
+        this.keys.set(w.set, { value, revision, grant: w.grant ?? null });
+        this.log.push({ key: w.set, value, revision });
+      } else if (this.keys.delete(w.drop)) this.log.push({ key: w.drop, value: undefined, revision });
     }
     for (const wake of [...this.watchers]) wake();
-    return stamp;
+    return revision;
   }
 
   private decide(conditions: readonly Condition[], writes: readonly Write[]): Committed {
     this.writes += writes.length;
-    const failed = conditions.filter((c) => (this.keys.get(c.key)?.stamp ?? 0) !== c.stamp).map((c) => c.key);
+    const failed = conditions
+      .filter((c) => (this.keys.get(c.key)?.revision ?? 0) !== c.revision)
+      .map((c) => c.key);
     if (failed.length > 0) return { ok: false, failed };
-    return { ok: true, stamp: writes.length > 0 ? this.apply(writes) : (this.ledger as Stamp) };
+    return { ok: true, revision: writes.length > 0 ? this.apply(writes) : (this.revision as Revision) };
   }
 
   private tooMany(writes: number): boolean {
@@ -128,9 +130,9 @@
 
   /** What an earlier day has left. */
   restore(records: readonly Row[]): void {
-    for (const { key, value, stamp } of records) {
-      this.keys.set(key, { value, stamp, grant: null });
-      this.ledger = Math.max(this.ledger, stamp);
+    for (const { key, value, revision } of records) {
+      this.keys.set(key, { value, revision, grant: null });
+      this.revision = Math.max(this.revision, revision);
     }
   }
 
@@ -149,15 +151,15 @@
       get: (key) =>
         ask((): Row | null => {
           const e = this.keys.get(key);
-          return e ? { key, value: e.value, stamp: e.stamp } : null;
+          return e ? { key, value: e.value, revision: e.revision } : null;
         }),
       range: (prefix, after) =>
         ask((): Page => {
           const rows = [...this.keys]
             .filter(([key]) => key.startsWith(prefix) && (after === undefined || key > after))
             .sort(([a], [b]) => (a < b ? -1 : 1))
-            .map(([key, e]) => ({ key, value: e.value, stamp: e.stamp }));
-          return { rows, more: false, ledger: this.ledger as Stamp };
+            .map(([key, e]) => ({ key, value: e.value, revision: e.revision }));
+          return { rows, more: false, revision: this.revision as Revision };
         }),
       commit: (conditions, writes) => {
         const error = malformed(this.sizes, conditions, writes);
@@ -199,12 +201,12 @@
             clock.after(LATENCY_MS, () => reject(new StateRefused('state: watch answered 503')));
             return;
           }
-          const news = (): Change[] => this.log.filter((c) => c.stamp > after && c.key.startsWith(prefix));
+          const news = (): Change[] => this.log.filter((c) => c.revision > after && c.key.startsWith(prefix));
           const answer = (): void => {
             if (this.outage || this.refused.has(node)) return;
             if (news().length === 0 && this.clock.now() < end) return;
             this.watchers.delete(answer);
-            clock.after(LATENCY_MS, () => resolve({ ledger: this.ledger as Stamp, changes: news() }));
+            clock.after(LATENCY_MS, () => resolve({ revision: this.revision as Revision, changes: news() }));
           };
           const end = this.clock.now() + waitMs;
           this.watchers.add(answer);
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -1,4 +1,4 @@
-import type { Counter, ImageId, JobId, TaskId, Tenure, Token, TryNo } from '../../src/model/ids.js';
+import type { Counter, ImageId, JobId, TaskId, SessionNumber, Token, TryNo } from '../../src/model/ids.js';
 import { splitTaskId } from '../../src/model/ids.js';
 import type { Machine } from '../../src/model/machine.js';
 import type { Attempt, AttemptState, Order, Report } from '../../src/model/report.js';
@@ -14,7 +14,7 @@
   readonly broken: boolean;
 }
 
-export interface BeatAnswer {
+export interface HeartbeatAnswer {
   readonly status: number;
   readonly token: Token;
   readonly orders: readonly Order[];
@@ -26,7 +26,7 @@
   started(worker: StandInWorker, task: TaskId, tryNo: TryNo): void;
   left(worker: StandInWorker, task: TaskId, why: string): void;
   /** Null: no answer. */
-  beat(worker: StandInWorker, node: string, report: Report): Promise<BeatAnswer | null>;
+  beat(worker: StandInWorker, node: string, report: Report): Promise<HeartbeatAnswer | null>;
 }
 
 interface Here {
@@ -37,7 +37,7 @@
 
 /** One machine's worker, by the published protocol. */
 export class StandInWorker {
-  private tenure = 1;
+  private session = 1;
   private counter = 0;
   private token = 0;
   private node = 0;
@@ -92,7 +92,7 @@
     if (this.gone || this.clock.now() - this.lastAnsweredSent <= this.leaseMs) return;
     for (const [task, t] of this.here) if (t.state !== 'exited') this.world.left(this, task, 'lease over');
     this.here.clear();
-    this.tenure++;
+    this.session++;
     this.lastAnsweredSent = this.clock.now();
     this.dirty = true;
   }
@@ -111,7 +111,7 @@
       type: this.machine.type,
       zone: this.machine.zone,
       spot: this.machine.spot,
-      tenure: this.tenure as Tenure,
+      session: this.session as SessionNumber,
       counter: this.counter as Counter,
       token: this.token as Token,
       notice: this.notice as Report['notice'],
@@ -124,7 +124,7 @@
     this.dirty = false;
     const sent = this.clock.now();
     this.lastSent = sent;
-    const tenure = this.tenure;
+    const session = this.session;
     const node = this.world.nodes[this.node % this.world.nodes.length] as string;
     const answer = await this.world.beat(this, node, this.snapshot());
     this.reporting = false;
@@ -134,7 +134,7 @@
       this.lastSent = this.clock.now() - this.reportMs + 1000;
       return;
     }
-    if (this.clock.now() - sent > 4000 || tenure !== this.tenure || answer.token < this.token) return;
+    if (this.clock.now() - sent > 4000 || session !== this.session || answer.token < this.token) return;
     if (answer.token > this.token) this.dirty = true;
     this.token = answer.token;
     this.lastAnsweredSent = sent;
@@ -142,8 +142,12 @@
   }
 
   /** POST /commands; a hanging machine carries it out when it goes on. */
-  command(token: Token, tenure: Tenure, orders: readonly Order[]): { executed: boolean; report: Report } {
-    if (token < this.token || tenure !== this.tenure) return { executed: false, report: this.snapshot() };
+  command(
+    token: Token,
+    session: SessionNumber,
+    orders: readonly Order[],
+  ): { executed: boolean; report: Report } {
+    if (token < this.token || session !== this.session) return { executed: false, report: this.snapshot() };
     if (token > this.token) this.dirty = true;
     this.token = token;
     this.execute(orders);
@@ -226,7 +230,7 @@
     for (const [task, t] of this.here) if (t.state !== 'exited') this.world.left(this, task, 'restarted');
     this.here.clear();
     this.images.clear();
-    this.tenure++;
+    this.session++;
     this.lastAnsweredSent = this.clock.now();
     this.dirty = true;
   }
--- a/test/traces/upgrade.test.ts
+++ b/test/traces/upgrade.test.ts
@@ -1,6 +1,13 @@
 import { readFileSync } from 'node:fs';
 import { describe, expect, it } from 'vitest';
-import { type Epoch, type JobId, type MemberId, type Round, tokenOf } from '../../src/model/ids.js';
+import {
+  type Epoch,
+  type Revision,
+  type JobId,
+  type MemberId,
+  type Round,
+  tokenOf,
+} from '../../src/model/ids.js';
 import {
   decodePing,
   encodeCall,
@@ -20,7 +27,11 @@
 /** Made by the production version itself, on its stand-ins (docs/upgrade.md says how). */
 const production = JSON.parse(
   readFileSync(new URL('../fixtures/production.json', import.meta.url), 'utf8'),
-) as { records: Row[]; frames: Record<'ping' | 'progress' | 'user' | 'call', string> };
+) as {
+  records: { key: string; value: unknown; stamp: Revision }[];
+  frames: Record<'ping' | 'progress' | 'user' | 'call', string>;
+};
+const records: Row[] = production.records.map(({ key, value, stamp }) => ({ key, value, revision: stamp }));
 
 const WISHES: JobWish[] = [
   { ref: 'j-000001', tasks: 310, runS: 60 },
@@ -39,7 +50,7 @@
     ...(next ? { next } : {}),
   });
   site.restore(
-    production.records.filter((r) => r.key !== 'leader'),
+    records.filter((r) => r.key !== 'leader'),
     WISHES,
     tokenOf(1 as Epoch, 0 as Round),
   );
@@ -82,7 +93,7 @@
   });
 
   it('name no leader that could serve what is new', () => {
-    const row = production.records.find((r) => r.key === 'leader');
+    const row = records.find((r) => r.key === 'leader');
     expect(leaderRecord(row?.value)).toMatchObject({ version: 0, member: 'node-0' });
   });
 });
--- a/test/unit/health.test.ts
+++ b/test/unit/health.test.ts
@@ -5,14 +5,15 @@
 import { seconds } from '../../src/model/time.js';
 import { NoAnswer } from '../../src/net/http-client.js';
 import { Health } from '../../src/workers/health.js';
-import { Host, HostBook } from '../../src/workers/host-book.js';
+import { Host } from '../../src/workers/host.js';
+import { HostRegistry } from '../../src/workers/host-registry.js';
 import { VirtualClock } from '../standins/clock.js';
 import { TYPES } from '../standins/site.js';
 
 /** Three machines, one of them silent; whether it is fenced when a probe fails after `failsMs`. */
 async function fenced(failsMs: number): Promise<boolean> {
   const clock = new VirtualClock();
-  const hosts = new HostBook();
+  const hosts = new HostRegistry();
   for (const name of ['a', 'b', 'c']) {
     const machine = { id: name as HostId, type: 'small' as TypeId, zone: 'north' as ZoneId, spot: false };
     const host = new Host(machine, TYPES[0] as (typeof TYPES)[0], clock.now());
@@ -47,7 +48,7 @@
   for (let tick = 0; tick < 24; tick++) {
     await clock.advance(500);
     for (const id of ['b', 'c']) {
-      const host = hosts.hosts.get(id as HostId) as Host;
+      const host = hosts.get(id as HostId) as Host;
       host.contactAt = clock.now();
       health.heard(host, clock.now());
     }
--- a/test/unit/lease.test.ts
+++ b/test/unit/lease.test.ts
@@ -4,13 +4,13 @@
   type Epoch,
   type HostId,
   type Round,
-  type Tenure,
+  type SessionNumber,
   tokenOf,
 } from '../../src/model/ids.js';
 import type { Report } from '../../src/model/report.js';
 import type { Steady } from '../../src/model/time.js';
-import { JobBook } from '../../src/scheduler/job-book.js';
-import { Host } from '../../src/workers/host-book.js';
+import { JobStore } from '../../src/scheduler/job-store.js';
+import { Host } from '../../src/workers/host.js';
 import { applyReport } from '../../src/workers/reports.js';
 import { TYPES } from '../standins/site.js';
 
@@ -25,13 +25,13 @@
   return new Host(machine, type, at(0));
 }
 
-const report = (tenure: number, counter: number): Report => ({
+const report = (session: number, counter: number): Report => ({
   host: 'host-000001' as HostId,
   address: '10.1.0.1:9000',
   type: 'small' as never,
   zone: 'north' as never,
   spot: false,
-  tenure: tenure as Tenure,
+  session: session as SessionNumber,
   counter: counter as Counter,
   token: tokenOf(EPOCH, 0 as Round),
   notice: null,
@@ -41,7 +41,7 @@
 describe('the end of a machine’s lease', () => {
   it('counts from its last answer', () => {
     const h = host();
-    applyReport(h, report(1, 1), EPOCH, new JobBook(), at(5));
+    applyReport(h, report(1, 1), EPOCH, new JobStore(), at(5));
     h.answered(report(1, 2), 'node-0' as never, at(60));
     expect(h.leaseEnd(at(15), LEASE)).toBe(at(88));
   });
@@ -49,18 +49,18 @@
   // Seen on a day with mute machines: their tasks of a second session were taken for gone (ran_twice).
   it('counts from when its session was first heard of: unanswered, it runs what direct orders bring', () => {
     const h = host();
-    applyReport(h, report(1, 1), EPOCH, new JobBook(), at(5));
+    applyReport(h, report(1, 1), EPOCH, new JobStore(), at(5));
     h.answered(report(1, 2), 'node-0' as never, at(60));
-    applyReport(h, report(2, 9), EPOCH, new JobBook(), at(94));
+    applyReport(h, report(2, 9), EPOCH, new JobStore(), at(94));
     expect(h.leaseEnd(at(15), LEASE)).toBe(at(122));
     // The same session heard again moves nothing.
-    applyReport(h, report(2, 10), EPOCH, new JobBook(), at(100));
+    applyReport(h, report(2, 10), EPOCH, new JobStore(), at(100));
     expect(h.leaseEnd(at(15), LEASE)).toBe(at(122));
   });
 
   it('counts so for a machine that comes up long after the takeover and is never answered', () => {
     const h = host();
-    applyReport(h, report(1, 1), EPOCH, new JobBook(), at(200));
+    applyReport(h, report(1, 1), EPOCH, new JobStore(), at(200));
     expect(h.leaseEnd(at(15), LEASE)).toBe(at(228));
   });
 });
--- a/test/unit/job-book.test.ts
+++ b/test/unit/open-job.test.ts
@@ -1,14 +1,15 @@
 import { describe, expect, it } from 'vitest';
-import type { HostId, JobId, Stamp, TaskIndex } from '../../src/model/ids.js';
+import type { HostId, JobId, Revision, TaskIndex } from '../../src/model/ids.js';
 import type { Steady, WallTime } from '../../src/model/time.js';
-import { JobBook, OpenJob } from '../../src/scheduler/job-book.js';
+import { JobStore } from '../../src/scheduler/job-store.js';
+import { OpenJob } from '../../src/scheduler/open-job.js';
 import { decodeJob, encodeJob } from '../../src/store/job-record.js';
 import { CHUNK_TASKS, keys, parseOpenKey } from '../../src/store/keys.js';
 import { submission } from '../standins/submission.js';
 
 const SMALL = 56;
 
-const job = (size: number): OpenJob => new OpenJob(submission({}), 1 as Stamp, 0 as WallTime, size);
+const job = (size: number): OpenJob => new OpenJob(submission({}), 1 as Revision, 0 as WallTime, size);
 
 const LARGE_RECORD = { p: [[0, 1, 'host-1'], [60, 1, 'host-1'], [61, 2, 'host-2']] }; // prettier-ignore
 const SMALL_RECORD = { d: [[0, 0]], u: [[1, 1]] };
@@ -19,8 +20,8 @@
     ['the small one first', false],
   ])('is told by the smaller where both tell: %s', (_name, first) => {
     const read = job(SMALL);
-    const large = (): void => read.restore(0, CHUNK_TASKS, LARGE_RECORD, 9 as Stamp);
-    const small = (): void => read.restore(0, SMALL, SMALL_RECORD, 7 as Stamp);
+    const large = (): void => read.restore(0, CHUNK_TASKS, LARGE_RECORD, 9 as Revision);
+    const small = (): void => read.restore(0, SMALL, SMALL_RECORD, 7 as Revision);
     if (first) [large, small].forEach((act) => act());
     else [small, large].forEach((act) => act());
     read.settle();
@@ -34,7 +35,7 @@
   });
 
   it('goes on in smaller ones: what was not durable is written anew, and outcomes wait for it', () => {
-    const book = new JobBook();
+    const book = new JobStore();
     const open = job(CHUNK_TASKS);
     book.add(open);
     const tasks = Array.from({ length: 120 }, () =>
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -16,7 +16,7 @@
   type Snapshot,
   type Victim,
 } from '../../src/scheduler/place.js';
-import type { TeamUse } from '../../src/scheduler/job-book.js';
+import type { TeamUse } from '../../src/scheduler/job-store.js';
 import { plainPlace, structuredCloneOf } from './plain-place.js';
 import { isStarving, Urgency } from '../../src/scheduler/urgency.js';
 import { TYPES } from '../standins/site.js';
@@ -324,7 +324,9 @@
   });
 
   it('calls late only what the fleet would not work off in time', () => {
-    const queue = (slackMs: number) => [{ spec: spec({}), tasks: 10, runMs: 30_000, slackMs, patience: 1 }];
+    const queue = (slackMs: number) => [
+      { spec: spec({}), tasks: 10, runMs: 30_000, slackMs, slackFactor: 1 },
+    ];
     // 600 CPU-seconds on 0.8 · 10 CPUs last 75 s
     expect(lateNeeds(queue(60_000), 10, 0)).toEqual([]);
     // in 20 s + 30 s they take 12 CPUs: 4 are missing, 2 tasks' worth
--- a/test/unit/share.test.ts
+++ b/test/unit/share.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { Confirmations } from '../../src/api/job-cache.js';
-import { Reach } from '../../src/cluster/reach.js';
-import { gather, type PartlyUsed } from '../../src/fleet/gather.js';
-import type { HostId, Stamp } from '../../src/model/ids.js';
+import { ConnectivityMonitor } from '../../src/cluster/connectivity.js';
+import { machinesToEmpty, type PartlyUsed } from '../../src/fleet/consolidation.js';
+import type { HostId, Revision } from '../../src/model/ids.js';
 import { shareSockets } from '../../src/net/sockets.js';
 import { VirtualClock } from '../standins/clock.js';
 import { StandInState } from '../standins/state.js';
@@ -12,10 +12,10 @@
     const clock = new VirtualClock();
     const state = new StandInState(clock);
     const store = state.for('node-0', clock);
-    const stamps: Stamp[] = [];
+    const revisions: Revision[] = [];
     for (let i = 0; i < 60; i++) {
       void store.commit([], [{ set: `job/j-${i}`, value: i }]).then((r) => {
-        if (r.ok) stamps[i] = r.stamp;
+        if (r.ok) revisions[i] = r.revision;
       });
     }
     await clock.advance(100);
@@ -25,7 +25,7 @@
     const confirmations = new Confirmations(clock, store, 64, 25);
     const same: boolean[] = [];
     for (let i = 0; i < 60; i++) {
-      void confirmations.same(`job/j-${i}`, stamps[i] as Stamp).then((s) => {
+      void confirmations.same(`job/j-${i}`, revisions[i] as Revision).then((s) => {
         same[i] = s;
       });
     }
@@ -41,7 +41,7 @@
     const confirmations = new Confirmations(clock, state.for('node-0', clock), 64, 25);
     state.outage = true;
     let failed = 0;
-    for (let i = 0; i < 3; i++) void confirmations.same(`job/j-${i}`, 1 as Stamp).catch(() => failed++);
+    for (let i = 0; i < 3; i++) void confirmations.same(`job/j-${i}`, 1 as Revision).catch(() => failed++);
     await clock.advance(500);
     expect(failed).toBe(3);
   });
@@ -64,7 +64,7 @@
 describe('a node’s place behind the load balancer', () => {
   it('is given up only when it alone reaches nobody', async () => {
     const clock = new VirtualClock();
-    const reach = new Reach(clock);
+    const reach = new ConnectivityMonitor(clock);
     reach.stateAnswered(true);
     await clock.advance(10_000);
     reach.stateAnswered(false);
@@ -97,7 +97,7 @@
   });
 
   it('takes the one that wastes most, while what stays has room for its work', () => {
-    const chosen = gather(
+    const chosen = machinesToEmpty(
       [machine('a', 60, [task()]), machine('b', 60, [task()], 1), machine('c', 40, [])],
       200,
       0.02,
@@ -107,10 +107,12 @@
 
   it('leaves alone what the forecast wants, what a target needs and what costs more to do again', () => {
     const other = machine('c', 60, []);
-    expect(gather([machine('a', 60, [task()]), other], 50, 0.02)).toEqual([]);
-    expect(gather([machine('a', 60, [task({ mayMove: false })]), other], 200, 0.02)).toEqual([]);
-    expect(gather([machine('a', 60, [task({ lostMs: 90_000, leftMs: 500 })]), other], 200, 0.02)).toEqual([]);
+    expect(machinesToEmpty([machine('a', 60, [task()]), other], 50, 0.02)).toEqual([]);
+    expect(machinesToEmpty([machine('a', 60, [task({ mayMove: false })]), other], 200, 0.02)).toEqual([]);
+    expect(
+      machinesToEmpty([machine('a', 60, [task({ lostMs: 90_000, leftMs: 500 })]), other], 200, 0.02),
+    ).toEqual([]);
     // no room elsewhere
-    expect(gather([machine('a', 60, [task()])], 200, 0.02)).toEqual([]);
+    expect(machinesToEmpty([machine('a', 60, [task()])], 200, 0.02)).toEqual([]);
   });
 });
--- a/test/unit/sockets.test.ts
+++ b/test/unit/sockets.test.ts
@@ -1,6 +1,6 @@
 import { createServer, connect, type AddressInfo } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
-import { type FrontHandler, frontListener, MAX_BODY } from '../../src/api/front.js';
+import { type RequestHandler, requestListener, MAX_BODY } from '../../src/api/http-router.js';
 import { silentLog } from '../../src/log/logger.js';
 import { realClock } from '../../src/model/time.js';
 import { HttpTarget } from '../../src/net/http-client.js';
@@ -21,15 +21,15 @@
   });
 }
 
-async function front(handler: Partial<FrontHandler>, idleMs = 2000): Promise<string> {
-  const whole: FrontHandler = {
+async function front(handler: Partial<RequestHandler>, idleMs = 2000): Promise<string> {
+  const whole: RequestHandler = {
     up: () => true,
     beat: () => Promise.resolve({ status: 503, body: null }),
     user: (verb, body) => Promise.resolve({ status: 200, body: { verb, text: body.toString() } }),
     ...handler,
   };
   const limits = { sockets: 10, headersMs: 2000, requestMs: 2000, idleMs };
-  const server = new FrontServer(frontListener(whole), limits, silentLog);
+  const server = new FrontServer(requestListener(whole), limits, silentLog);
   const address = await freeAddress();
   await server.listen(address);
   closing.push(() => server.close());
@@ -128,7 +128,7 @@
       link.start();
     });
     expect(heard.from.member).toBe('b');
-    const answer = await heard.link.ask(Kind.Beat, Buffer.from('{}'), 5000);
+    const answer = await heard.link.ask(Kind.Heartbeat, Buffer.from('{}'), 5000);
     expect(answer).toMatchObject({ status: 200 });
     expect(answer?.body.toString()).toBe('{}');
   });
--- a/test/unit/wire.test.ts
+++ b/test/unit/wire.test.ts
@@ -78,13 +78,13 @@
 describe('frames', () => {
   it('come out whole from any cuts of the stream', () => {
     const bytes = Buffer.concat([
-      encodeFrame(Kind.Beat, 7, Buffer.from('{"a":1}')),
+      encodeFrame(Kind.Heartbeat, 7, Buffer.from('{"a":1}')),
       encodeFrame(Kind.Ping, 0, Buffer.alloc(3)),
     ]);
     const reader = new FrameReader();
     const frames = [...bytes].flatMap((b) => reader.push(Buffer.from([b])));
     expect(frames.map((f) => [f.kind, f.request, f.payload.length])).toEqual([
-      [Kind.Beat, 7, 7],
+      [Kind.Heartbeat, 7, 7],
       [Kind.Ping, 0, 3],
     ]);
   });
