--- a/src/cluster/decision-loop.ts
+++ b/src/cluster/decision-loop.ts
@@ -15,7 +15,6 @@
   type MachineView,
   place,
   type Plan,
-  preempts,
   type Stop,
   type Victim,
 } from '../scheduler/place.js';
@@ -149,9 +148,7 @@
       const job = this.ctx.jobs.get(start.job);
       const host = this.ctx.hosts.get(start.host);
       if (!job || !host) continue;
-      const task = job.decide(host.id, host.machine.zone, now);
-      task.sheltered = start.starving;
-      host.put(task);
+      host.put(job.decide(host.id, host.machine.zone, now));
       host.idleSince = null;
       // The stop and the start leave together, once the start is committed.
       makingRoom.delete(host);
@@ -195,7 +192,7 @@
     guaranteed: ReadonlySet<JobId>,
     now: Steady,
   ): (id: HostId) => Victim[] {
-    const preempting = waiting.some(preempts);
+    const production = waiting.some((job) => job.spec.priority === Priority.Production);
     let stoppable: Set<HostId> | null = null;
     return (id) => {
       stoppable ??= hostsOf(
@@ -203,7 +200,7 @@
           ({ heldCount, spec }) =>
             heldCount > 0 &&
             spec.priority !== Priority.Production &&
-            (preempting || !guaranteed.has(spec.id)),
+            (production || !guaranteed.has(spec.id)),
         ),
       );
       const host = stoppable.has(id) ? this.ctx.hosts.get(id) : undefined;
@@ -230,7 +227,7 @@
   private viewOf(job: OpenJob, now: Steady): JobView {
     const age = Math.max(0, this.ctx.clock.wall() - job.readyAt);
     const slackMs = this.parts.urgency.slack(job.ranked, age, this.parts.lifetimes.expectedRun(job.spec));
-    return jobView(job, now, slackMs, isStarving(job, age, now));
+    return jobView(job, now, age, slackMs, isStarving(job, age, now));
   }
 }
 
--- a/src/cluster/placement-views.ts
+++ b/src/cluster/placement-views.ts
@@ -7,7 +7,13 @@
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
 
 /** A job as placement sees it. */
-export function jobView(job: OpenJob, now: Steady, slackMs: number | null, starving: boolean): JobView {
+export function jobView(
+  job: OpenJob,
+  now: Steady,
+  waitedMs: number,
+  slackMs: number | null,
+  starving: boolean,
+): JobView {
   const zones: JobView['zones'] = new Map();
   // A task on a machine that only its record knows may be in any zone: the job waits.
   let unknownZone = false;
@@ -20,6 +26,7 @@
   return {
     spec: job.ranked,
     readyAt: job.readyAt,
+    waitedMs,
     waiting: job.waiting,
     zones,
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
@@ -37,9 +44,8 @@
     const { cpus, gpus, memoryGb, priority, team, checkpointS } = task.job.ranked;
     const ran = task.runningAt === null ? 0 : now - task.runningAt;
     const lostMs = checkpointS > 0 ? Math.min(ran, checkpointS * 1000) : ran;
-    const { sheltered } = task;
     const job = task.job.spec.id;
-    list.push({ task: task.id, job, team, priority, cpus, gpus, memoryGb, lostMs, sheltered });
+    list.push({ task: task.id, job, team, priority, cpus, gpus, memoryGb, lostMs });
   }
   return list.sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
 }
--- a/src/scheduler/open-job.ts
+++ b/src/scheduler/open-job.ts
@@ -151,7 +151,6 @@
     task.sentToken = null;
     task.inherited = false;
     task.kill = null;
-    task.sheltered = false;
   }
 
   /** The start is durable: run orders may leave. */
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -25,14 +25,14 @@
   readonly priority: Priority;
   /** Work that stopping it would lose. */
   readonly lostMs: number;
-  /** Its job began after waiting for too long: urgent work must not take its place again. */
-  readonly sheltered: boolean;
 }
 
 export interface JobView {
   readonly spec: JobSpec;
   /** From when it could have started. */
   readonly readyAt: WallTime;
+  /** How long ago that is. */
+  readonly waitedMs: number;
   waiting: number;
   /** Tasks that may be on a machine, by zone. */
   readonly zones: Map<ZoneId, number>;
@@ -47,8 +47,6 @@
 export interface Start {
   readonly job: JobId;
   readonly host: HostId;
-  /** It goes ahead because its job has waited for too long. */
-  readonly starving: boolean;
 }
 
 export interface Stop {
@@ -237,25 +235,22 @@
 }
 
 /**
- * Whether a job may stop work of lower priorities for itself: production work, and urgent work with a
- * deadline that it can still meet, its own or that of a job that needs it.
+ * A job within its team's guarantee first waits this long for room that comes free by itself: on a full fleet
+ * that is thousands of tasks a minute, and each one that is stopped loses its work.
  */
-export function preempts({ spec, slackMs }: Pick<JobView, 'spec' | 'slackMs'>): boolean {
-  if (spec.priority === Priority.Production) return true;
-  return spec.priority === Priority.High && spec.deadlineS !== null && slackMs !== null;
-}
+const GUARANTEE_AFTER_MS = 1000;
 
 /**
- * Who may be stopped for a job (PROTOCOL, "Preemption"): lower priorities for production and urgent work;
+ * Who may be stopped for a job (PROTOCOL, "Preemption"): lower priorities for production work;
  * for a team's guarantee, what other teams run beyond theirs.
  */
 function mayStop(job: JobView, guaranteed: ReadonlySet<JobId>): ((v: Victim) => boolean) | null {
   const { spec } = job;
-  const ahead = preempts(job);
-  const within = guaranteed.has(spec.id);
-  if (!ahead && !within) return null;
+  const production = spec.priority === Priority.Production;
+  const within = guaranteed.has(spec.id) && job.waitedMs >= GUARANTEE_AFTER_MS;
+  if (!production && !within) return null;
   return (v) =>
-    (ahead && v.priority < spec.priority && !(v.sheltered && spec.priority < Priority.Production)) ||
+    (production && v.priority < spec.priority) ||
     (within && v.team !== spec.team && v.priority < Priority.Production && !guaranteed.has(v.job));
 }
 
@@ -320,7 +315,7 @@
 
   private start(job: JobView, mine: TeamUse, m: MachineView): void {
     const { spec } = job;
-    this.plan.starts.push({ job: spec.id, host: m.id, starving: job.starving });
+    this.plan.starts.push({ job: spec.id, host: m.id });
     take(m.free, spec);
     mine.cpus += spec.cpus;
     mine.gpus += spec.gpus;
--- a/src/scheduler/task.ts
+++ b/src/scheduler/task.ts
@@ -42,8 +42,6 @@
   /** Placed by an earlier epoch: gone once a report under ours lacks it. */
   inherited = false;
   kill: Kill | null = null;
-  /** Given its machine because its job had waited for too long. */
-  sheltered = false;
 
   constructor(
     readonly job: OpenJob,
