--- a/src/cluster/dependency-tracker.ts
+++ b/src/cluster/dependency-tracker.ts
@@ -1,9 +1,8 @@
 /** Holds jobs back until every job that they need is durably done. */
 import type { Mutex } from 'async-mutex';
-import type { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
 import type { JobId } from '../model/ids.js';
-import { type Steady, since, sleep } from '../model/time.js';
+import { sleep } from '../model/time.js';
 import type { DependencyGraph } from '../scheduler/dependencies.js';
 import type { OpenJob } from '../scheduler/open-job.js';
 import { decodeJob } from '../store/job-record.js';
@@ -17,6 +16,11 @@
 /** The same for a dependency's record. */
 const LOOK_AGAIN_MS = 100;
 
+/** Is told of each job that has just become able to start. */
+export interface Demand {
+  demanded(job: OpenJob): void;
+}
+
 /**
  * What a leader knows of dependencies. A job is blocked while one of them is not known to be done; `done` is
  * final, so once seen it needs no condition. All of it follows from the records alone.
@@ -31,7 +35,7 @@
     private readonly ctx: LeaderContext,
     private readonly graph: DependencyGraph,
     private readonly canceller: JobCanceller,
-    private readonly lifetimes: Lifetimes,
+    private readonly demand: Demand,
     private readonly lock: Mutex,
   ) {}
 
@@ -62,19 +66,6 @@
     this.release(this.graph.done(id));
   }
 
-  /** Work that waits for other jobs and will probably be released within this time. */
-  foreseen(within: number): OpenJob[] {
-    const now = this.ctx.clock.now();
-    const list: OpenJob[] = [];
-    for (const job of this.ctx.jobs.values()) {
-      if (!job.blocked || job.unread || job.cancelled) continue;
-      let ready = 0;
-      for (const id of job.waitsFor) ready = Math.max(ready, this.endsIn(this.ctx.jobs.get(id), now));
-      if (ready <= within) list.push(job);
-    }
-    return list;
-  }
-
   private need(job: OpenJob, id: JobId): void {
     const { jobs } = this.ctx;
     if (jobs.endOf(id) === 'done') return;
@@ -156,14 +147,11 @@
   /** All that they need is done, durably: they may start, and their times count from now. */
   private release(jobs: readonly OpenJob[]): void {
     if (jobs.length === 0) return;
-    for (const job of jobs) job.ready(this.ctx.clock.wall());
+    for (const job of jobs) {
+      job.ready(this.ctx.clock.wall());
+      this.demand.demanded(job);
+    }
     this.ctx.jobs.version++;
     this.ctx.requestDecision();
   }
-
-  /** Until a job will be done; what waits for others or for room itself is not foreseen. */
-  private endsIn(job: OpenJob | undefined, now: Steady): number {
-    if (!job || job.blocked || job.waiting > 0 || job.lastRunAt === null) return Infinity;
-    return Math.max(0, this.lifetimes.expectedRun(job.spec) - since(now, job.lastRunAt));
-  }
 }
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -102,7 +102,6 @@
       () => {
         this.fleetDirty = true;
       },
-      (within) => this.dependencies.foreseen(within),
     );
     this.record = new FleetRecord(ctx, this.fleet, stateBudget);
     this.committer = new Committer(
@@ -131,7 +130,7 @@
       lock,
     });
     this.canceller = new JobCanceller(ctx, { graph, lifetimes, dispatcher, committer, fleet });
-    this.dependencies = new DependencyTracker(ctx, graph, this.canceller, lifetimes, lock);
+    this.dependencies = new DependencyTracker(ctx, graph, this.canceller, fleet, lock);
     this.drainer = new HostDrainer(ctx, dispatcher);
     this.reports = new ReportHandler(ctx, {
       fleet,
@@ -284,7 +283,7 @@
     if (!this.jobs.add(job)) return;
     this.dependencies.add(job);
     if (this.ctx.cancellations.has(job.spec.id)) this.canceller.cancel(job.spec.id);
-    // What waits for others is no new demand of this slot; the fleet foresees it.
+    // What waits for others is demand from its release on.
     else if (job.tasks.size === 0 && !job.blocked && !job.cancelled) this.fleet.demanded(job);
   }
 
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -67,8 +67,6 @@
   private readonly ensembles = new Map<string, Ensemble>();
   /** New need of the running slot, in machines, by series. */
   private readonly slotNeed = new Map<string, number>();
-  /** Need of the coming slot that is known of jobs that wait for others. */
-  private readonly known = new Map<string, number>();
   private readonly arrivals = { spot: new Arrivals(), ordinary: new Arrivals() };
   private readonly refusedUntil = new Map<string, Steady>();
   private readonly refusedInSlot = new Set<string>();
@@ -99,8 +97,6 @@
     private readonly urgency: Urgency,
     private readonly onGone: (host: Host) => void,
     private readonly saveFleet: () => void,
-    /** Work that waits for other jobs and will probably be released within so many ms. */
-    private readonly foreseen: (within: number) => OpenJob[],
   ) {
     this.slotEnds = plus(ctx.startedAt, ctx.ops.forecast.slot_s * 1000);
   }
@@ -154,20 +150,6 @@
     return { key: seriesKey(pool.type.id, pool.spot), machines, pool };
   }
 
-  /**
-   * What a known graph of jobs will release in the coming slot is no matter of forecasting: it is added to
-   * what the predictors say of the rest, and their series leave it out.
-   */
-  private foresee(): void {
-    this.known.clear();
-    const within = this.ctx.ops.forecast.slot_s * 1000 + this.slowestBoot();
-    for (const job of this.foreseen(within)) {
-      const need = this.needOf(job);
-      if (need) this.known.set(need.key, (this.known.get(need.key) ?? 0) + need.machines);
-    }
-    for (const key of this.known.keys()) this.ensemble(key);
-  }
-
   /** The queue's unmet demand, as the last decision round left it. */
   unmet(queue: readonly QueuedWork[]): void {
     this.queue = queue;
@@ -491,13 +473,10 @@
     const ensemble = this.ensemble(key);
     // Before the first slot has ended, its stock of old work tells what a slot may bring.
     const early = (this.slotNeed.get(key) ?? 0) * FIRST_SLOT;
-    const known = this.known.get(key) ?? 0;
-    if (ensemble.series.length === 0) return early + known;
+    if (ensemble.series.length === 0) return early;
     const arrivals = this.arrivals[readSeriesKey(key).spot ? 'spot' : 'ordinary'];
-    return (
-      known +
-      ensemble.forecast() * arrivals.borneOut(this.ctx.clock.now(), seconds(this.ctx.ops.forecast.slot_s))
-    );
+    const slot = seconds(this.ctx.ops.forecast.slot_s);
+    return ensemble.forecast() * arrivals.borneOut(this.ctx.clock.now(), slot);
   }
 
   /**
@@ -565,7 +544,6 @@
     const projection = this.projection(now);
     const { frees, reserves } = projection;
     for (const key of this.slotNeed.keys()) this.ensemble(key);
-    this.foresee();
     const told: Record<string, unknown> = {};
     for (const [key, ensemble] of this.ensembles) {
       // The first slot of a site holds a stock of old work: a slot's arrivals are a part of it.
