--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -3,6 +3,7 @@
 import { type Steady, since } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
 import { keys } from '../store/keys.js';
+import type { WriteCounts } from '../store/write-counts.js';
 import type { Row, Write } from '../wire/state.js';
 import type { Host } from '../workers/host.js';
 import type { LeaderContext } from './context.js';
@@ -56,6 +57,7 @@
     private readonly ctx: LeaderContext,
     private readonly fleet: FleetManager,
     private readonly budget: Budget,
+    private readonly counts: WriteCounts,
   ) {}
 
   /** An earlier leader's records: what we do not fill again must not bring machines back that are gone. */
@@ -79,6 +81,7 @@
     try {
       for (const part of this.parts(this.changes())) {
         this.budget.force(part.length);
+        this.counts.fleet += part.length;
         const result = await this.ctx.store.commit(
           [
             { key: keys.epoch, revision: this.ctx.epochRevision },
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -16,6 +16,7 @@
 import { SlackFactors } from '../scheduler/slack-factors.js';
 import { Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
+import { WriteCounts } from '../store/write-counts.js';
 import { Dispatcher } from '../workers/dispatcher.js';
 import { Health } from '../workers/health.js';
 import { type Host } from '../workers/host.js';
@@ -50,6 +51,7 @@
   private readonly jobs = new JobStore();
   private readonly hosts = new HostRegistry();
   private readonly lock = new Mutex();
+  private readonly writes = new WriteCounts();
   private readonly fleet: FleetManager;
   private readonly committer: Committer;
   private readonly dispatcher: Dispatcher;
@@ -103,10 +105,11 @@
         this.fleetDirty = true;
       },
     );
-    this.record = new FleetRecord(ctx, this.fleet, stateBudget);
+    this.record = new FleetRecord(ctx, this.fleet, stateBudget, this.writes);
     this.committer = new Committer(
       ctx,
       stateBudget,
+      this.writes,
       (tasks) => this.decisions.placed(tasks),
       (job) => this.closed(job),
     );
@@ -378,6 +381,6 @@
 
   /** For the log. */
   summary(): object {
-    return summaryOf(this.jobs, this.hosts);
+    return { ...summaryOf(this.jobs, this.hosts), writes: this.writes.take() };
   }
 }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -61,6 +61,8 @@
   private readonly machineTypes: MachineTypeCatalogue;
   private progress = new Map<JobId, Progress>();
   private progressAt: Steady | null = null;
+  /** Users' requests since the last summary for which this node had no part of the changes left, or no answer. */
+  private refusals = { busy: 0, state: 0 };
   private readonly connectivity: ConnectivityMonitor;
 
   constructor(
@@ -310,6 +312,8 @@
       return await this.answerUser(verb, body);
     } catch (error) {
       const busy = error instanceof Busy;
+      if (busy) this.refusals.busy++;
+      else this.refusals.state++;
       if (!(busy || error instanceof StateRefused || error instanceof StateUnknown)) throw error;
       // Asked too often is meant for all nodes: another one would only ask once more.
       if (error instanceof StateRefused && error.tooMany) return unavailable('asked too often', 2);
@@ -383,11 +387,13 @@
           stateOk: this.connectivity.stateOk,
           peers: this.links.filter((l) => l.alive).length,
           lateMs: this.admission.lateMs,
+          refusals: this.refusals,
           rssMb: memory,
           cpuMs: Math.round((cpu.user + cpu.system) / 1000),
         },
         'summary',
       );
+      this.refusals = { busy: 0, state: 0 };
       this.summarise();
     });
   }
--- a/src/cluster/summary.ts
+++ b/src/cluster/summary.ts
@@ -6,13 +6,15 @@
 /** Jobs, tasks and machines in numbers. */
 export function summaryOf(jobs: JobStore, hosts: HostRegistry): object {
   let waiting = 0;
+  let blocked = 0;
   let held = 0;
   let up = 0;
   let cpus = 0;
   let usedCpus = 0;
   let runningCpus = 0;
   for (const job of jobs.values()) {
-    waiting += job.waiting;
+    if (job.blocked) blocked += job.waiting;
+    else waiting += job.waiting;
     held += job.heldCount;
     runningCpus += job.running * job.spec.cpus;
   }
@@ -36,6 +38,7 @@
   return {
     jobs: jobs.size,
     waiting,
+    blocked,
     held,
     hosts: hosts.size,
     up,
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -4,6 +4,7 @@
 import { decodeJob, encodeEnded, furtherKeys } from './job-record.js';
 import { keys } from './keys.js';
 import { encodeChunk } from './progress-record.js';
+import type { WriteCounts } from './write-counts.js';
 import { type Committed, StateRefused, StateTooLarge } from './client.js';
 import type { Budget } from '../net/budget.js';
 import type { Chunk } from '../scheduler/chunk.js';
@@ -48,6 +49,7 @@
   constructor(
     private readonly ctx: LeaderContext,
     private readonly budget: Budget,
+    private readonly counts: WriteCounts,
     private readonly onPlaced: (tasks: Task[]) => void,
     private readonly onEnded: (job: OpenJob) => void,
   ) {}
@@ -129,6 +131,7 @@
 
   private addClosing(batch: Batch, job: OpenJob, max: number): void {
     const { id } = job.spec;
+    const before = batch.writes.length;
     const stored = [...job.chunks.values()].filter((c) => c.revision > 0).map((c) => c.key);
     const drops = [...stored, ...job.superseded, ...furtherKeys(job.spec)];
     const need = 2 + drops.length;
@@ -149,6 +152,7 @@
     const room = this.ctx.limits.txnOps - batch.writes.length;
     for (const key of drops.slice(0, room)) batch.writes.push({ drop: key });
     batch.closing.push({ job, leftOver: drops.slice(room) });
+    this.counts.closings += batch.writes.length - before;
   }
 
   /** Records of jobs that are over, for whenever nothing else is to be written. */
@@ -159,6 +163,7 @@
 
   private addLeftOver(batch: Batch, max: number): void {
     for (const key of this.leftOver.splice(0, max)) batch.writes.push({ drop: key });
+    this.counts.leftOvers += batch.writes.length;
   }
 
   private addChunk(batch: Batch, chunk: Chunk): void {
@@ -170,6 +175,8 @@
     }
     batch.writes.push({ set: chunk.key, value: encodeChunk(progress) });
     batch.chunks.push({ chunk, version: chunk.version, decided });
+    if (decided.length > 0) this.counts.starts++;
+    else this.counts.progress++;
     batch.bytes += WRITE_BYTES + progress.placed.size * PLACEMENT_BYTES + chunk.tasks.size * TASK_BYTES;
   }
 
