--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -97,13 +97,8 @@
     this.fleet = new FleetManager(
       ctx,
       new Budget(clock, settings.cloudRps * CLOUD_SHARE, settings.cloudRps),
-      lifetimes,
-      slackFactors,
-      urgency,
-      (host) => this.hostGone(host),
-      () => {
-        this.fleetDirty = true;
-      },
+      { lifetimes, slackFactors, urgency },
+      this,
     );
     this.record = new FleetRecord(ctx, this.fleet, stateBudget, this.writes);
     this.committer = new Committer(
@@ -344,7 +339,13 @@
     if (!job.cancelled) this.dependencies.done(job.spec.id);
   }
 
-  private hostGone(host: Host): void {
+  /** The list of machines is worth writing (`FleetListener`). */
+  fleetChanged(): void {
+    this.fleetDirty = true;
+  }
+
+  /** The host and everything on it are proven gone (`FleetListener`). */
+  hostGone(host: Host): void {
     const lost = loseAll(host, this.ctx.clock.now());
     if (lost.length > 0)
       this.ctx.log.info(
