--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -31,7 +31,7 @@
 /** Changes of this long share one writing: what a record lacks, reports and the list tell. */
 const EVERY_MS = 2000;
 /** Under load starts go first, but not for longer than this. */
-const AT_LEAST_EVERY_MS = 5000;
+const AT_LEAST_EVERY_MS = 15_000;
 /** The share of the budget's burst that is left to starts. */
 const LEFT_FOR_STARTS = 0.4;
 
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -21,6 +21,8 @@
 const KEPT_FOR_STARTS = 0.5;
 const MAX_BYTES = 48 * 1024;
 const LEFT_OVER_MS = 2000;
+/** A takeover reads what is left over as well: beyond this many they go at once. */
+const MOST_LEFT_OVER = 1000;
 /** About what one write, one placement and one other task take in a transaction. */
 const WRITE_BYTES = 200;
 const PLACEMENT_BYTES = 26;
@@ -134,7 +136,7 @@
     const before = batch.writes.length;
     const stored = [...job.chunks.values()].filter((c) => c.revision > 0).map((c) => c.key);
     const drops = [...stored, ...job.superseded, ...furtherKeys(job.spec)];
-    const need = 2 + drops.length;
+    const need = 2 + (this.mayPostpone() ? 0 : drops.length);
     if (batch.writes.length > 0 && batch.writes.length + need > max) return;
     if (tells(job)) {
       batch.conditions.push({ key: keys.job(id), revision: job.revision });
@@ -149,12 +151,18 @@
     }
     batch.writes.push({ drop: keys.openHead(id) });
     // What does not fit stays behind without a head, which no takeover reads as a job, and goes later.
-    const room = this.ctx.limits.txnOps - batch.writes.length;
+    const room = this.mayPostpone() ? 0 : this.ctx.limits.txnOps - batch.writes.length;
     for (const key of drops.slice(0, room)) batch.writes.push({ drop: key });
     batch.closing.push({ job, leftOver: drops.slice(room) });
     this.counts.closings += batch.writes.length - before;
   }
 
+  /** Whether records of jobs that are over had better go once less is to be written. */
+  private mayPostpone(): boolean {
+    if (this.leftOver.length >= MOST_LEFT_OVER) return false;
+    return this.budget.available() < this.budget.burst * KEPT_FOR_STARTS;
+  }
+
   /** Records of jobs that are over, for whenever nothing else is to be written. */
   leave(records: readonly string[]): void {
     this.leftOver.push(...records);
