--- a/src/api/admission.ts
+++ b/src/api/admission.ts
@@ -4,6 +4,7 @@
 /** A loop that runs this late is overloaded: reports and decisions go before submissions. */
 const LATE_MS = 1500;
 
+/** What a request asks for: submissions give way to questions when the node is busy. */
 export type Rank = 'submission' | 'query';
 
 /** Bounds what is being worked on. What does not fit is answered at once, never queued. */
--- a/src/api/http-router.ts
+++ b/src/api/http-router.ts
@@ -8,8 +8,10 @@
 /** Largest request body (PROTOCOL). */
 export const MAX_BODY = 64 * 1024;
 
+/** A request body over `MAX_BODY`. */
 export class TooLong extends Error {}
 
+/** What the router hands requests to. */
 export interface RequestHandler {
   up(): boolean;
   beat(body: Buffer): Promise<{ status: number; body: Buffer | null }>;
--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -6,6 +6,7 @@
 import { keys } from '../store/keys.js';
 import type { Change, Condition } from '../wire/state.js';
 
+/** What was last seen of an accepted job. */
 export interface Known {
   readonly revision: Revision;
   readonly tasks: number;
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -9,7 +9,7 @@
 import { ms, since, sleep, type WallTime } from '../model/time.js';
 import type { Change, Condition, Write } from '../wire/state.js';
 import { Budget } from '../net/budget.js';
-import { teamRoom } from '../scheduler/place.js';
+import { teamRoom } from '../scheduler/queue.js';
 import { StateRefused, StateUnknown } from '../store/client.js';
 import { decodeJob, encodeEnded, encodeJob, splitJob, type StoredInParts } from '../store/job-record.js';
 import { keys } from '../store/keys.js';
@@ -17,6 +17,7 @@
 import { Confirmations, JobCache } from './job-cache.js';
 import { accepted, jobStatus, parseSubmission, type Progress } from '../wire/users.js';
 
+/** The answer to a user's request. */
 export interface UserAnswer {
   readonly status: number;
   readonly body: object;
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -43,6 +43,7 @@
   process.stdout.write(`${settings.member}: settings are valid\n`);
 }
 
+/** The command line: `serve` and `check-config`. */
 export function program(): Command {
   const root = new Command('plumyoke').description('Schedules jobs on rented machines, through any failure.');
   const withOptions = (command: Command): Command =>
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -6,8 +6,10 @@
 /** The cloud did not carry the request out (429, 503 trouble). */
 export class CloudRefused extends Error {}
 
+/** What a rental came to. */
 export type Rented = { hosts: HostId[] } | 'no capacity';
 
+/** What the controllers need of the cloud. */
 export interface Cloud {
   types(): Promise<MachineType[]>;
   /** Repeating the same rental is safe; a rental that threw may still be carried out. */
@@ -17,6 +19,7 @@
   list(after: string): Promise<{ machines: ListedMachine[]; more: boolean }>;
 }
 
+/** The cloud's HTTP interface, with a deadline on every call. */
 export class CloudClient implements Cloud {
   constructor(
     private readonly http: HttpCaller,
--- a/src/cluster/answering.ts
+++ b/src/cluster/answering.ts
@@ -11,6 +11,7 @@
 const ASK_EVERY_MS = 1000;
 const ASK_MS = 800;
 
+/** The leader's grant, as far as this node knows. */
 export interface Grant {
   sure(): boolean;
   /** How long ago the grant stopped being sure. */
--- a/src/cluster/decision-loop.ts
+++ b/src/cluster/decision-loop.ts
@@ -9,15 +9,9 @@
 import { type Steady, since } from '../model/time.js';
 import type { OpenJob } from '../scheduler/open-job.js';
 import type { Task } from '../scheduler/task.js';
-import {
-  guaranteedJobs,
-  type JobView,
-  type MachineView,
-  place,
-  type Plan,
-  type Stop,
-  type Victim,
-} from '../scheduler/place.js';
+import { place } from '../scheduler/place.js';
+import { guaranteedJobs } from '../scheduler/queue.js';
+import type { JobView, MachineView, Plan, Stop, Victim } from '../scheduler/snapshot.js';
 import type { SlackFactors } from '../scheduler/slack-factors.js';
 import { isStarving, type Urgency } from '../scheduler/urgency.js';
 import type { Committer } from '../store/committer.js';
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -8,6 +8,7 @@
 import { encodeLeader, epochOf, type LeaderRecord, leaderRecord } from '../store/leader-record.js';
 import type { NodeContext } from './context.js';
 
+/** A leadership that this node has taken. */
 export interface Won {
   readonly epoch: Epoch;
   readonly epochRevision: Revision;
--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -8,6 +8,7 @@
 import type { Host } from '../workers/host.js';
 import type { LeaderContext } from './context.js';
 
+/** One machine in a fleet record, by position. */
 export type StoredMachine = [
   id: string,
   type: string,
--- a/src/cluster/placement-views.ts
+++ b/src/cluster/placement-views.ts
@@ -1,7 +1,7 @@
 import type { HostId } from '../model/ids.js';
 import type { Steady } from '../model/time.js';
 import type { OpenJob } from '../scheduler/open-job.js';
-import type { JobView, MachineView, Victim } from '../scheduler/place.js';
+import type { JobView, MachineView, Victim } from '../scheduler/snapshot.js';
 import type { Host } from '../workers/host.js';
 
 const NO_HOSTS: ReadonlySet<HostId> = new Set();
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -122,6 +122,7 @@
   return changed;
 }
 
+/** A machine of an earlier leader's record. */
 export interface RestoredMachine {
   readonly machine: Machine;
   readonly address: string;
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -39,12 +39,15 @@
   log: section({ summary_s: z._default(positive, 10) }),
 });
 
+/** The operators' settings, defaults filled in. */
 export type Operators = z.infer<typeof operators>;
 
+/** Settings that cannot be used; the message is one line naming the field. */
 export class BadSettings extends Error {}
 
 export const defaultOperators = (): Operators => readOperators({});
 
+/** Checks the fields and fills in defaults. Throws `BadSettings`. */
 export function readOperators(raw: unknown): Operators {
   const withSections = { cluster: {}, forecast: {}, fleet: {}, workers: {}, log: {}, ...(raw as object) };
   const read = operators.safeParse(withSections);
--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -2,6 +2,7 @@
 import { type Steady, since } from '../model/time.js';
 import type { Need } from './plan.js';
 
+/** Waiting tasks of one job that found no room. */
 export interface QueuedWork {
   readonly spec: JobSpec;
   readonly tasks: number;
--- a/src/fleet/capacity-projection.ts
+++ b/src/fleet/capacity-projection.ts
@@ -22,6 +22,7 @@
   readonly spotIdle: number;
 }
 
+/** What the projection is made from. */
 export interface Fleet {
   readonly hosts: Iterable<Host>;
   readonly pending: Iterable<{ readonly pool: Pool; readonly count: number }>;
@@ -33,6 +34,7 @@
   map.set(key, (map.get(key) ?? 0) + n);
 };
 
+/** Expected frees within one slot, and idle room, over all machines that are up or coming. */
 export function projectCapacity(
   fleet: Fleet,
   lifetimes: Lifetimes,
--- a/src/fleet/consolidation.ts
+++ b/src/fleet/consolidation.ts
@@ -12,6 +12,7 @@
   readonly mayMove: boolean;
 }
 
+/** A machine that might be emptied. */
 export interface PartlyUsed {
   readonly id: HostId;
   readonly cpus: number;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,7 +1,7 @@
 import type { TypeId, ZoneId } from '../model/ids.js';
 import { fits, type JobSpec, type Resources, type Room, take } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
-import { allowed } from '../scheduler/place.js';
+import { allowed } from '../scheduler/queue.js';
 
 /** One kind of machine that can be asked for: a type in a zone, spot or ordinary. */
 export interface Pool {
@@ -18,11 +18,13 @@
 /** The series that a forecast is made for: a machine type, its spot and ordinary need apart. */
 export const seriesKey = (type: TypeId, spot: boolean): string => (spot ? `${type}${SPOT}` : type);
 
+/** The type and kind that a series is about. */
 export function readSeriesKey(key: string): { type: TypeId; spot: boolean } {
   const spot = key.endsWith(SPOT);
   return { type: (spot ? key.slice(0, -SPOT.length) : key) as TypeId, spot };
 }
 
+/** A machine that is not up yet, with what is not spoken for of it. */
 export interface Coming {
   readonly type: TypeId;
   readonly zone: ZoneId;
@@ -30,16 +32,19 @@
   readonly free: Room;
 }
 
+/** Tasks of one job that want room. */
 export interface Need {
   readonly spec: JobSpec;
   readonly tasks: number;
 }
 
+/** Machines to be rented from one pool. */
 export interface Wish {
   readonly pool: Pool;
   count: number;
 }
 
+/** Every pool that the machine types allow. */
 export function allPools(types: Iterable<MachineType>): Pool[] {
   const pools: Pool[] = [];
   for (const type of types) {
--- a/src/forecast/ensemble.ts
+++ b/src/forecast/ensemble.ts
@@ -11,12 +11,14 @@
   readonly idle: number;
 }
 
+/** The paper's Cloud Prediction Cost of one slot (equations 2 to 5). */
 export function predictionCost(c: PredictionCost, actual: number, forecast: number): number {
   const late = Math.min(actual, forecast) * c.hit + Math.max(0, actual - forecast) * c.miss;
   const waste = Math.max(0, forecast - actual) * c.idle;
   return c.beta * late + (1 - c.beta) * waste;
 }
 
+/** What of an ensemble is stored between leaderships. */
 export interface EnsembleRecord {
   readonly series: number[];
   readonly weights: Record<string, number>;
--- a/src/forecast/predictors.ts
+++ b/src/forecast/predictors.ts
@@ -4,6 +4,7 @@
   predict(series: readonly number[]): number;
 }
 
+/** The mean of the last `window` slots. */
 export function movingAverage(window: number): Predictor {
   return {
     name: `average-${window}`,
@@ -14,27 +15,69 @@
   };
 }
 
+/** A smaller pivot counts as zero. */
+const SINGULAR = 1e-12;
+/** The part of the series' mean power that the fit is damped by. */
+const RIDGE = 0.1;
+/** Keeps a fit on a constant series solvable. */
+const LEAST_RIDGE = 1e-9;
+/** A forecast goes no further beyond the greatest value seen. */
+const MOST_GROWTH = 2;
+
+const at = (values: readonly number[] | undefined, index: number): number => values?.[index] ?? 0;
+
+/** The row with the greatest value in the column, from this row on. */
+function pivotRow(rows: readonly number[][], column: number): number {
+  let pivot = column;
+  for (let row = column + 1; row < rows.length; row++) {
+    if (Math.abs(at(rows[row], column)) > Math.abs(at(rows[pivot], column))) pivot = row;
+  }
+  return pivot;
+}
+
+/** Takes the pivot row out of another one, so that the column is zero there. */
+function eliminate(row: number[], pivot: readonly number[], column: number): void {
+  const factor = at(row, column) / at(pivot, column);
+  for (let c = column; c < row.length; c++) row[c] = at(row, c) - factor * at(pivot, c);
+}
+
 /** Solves the symmetric system a·x = b by Gaussian elimination; null where it is singular. */
-function solve(a: number[][], b: number[]): number[] | null {
-  const n = b.length;
-  const m = a.map((row, i) => [...row, b[i] ?? 0]);
-  for (let col = 0; col < n; col++) {
-    let pivot = col;
-    for (let r = col + 1; r < n; r++) {
-      if (Math.abs(m[r]?.[col] ?? 0) > Math.abs(m[pivot]?.[col] ?? 0)) pivot = r;
-    }
-    const top = m[pivot];
-    if (!top || Math.abs(top[col] ?? 0) < 1e-12) return null;
-    m[pivot] = m[col] as number[];
-    m[col] = top;
-    for (let r = 0; r < n; r++) {
-      const row = m[r] as number[];
-      if (r === col) continue;
-      const f = (row[col] ?? 0) / (top[col] ?? 1);
-      for (let c = col; c <= n; c++) row[c] = (row[c] ?? 0) - f * (top[c] ?? 0);
-    }
+function solve(a: readonly number[][], b: readonly number[]): number[] | null {
+  const rows = a.map((row, i) => [...row, at(b, i)]);
+  for (let column = 0; column < b.length; column++) {
+    const chosen = pivotRow(rows, column);
+    const pivot = rows[chosen];
+    if (!pivot || Math.abs(at(pivot, column)) < SINGULAR) return null;
+    rows[chosen] = rows[column] as number[];
+    rows[column] = pivot;
+    for (const row of rows) if (row !== pivot) eliminate(row, pivot, column);
+  }
+  return rows.map((row, i) => at(row, b.length) / (row[i] ?? 1));
+}
+
+/** The normal equations of a fit of each value by the `order` values before it. */
+interface NormalEquations {
+  readonly a: number[][];
+  readonly b: number[];
+}
+
+function normalEquations(x: readonly number[], order: number): NormalEquations {
+  const a = Array.from({ length: order }, () => new Array<number>(order).fill(0));
+  const b = new Array<number>(order).fill(0);
+  let power = 0;
+  for (let t = order; t < x.length; t++) {
+    a.forEach((row, i) => {
+      const before = at(x, t - 1 - i);
+      power += before * before;
+      b[i] = at(b, i) + before * at(x, t);
+      for (let j = 0; j < order; j++) row[j] = at(row, j) + before * at(x, t - 1 - j);
+    });
   }
-  return m.map((row, i) => (row[n] ?? 0) / (row[i] ?? 1));
+  const ridge = (RIDGE * power) / order + LEAST_RIDGE;
+  a.forEach((row, i) => {
+    row[i] = at(row, i) + ridge;
+  });
+  return { a, b };
 }
 
 /**
@@ -45,34 +88,17 @@
   return {
     name: `regression-${order}`,
     predict(series) {
-      const n = series.length;
-      if (n === 0) return 0;
-      const mean = series.reduce((a, b) => a + b, 0) / n;
-      const p = Math.min(order, Math.floor((n - 1) / 2));
-      if (p === 0) return mean;
-      const x = series.map((v) => v - mean);
-      const a = Array.from({ length: p }, () => new Array<number>(p).fill(0));
-      const b = new Array<number>(p).fill(0);
-      let power = 0;
-      for (let t = p; t < n; t++) {
-        for (let i = 0; i < p; i++) {
-          const xi = x[t - 1 - i] ?? 0;
-          power += xi * xi;
-          b[i] = (b[i] ?? 0) + xi * (x[t] ?? 0);
-          for (let j = 0; j < p; j++) {
-            const row = a[i] as number[];
-            row[j] = (row[j] ?? 0) + xi * (x[t - 1 - j] ?? 0);
-          }
-        }
-      }
-      const ridge = (0.1 * power) / p + 1e-9;
-      for (let i = 0; i < p; i++) (a[i] as number[])[i] = ((a[i] as number[])[i] ?? 0) + ridge;
-      const phi = solve(a, b);
-      if (!phi) return mean;
-      let next = mean;
-      for (let i = 0; i < p; i++) next += (phi[i] ?? 0) * (x[n - 1 - i] ?? 0);
+      if (series.length === 0) return 0;
+      const mean = series.reduce((sum, value) => sum + value, 0) / series.length;
+      const carried = Math.min(order, Math.floor((series.length - 1) / 2));
+      if (carried === 0) return mean;
+      const x = series.map((value) => value - mean);
+      const { a, b } = normalEquations(x, carried);
+      const weights = solve(a, b);
+      if (!weights) return mean;
+      const next = weights.reduce((sum, weight, i) => sum + weight * at(x, x.length - 1 - i), mean);
       // Need cannot be negative, and a fit on few slots must not run away.
-      return Math.min(Math.max(0, next), 2 * Math.max(...series));
+      return Math.min(Math.max(0, next), MOST_GROWTH * Math.max(...series));
     },
   };
 }
--- a/src/log/logger.ts
+++ b/src/log/logger.ts
@@ -29,6 +29,7 @@
   error() {},
 };
 
+/** An error as the log tells it. */
 export function reason(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
--- a/src/model/job.ts
+++ b/src/model/job.ts
@@ -1,6 +1,7 @@
 import type { ImageId, JobId, TeamId, TypeId, ZoneId } from './ids.js';
 import type { WallTime } from './time.js';
 
+/** `array`: each task runs to its end. `service`: tasks run until the job is cancelled. */
 export type JobKind = 'array' | 'service';
 
 /** Higher goes first and may preempt lower. */
@@ -11,12 +12,14 @@
   Production = 3,
 }
 
+/** What a task takes, or a machine has. */
 export interface Resources {
   readonly cpus: number;
   readonly gpus: number;
   readonly memoryGb: number;
 }
 
+/** A job as its user described it. */
 export interface JobSpec extends Resources {
   readonly id: JobId;
   readonly jobClass: string;
@@ -44,15 +47,19 @@
   readonly descriptionRecords: number;
 }
 
+/** States that never change. */
 export type FinalState = 'done' | 'cancelled';
+/** A job's durable state. */
 export type JobState = 'accepted' | FinalState;
 
+/** A job as its record tells of it. */
 export interface JobRecord {
   readonly spec: JobSpec;
   readonly state: JobState;
   readonly acceptedAt: WallTime;
 }
 
+/** Whether the need fits into what is free. */
 export function fits(need: Resources, free: Resources): boolean {
   const eps = 1e-9;
   return need.cpus <= free.cpus + eps && need.gpus <= free.gpus + eps && need.memoryGb <= free.memoryGb + eps;
@@ -65,12 +72,14 @@
   memoryGb: number;
 }
 
+/** Hands out room. */
 export function take(room: Room, need: Resources): void {
   room.cpus -= need.cpus;
   room.gpus -= need.gpus;
   room.memoryGb -= need.memoryGb;
 }
 
+/** Takes room back. */
 export function give(room: Room, back: Resources): void {
   room.cpus += back.cpus;
   room.gpus += back.gpus;
--- a/src/model/report.ts
+++ b/src/model/report.ts
@@ -1,8 +1,10 @@
 import type { Counter, HostId, TaskId, SessionNumber, Token, TryNo, TypeId, ZoneId } from './ids.js';
 import type { Millis } from './time.js';
 
+/** What an attempt does on its machine. */
 export type AttemptState = 'fetching' | 'running' | 'saving' | 'exited';
 
+/** An attempt at a task, as its machine shows it. */
 export interface Attempt {
   readonly task: TaskId;
   readonly tryNo: TryNo;
@@ -11,6 +13,7 @@
   readonly cause: string | null;
 }
 
+/** A worker's report. */
 export interface Report {
   readonly host: HostId;
   readonly address: string;
@@ -25,6 +28,7 @@
   readonly attempts: readonly Attempt[];
 }
 
+/** What a worker is told to do. */
 export type Order =
   | { readonly verb: 'run'; readonly task: TaskId; readonly tryNo: TryNo }
   | { readonly verb: 'kill'; readonly task: TaskId; readonly tryNo: TryNo; readonly graceS: number }
--- a/src/model/time.ts
+++ b/src/model/time.ts
@@ -4,6 +4,7 @@
 export type Steady = Branded<number, 'Steady'>;
 /** Milliseconds since 1970 by the time of day, within the settings' bound. */
 export type WallTime = Branded<number, 'WallTime'>;
+/** A duration in milliseconds. */
 export type Millis = Branded<number, 'Millis'>;
 
 /** Two steady clocks drift apart by at most this share (PROTOCOL). */
@@ -18,6 +19,7 @@
 /** The shortest that `d` on another machine's clock can last on ours. */
 export const atLeast = (d: number): Millis => (d * (1 - 2 * CLOCK_DRIFT)) as Millis;
 
+/** Calls something off. */
 export type Cancel = () => void;
 
 /** Everything that reads time or waits is handed one of these. */
@@ -27,6 +29,7 @@
   after(d: number, run: () => void): Cancel;
 }
 
+/** Resolves after `d` milliseconds of this clock. */
 export function sleep(clock: Clock, d: number): Promise<void> {
   return new Promise((resolve) => {
     clock.after(d, resolve);
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'node:http';
 
+/** An answer, its JSON body parsed. */
 export interface Reply {
   readonly status: number;
   readonly body: unknown;
@@ -11,6 +12,7 @@
 /** Nothing was sent: all of our own sockets for such calls are in use. */
 export class NoSocket extends NoAnswer {}
 
+/** Makes calls with a deadline to one address. */
 export interface HttpCaller {
   call(method: string, path: string, body: unknown, deadlineMs: number): Promise<Reply>;
 }
@@ -79,6 +81,7 @@
   }
 }
 
+/** Undefined for what is no JSON. */
 export function parseJson(bytes: Buffer): unknown {
   if (bytes.length === 0) return undefined;
   try {
--- a/src/net/server.ts
+++ b/src/net/server.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Log } from '../log/logger.js';
 
+/** What one listening address takes. */
 export interface ServerLimits {
   /** Sockets accepted at once; one more is closed at once. */
   readonly sockets: number;
@@ -10,6 +11,7 @@
   readonly idleMs: number;
 }
 
+/** `10.0.0.1:8080` */
 export function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(':');
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
--- a/src/net/sockets.ts
+++ b/src/net/sockets.ts
@@ -20,6 +20,7 @@
 const OWN = 8;
 const WORKERS_SHARE = 0.25;
 
+/** Divides the platform's sockets among what needs them. */
 export function shareSockets(sockets: number, peers: number): SocketShares {
   const peerSockets = Math.max(8, peers * PER_PEER);
   const workers = Math.max(8, Math.floor(sockets * WORKERS_SHARE));
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -20,6 +20,7 @@
   Cancelled = 9,
 }
 
+/** One message between two controllers. */
 export interface Frame {
   readonly kind: Kind;
   /** Ties an answer to what was asked; 0 where nothing is. */
@@ -31,8 +32,10 @@
 const MOST_U32 = 0xffff_ffff;
 export const MAX_PAYLOAD = 1 << 20;
 
+/** Bytes that cannot be a frame. */
 export class BadFrame extends Error {}
 
+/** Header and payload in one buffer. */
 export function encodeFrame(kind: Kind, request: number, payload: Buffer): Buffer {
   const frame = Buffer.allocUnsafe(HEADER + payload.length);
   frame.writeUInt32BE(payload.length, 0);
@@ -63,6 +66,7 @@
   }
 }
 
+/** What a controller says of itself twice a second. */
 export interface Ping {
   readonly member: string;
   readonly stateOk: boolean;
@@ -74,6 +78,7 @@
   readonly version: number;
 }
 
+/** u8 state service reached, u64 epoch led (0: none), u8 name length, name, u8 version. */
 export function encodePing(ping: Ping): Buffer {
   const name = Buffer.from(ping.member, 'utf8');
   const out = Buffer.allocUnsafe(11 + name.length);
@@ -85,6 +90,7 @@
   return out;
 }
 
+/** Throws `BadFrame`. */
 export function decodePing(payload: Buffer): Ping {
   if (payload.length < 10) throw new BadFrame('a short ping');
   const length = payload.readUInt8(9);
@@ -98,11 +104,13 @@
   };
 }
 
+/** An answer to a frame that asked something. */
 export interface AnswerFrame {
   readonly status: number;
   readonly body: Buffer;
 }
 
+/** u16 status, body. */
 export function encodeAnswer(status: number, body: Buffer): Buffer {
   const out = Buffer.allocUnsafe(2 + body.length);
   out.writeUInt16BE(status, 0);
@@ -110,24 +118,29 @@
   return out;
 }
 
+/** Throws `BadFrame`. */
 export function decodeAnswer(payload: Buffer): AnswerFrame {
   if (payload.length < 2) throw new BadFrame('a short answer');
   return { status: payload.readUInt16BE(0), body: payload.subarray(2) };
 }
 
+/** What a user asks for. */
 export type UserVerb = 'submit' | 'query' | 'cancel';
 const VERBS: readonly UserVerb[] = ['submit', 'query', 'cancel'];
 
+/** u8 verb, body. */
 export function encodeUser(verb: UserVerb, body: Buffer): Buffer {
   return Buffer.concat([Buffer.from([VERBS.indexOf(verb)]), body]);
 }
 
+/** Throws `BadFrame`. */
 export function decodeUser(payload: Buffer): { verb: UserVerb; body: Buffer } {
   const verb = VERBS[payload.length > 0 ? payload.readUInt8(0) : 255];
   if (!verb) throw new BadFrame('an unknown request');
   return { verb, body: payload.subarray(1) };
 }
 
+/** Task counts of one job, for display. */
 export interface JobProgress {
   readonly id: JobId;
   readonly done: number;
@@ -152,6 +165,7 @@
   return Buffer.concat(parts);
 }
 
+/** Throws `BadFrame`. */
 export function decodeProgress(payload: Buffer): JobProgress[] {
   const jobs: JobProgress[] = [];
   for (let at = 0; at < payload.length;) {
@@ -196,6 +210,7 @@
   return Buffer.concat(parts);
 }
 
+/** Throws `BadFrame`. */
 export function decodeCancellations(payload: Buffer): CancellationsWord {
   if (payload.length < 12) throw new BadFrame('a short list of cancellations');
   const epoch = Number(payload.readBigUInt64BE(4));
@@ -215,6 +230,7 @@
   };
 }
 
+/** A call to a worker. */
 export type CallVerb = 'show' | 'commands';
 
 /** u8 verb, u16 deadline in ms, u8 address length, address, JSON body. */
@@ -230,6 +246,7 @@
   return out;
 }
 
+/** A call that is made on another controller's behalf. */
 export interface Call {
   readonly verb: CallVerb;
   readonly address: string;
@@ -237,6 +254,7 @@
   readonly body: unknown;
 }
 
+/** Throws `BadFrame`. */
 export function decodeCall(payload: Buffer): Call {
   if (payload.length < 4) throw new BadFrame('a short call');
   const end = 4 + payload.readUInt8(3);
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -161,8 +161,10 @@
 }
 
 const ASKED = new Set([Kind.Heartbeat, Kind.PassOn, Kind.Passed, Kind.User, Kind.Call, Kind.Cancelled]);
+/** Kinds that are answered. */
 export type Asked = Kind.Heartbeat | Kind.PassOn | Kind.Passed | Kind.User | Kind.Call | Kind.Cancelled;
 
+/** What other controllers are answered by. */
 export interface PeerHandler {
   ping(): Ping;
   progress(payload: Buffer): void;
--- a/src/scheduler/urgency.ts
+++ b/src/scheduler/urgency.ts
@@ -7,6 +7,7 @@
 const FETCH_MS = 4000;
 const DEFAULT_SHARE = 0.9;
 
+/** A time by which a job should have ended. */
 export interface Target {
   /** From the job's submission. */
   readonly ms: number;
@@ -14,6 +15,7 @@
   readonly allowed: number;
 }
 
+/** The first target that can still be met. */
 export interface NextTarget extends Target {
   /** Until the job's tasks should have started. */
   readonly slackMs: number;
@@ -46,13 +48,13 @@
   private readonly deadline = new Map<string, number>();
 
   constructor(objectives: readonly Objective[]) {
-    for (const o of objectives) {
-      if (o.jobClass === null) continue;
-      const allowed = 1 - (o.share ?? DEFAULT_SHARE);
-      if (o.kind === 'deadline') this.deadline.set(o.jobClass, allowed);
-      const by = o.kind === 'finished' ? this.finished : o.kind === 'wait' ? this.started : null;
-      if (by === null || o.within === null) continue;
-      by.set(o.jobClass, [...(by.get(o.jobClass) ?? []), { ms: o.within, allowed }]);
+    for (const { kind, jobClass, within, share } of objectives) {
+      if (jobClass === null) continue;
+      const allowed = 1 - (share ?? DEFAULT_SHARE);
+      if (kind === 'deadline') this.deadline.set(jobClass, allowed);
+      if (within === null) continue;
+      if (kind === 'finished') addTarget(this.finished, jobClass, { ms: within, allowed });
+      if (kind === 'wait') addTarget(this.started, jobClass, { ms: within, allowed });
     }
   }
 
@@ -101,3 +103,9 @@
     return least;
   }
 }
+
+function addTarget(targets: Map<string, Target[]>, jobClass: string, target: Target): void {
+  const known = targets.get(jobClass);
+  if (known) known.push(target);
+  else targets.set(jobClass, [target]);
+}
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -31,6 +31,7 @@
 /** No answer, or one that we cannot read: it may have been carried out, or may be later. */
 export class StateUnknown extends Error {}
 
+/** What a transaction came to: carried out, or the keys whose conditions failed. */
 export type Committed = { ok: true; revision: Revision } | { ok: false; failed: string[] };
 
 /** What the controllers need of the state service. */
@@ -52,6 +53,7 @@
 
 const PAGE = 500;
 
+/** The state service's HTTP interface, with a deadline on every call. */
 export class StateClient implements StateStore {
   constructor(
     private readonly http: HttpCaller,
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -91,7 +91,7 @@
    * while the rate that the state service allows has room. What is left over is picked later.
    */
   private pick(): Batch | null {
-    const { jobs, limits } = this.ctx;
+    const { jobs } = this.ctx;
     const wait = this.budget.wait();
     if (wait > 0) {
       if (jobs.dirty.size > 0 || jobs.over.size > 0 || this.leftOver.length > 0) this.later(wait + 1);
@@ -99,13 +99,34 @@
     }
     const batch: Batch = { conditions: [], writes: [], chunks: [], closing: [], bytes: 0 };
     batch.conditions.push({ key: keys.epoch, revision: this.ctx.epochRevision });
+    const { starts, progress, nextDue } = this.dirtyChunks();
+    const max = Math.min(this.ctx.limits.txnOps, Math.max(1, Math.floor(this.budget.available())));
+    this.fill(batch, max, starts, progress);
+    if (batch.writes.length > 0) return batch;
+    if (nextDue < Infinity) this.later(Math.max(nextDue, 1) + 1);
+    return null;
+  }
+
+  private fill(batch: Batch, max: number, starts: readonly Chunk[], progress: readonly Chunk[]): void {
+    const { over } = this.ctx.jobs;
+    const full = (): boolean => batch.writes.length >= max || batch.bytes > MAX_BYTES;
+    // Users wait for `done`, and for a job to be called cancelled with one that it needs; few jobs end at a
+    // time. Nobody waits for what is left of a cancelled job's records.
+    for (const job of over) if (!full() && tells(job)) this.addClosing(batch, job, max);
+    for (const chunk of starts) if (!full()) this.addChunk(batch, chunk);
+    for (const chunk of progress) if (!full()) this.addChunk(batch, chunk);
+    for (const job of over) if (!full() && !tells(job)) this.addClosing(batch, job, max);
+    if (batch.writes.length === 0) this.addLeftOver(batch, max);
+  }
+
+  /** Chunks with starts, by rank; those with progress that has waited for long enough; and when the next one has. */
+  private dirtyChunks(): { starts: Chunk[]; progress: Chunk[]; nextDue: number } {
     const now = this.ctx.clock.now();
-    const available = Math.floor(this.budget.available());
-    const max = Math.min(limits.txnOps, Math.max(1, available));
+    const due = this.underPressure() ? LAZIEST_MS : LAZY_MS;
     const starts: Chunk[] = [];
     const progress: Chunk[] = [];
-    let next = Infinity;
-    for (const chunk of jobs.dirty) {
+    let nextDue = Infinity;
+    for (const chunk of this.ctx.jobs.dirty) {
       const { job } = chunk;
       if (job.over) continue;
       if (!job.cancelled && chunk.deciding.size > 0) {
@@ -113,22 +134,16 @@
         continue;
       }
       const age = since(now, chunk.dirtySince ?? now);
-      const due = available > this.budget.burst * KEPT_FOR_STARTS ? LAZY_MS : LAZIEST_MS;
       if (age >= due) progress.push(chunk);
-      else next = Math.min(next, due - age, LAZY_MS);
+      else nextDue = Math.min(nextDue, due - age, LAZY_MS);
     }
     starts.sort((a, b) => b.job.ranked.priority - a.job.ranked.priority);
-    const full = (): boolean => batch.writes.length >= max || batch.bytes > MAX_BYTES;
-    // Users wait for `done`, and for a job to be called cancelled with one that it needs; few jobs end at a
-    // time. Nobody waits for what is left of a cancelled job's records.
-    for (const job of jobs.over) if (!full() && tells(job)) this.addClosing(batch, job, max);
-    for (const chunk of starts) if (!full()) this.addChunk(batch, chunk);
-    for (const chunk of progress) if (!full()) this.addChunk(batch, chunk);
-    for (const job of jobs.over) if (!full() && !tells(job)) this.addClosing(batch, job, max);
-    if (batch.writes.length === 0) this.addLeftOver(batch, max);
-    if (batch.writes.length > 0) return batch;
-    if (next < Infinity) this.later(Math.max(next, 1) + 1);
-    return null;
+    return { starts, progress, nextDue };
+  }
+
+  /** Whether what is left of the budget is kept for starts. */
+  private underPressure(): boolean {
+    return Math.floor(this.budget.available()) <= this.budget.burst * KEPT_FOR_STARTS;
   }
 
   private addClosing(batch: Batch, job: OpenJob, max: number): void {
@@ -159,8 +174,7 @@
 
   /** Whether records of jobs that are over had better go once less is to be written. */
   private mayPostpone(): boolean {
-    if (this.leftOver.length >= MOST_LEFT_OVER) return false;
-    return this.budget.available() < this.budget.burst * KEPT_FOR_STARTS;
+    return this.leftOver.length < MOST_LEFT_OVER && this.underPressure();
   }
 
   /** Records of jobs that are over, for whenever nothing else is to be written. */
--- a/src/wire/cloud.ts
+++ b/src/wire/cloud.ts
@@ -21,6 +21,7 @@
   ),
 });
 
+/** Machine types as the cloud lists them. Throws on anything else. */
 export function readTypes(body: unknown): MachineType[] {
   return types.parse(body).flavours.map((t) => ({
     id: t.name as TypeId,
@@ -38,6 +39,7 @@
 
 const hosts = z.object({ hosts: z.array(word) });
 
+/** The machines that a rental brought. Throws on anything else. */
 export function readRented(body: unknown): HostId[] {
   return hosts.parse(body).hosts as HostId[];
 }
@@ -57,6 +59,10 @@
   more: z.nullish(z.boolean()),
 });
 
+/** A state that we do not know is taken for one before the first report. */
+const LISTED_STATES: Record<string, ListedMachine['status']> = { failed: 'failed', running: 'running' };
+
+/** One page of the machine list. Throws on anything else. */
 export function readList(body: unknown): { machines: ListedMachine[]; more: boolean } {
   const page = list.parse(body);
   return {
@@ -67,12 +73,13 @@
       type: h.flavour as TypeId,
       zone: h.hall as ZoneId,
       spot: h.reclaimable,
-      status: h.status === 'failed' ? 'failed' : h.status === 'running' ? 'running' : 'starting',
+      status: LISTED_STATES[h.status] ?? 'starting',
       age: seconds(h.heldS),
     })),
   };
 }
 
+/** A request for machines. */
 export interface Rental {
   readonly name: RentalName;
   readonly type: TypeId;
@@ -81,6 +88,7 @@
   readonly count: number;
 }
 
+/** The body of a rental request. */
 export function rentalBody(r: Rental): object {
   return { hire: r.name, flavour: r.type, hall: r.zone, reclaimable: r.spot, howMany: r.count };
 }
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -62,11 +62,13 @@
   }),
 });
 
+/** Another controller. */
 export interface Sibling {
   readonly member: MemberId;
   readonly address: string;
 }
 
+/** An aim that the users state for a class, or for all work. */
 export interface Objective {
   readonly kind: string;
   readonly jobClass: string | null;
@@ -82,6 +84,7 @@
   readonly txnOps: number;
 }
 
+/** The platform's settings in our terms. */
 export interface Settings {
   readonly member: MemberId;
   readonly zone: ZoneId;
@@ -105,29 +108,34 @@
   readonly memoryMb: number | null;
 }
 
+const NO_LIMITS: StateLimitsOf = { rps: 0, writeRps: 0, valueBytes: 0, txnOps: 0 };
+
+interface StatedLimits {
+  readonly rps?: number | null | undefined;
+  readonly write_rps?: number | null | undefined;
+  readonly value_kb?: number | null | undefined;
+  readonly txn_ops?: number | null | undefined;
+}
+
+/** What a field leaves out stays as it was. */
+function stateLimits(field: string, stated: StatedLimits, before: StateLimitsOf): StateLimitsOf {
+  const txnOps = stated.txn_ops ?? before.txnOps;
+  const valueBytes = stated.value_kb == null ? before.valueBytes : stated.value_kb * 1024;
+  if (txnOps < LEAST_TXN_OPS) throw new Error(`${field}.txn_ops: at least ${LEAST_TXN_OPS} is needed`);
+  if (valueBytes < LEAST_VALUE_BYTES) {
+    throw new Error(`${field}.value_kb: at least ${LEAST_VALUE_BYTES / 1024} is needed`);
+  }
+  return { rps: stated.rps ?? before.rps, writeRps: stated.write_rps ?? before.writeRps, valueBytes, txnOps };
+}
+
 /** Throws an error whose message is one line naming the field. */
 export function readSettings(raw: unknown): Settings {
   const read = settings.safeParse(raw);
   if (!read.success) throw new Error(firstIssue(read.error));
   const w = read.data;
   const f = w.facts;
-  const now = f.state;
-  const { next } = now;
-  const limits = (field: string, l: typeof next, or: StateLimitsOf | null): StateLimitsOf => {
-    const txnOps = l?.txn_ops ?? or?.txnOps ?? 0;
-    const valueBytes = l?.value_kb == null ? (or?.valueBytes ?? 0) : l.value_kb * 1024;
-    if (txnOps < LEAST_TXN_OPS) throw new Error(`${field}.txn_ops: at least ${LEAST_TXN_OPS} is needed`);
-    if (valueBytes < LEAST_VALUE_BYTES)
-      throw new Error(`${field}.value_kb: at least ${LEAST_VALUE_BYTES / 1024} is needed`);
-    return {
-      rps: l?.rps ?? or?.rps ?? 0,
-      writeRps: l?.write_rps ?? or?.writeRps ?? 0,
-      valueBytes,
-      txnOps,
-    };
-  };
-  const state = limits('facts.state', now, null);
-  const stateNext = limits('facts.state.next', next, state);
+  const state = stateLimits('facts.state', f.state, NO_LIMITS);
+  const stateNext = stateLimits('facts.state.next', f.state.next ?? {}, state);
   // 0 means none (DEPLOY): no guarantee, or no limit.
   const limit = (n: number | null | undefined): number | null => (n ? n : null);
   return {
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -21,12 +21,14 @@
   ),
 });
 
+/** A key with its value and the revision of its last change. */
 export interface Row {
   readonly key: string;
   readonly value: unknown;
   readonly revision: Revision;
 }
 
+/** Rows in the order of their keys, as of one revision. */
 export interface Page {
   readonly rows: Row[];
   readonly more: boolean;
@@ -40,11 +42,13 @@
   readonly revision: Revision;
 }
 
+/** The key must have this revision. */
 export interface Condition {
   readonly key: string;
   readonly revision: Revision;
 }
 
+/** A key to be set or dropped. */
 export type Write =
   { readonly set: string; readonly value: unknown; readonly grant?: GrantId } | { readonly drop: string };
 
@@ -52,6 +56,7 @@
 
 export const readRow = (body: unknown): Row => toRow(row.parse(body));
 
+/** Throws on anything else. */
 export function readPage(body: unknown): Page {
   const page = rows.parse(body);
   return { rows: page.rows.map(toRow), more: page.more ?? false, revision: page.ledger as Revision };
@@ -61,6 +66,7 @@
 export const readFailed = (body: unknown): string[] => conflict.parse(body).failed;
 export const readGrant = (body: unknown): GrantId => grant.parse(body).tether as GrantId;
 
+/** Throws on anything else. */
 export function readChanges(body: unknown): { revision: Revision; changes: Change[] } {
   const read = changes.parse(body);
   const list: Change[] = [];
@@ -72,6 +78,7 @@
   return { revision: read.ledger as Revision, changes: list };
 }
 
+/** The body of a transaction. */
 export function commitBody(conditions: readonly Condition[], writes: readonly Write[]): object {
   return {
     if: conditions.map((c) => ({ key: c.key, stamp: c.revision })),
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -36,8 +36,10 @@
   awaits: z.nullish(z.array(jobId)),
 });
 
+/** What was read, or why it could not be. */
 export type Parsed<T> = { ok: true; value: T } | { ok: false; error: string };
 
+/** Checks every field of a submission. */
 export function parseSubmission(body: unknown): Parsed<JobSpec> {
   const read = submission.safeParse(body);
   if (!read.success) return { ok: false, error: firstIssue(read.error) };
@@ -72,15 +74,18 @@
   };
 }
 
+/** Task counts for display. */
 export interface Progress {
   readonly done: number;
   readonly running: number;
 }
 
+/** The body that tells a user that the job is accepted. */
 export function accepted(id: JobId): object {
   return { ref: id, status: 'pending' };
 }
 
+/** The body that tells a user the state of a job. */
 export function jobStatus(id: JobId, state: JobState, tasks: number, progress: Progress): object {
   switch (state) {
     case 'done':
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -27,6 +27,7 @@
   ),
 });
 
+/** Checks every field of a report. */
 export function parseReport(body: unknown): Parsed<Report> {
   const read = report.safeParse(body);
   if (!read.success) return { ok: false, error: firstIssue(read.error) };
@@ -68,15 +69,18 @@
   return Buffer.from(JSON.stringify({ epoch: token, orders: orders.map(order) }));
 }
 
+/** The body of a direct call with orders. */
 export function commandBody(token: Token, session: SessionNumber, orders: readonly Order[]): object {
   return { epoch: token, tenure: session, orders: orders.map(order) };
 }
 
+/** A worker's answer to a direct call. */
 export interface CommandReply {
   readonly executed: boolean;
   readonly report: Report | null;
 }
 
+/** Reads such an answer; a body that is no report gives none. */
 export function readCommandReply(status: number, body: unknown): CommandReply {
   const parsed = parseReport(body);
   return { executed: status === 200, report: parsed.ok ? parsed.value : null };
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -32,6 +32,37 @@
 /** The part of a lease after which machines behind a cut are given up. */
 const CUT_PATIENCE = 0.7;
 
+/** Fewer than so many are no cut, whatever their share. */
+const FEW_LOST = 3;
+const FEW_MUTE = 2;
+
+interface ZoneSurvey {
+  up: number;
+  lost: number;
+  /** Machines that are asked between their reports, and those of them that do not answer. */
+  asked: number;
+  mute: number;
+}
+
+/** What one look at all machines has found. */
+interface Survey {
+  up: number;
+  readonly lost: Host[];
+  readonly mute: Host[];
+  readonly zones: Map<ZoneId, ZoneSurvey>;
+}
+
+/**
+ * Many at once: more likely a part of the network, or our own. Their reports may come another way.
+ * All at once, however few: a deaf leader would fence healthy machines before it gives way.
+ */
+function isCut(host: Host, { up, lost, zones }: Survey): boolean {
+  const all = up >= 2 && lost.length === up;
+  if (all || lost.length > Math.max(FEW_LOST, up * MANY)) return true;
+  const zone = zones.get(host.machine.zone);
+  return zone !== undefined && zone.lost > Math.max(FEW_LOST, zone.up * MOST_OF_A_ZONE);
+}
+
 /**
  * Watches for machines that are silent, or heard and not reached, and fences them; notices when it
  * is the leader who is deaf.
@@ -107,52 +138,58 @@
     return since(now, this.lastHeard) > Math.min(DEAF_MOST_MS, Math.max(DEAF_LEAST_MS, expected));
   }
 
+  /** Looks at every machine, and fences those that are lost. */
   tick(now: Steady): void {
+    const survey = this.survey(now);
+    for (const host of survey.mute) this.fenceMute(host, survey);
+    for (const host of survey.lost) this.judge(host, survey, now);
+  }
+
+  private survey(now: Steady): Survey {
     const late = since(now, this.lastTick) > TICK_LATE_MS;
     this.lastTick = now;
-    const lost: Host[] = [];
-    const mute: Host[] = [];
-    const zones = new Map<ZoneId, { up: number; lost: number; asked: number; mute: number }>();
-    let up = 0;
+    const survey: Survey = { up: 0, lost: [], mute: [], zones: new Map() };
     for (const host of this.ctx.hosts.values()) {
       if (!host.up && host.empty) continue;
-      up++;
-      const zone = zones.get(host.machine.zone) ?? { up: 0, lost: 0, asked: 0, mute: 0 };
-      zones.set(host.machine.zone, zone);
+      survey.up++;
+      const zone = survey.zones.get(host.machine.zone) ?? { up: 0, lost: 0, asked: 0, mute: 0 };
+      survey.zones.set(host.machine.zone, zone);
       zone.up++;
       if (late) host.probes = 0;
-      else if (this.lost(host, now)) {
-        lost.push(host);
-        zone.lost++;
-      } else if (this.askedEarly(host)) {
-        zone.asked++;
-        if (host.probes >= PROBES && this.silentFor(host, now) >= ASK_AFTER_MS) {
-          mute.push(host);
-          zone.mute++;
-        } else this.askEarly(host, now);
-      }
+      else this.look(host, zone, survey, now);
     }
-    for (const host of mute) {
-      // Several at once are judged by their reports: it may be a cut.
-      const zone = zones.get(host.machine.zone);
-      if (!zone || zone.mute > Math.max(2, zone.asked * MANY_MUTE)) continue;
-      host.closed = host.closed ?? 'silent';
-      this.fence(host, 'does not answer');
+    return survey;
+  }
+
+  private look(host: Host, zone: ZoneSurvey, survey: Survey, now: Steady): void {
+    if (this.lost(host, now)) {
+      survey.lost.push(host);
+      zone.lost++;
+      return;
     }
-    // Many at once: more likely a part of the network, or our own. Their reports may come another way.
-    // All at once, however few: a deaf leader would fence healthy machines before it gives way.
-    const all = up >= 2 && lost.length === up;
-    const many = all || lost.length > Math.max(3, up * MANY);
-    for (const host of lost) {
-      const zone = zones.get(host.machine.zone);
-      const cut = many || (zone !== undefined && zone.lost > Math.max(3, zone.up * MOST_OF_A_ZONE));
-      if (host.probes < PROBES) this.probe(host);
-      else if (!cut || this.givenUp(host, now)) {
-        host.closed = host.closed ?? 'silent';
-        this.fence(host, 'silent');
-      }
-      if (this.leasePassed(host, now)) this.leaseOver(host);
+    if (!this.askedEarly(host)) return;
+    zone.asked++;
+    if (host.probes >= PROBES && this.silentFor(host, now) >= ASK_AFTER_MS) {
+      survey.mute.push(host);
+      zone.mute++;
+    } else this.askEarly(host, now);
+  }
+
+  /** Several at once are judged by their reports: it may be a cut. */
+  private fenceMute(host: Host, survey: Survey): void {
+    const zone = survey.zones.get(host.machine.zone);
+    if (!zone || zone.mute > Math.max(FEW_MUTE, zone.asked * MANY_MUTE)) return;
+    host.closed ??= 'silent';
+    this.fence(host, 'does not answer');
+  }
+
+  private judge(host: Host, survey: Survey, now: Steady): void {
+    if (host.probes < PROBES) this.probe(host);
+    else if (!isCut(host, survey) || this.givenUp(host, now)) {
+      host.closed ??= 'silent';
+      this.fence(host, 'silent');
     }
+    if (this.leasePassed(host, now)) this.leaseOver(host);
   }
 
   /**
--- a/src/workers/host.ts
+++ b/src/workers/host.ts
@@ -31,6 +31,7 @@
   readonly sentToken: Token | null;
 }
 
+/** A machine that may exist, with the tasks that may be on it. */
 export class Host {
   address = '';
   /** Heard under our epoch. */
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -1,6 +1,7 @@
 import { type Epoch, type JobId, splitTaskId, type Token } from '../model/ids.js';
 import type { Order, Report } from '../model/report.js';
 import type { Steady } from '../model/time.js';
+import type { Task } from '../scheduler/task.js';
 import type { EndedAttempt, Host } from './host.js';
 
 /** A cancelled task whose start may be on its way is tombstoned only this long; then its host is fenced. */
@@ -14,32 +15,35 @@
  * stands as ended on the host, and a late `run` does nothing.
  */
 export function ordersFor(host: Host, now: Steady, sure: boolean): Order[] {
-  const orders: Order[] = [];
-  if (!sure) {
-    // A cancelled task is of no use whoever leads; nothing else is ordered without being sure, no start above all.
-    for (const task of host.tasks) {
-      if (task.phase !== 'placed' || task.kill?.why !== 'cancelled' || task.shown === null) continue;
-      orders.push({ verb: 'kill', task: task.id, tryNo: task.tryNo, graceS: 0 });
-    }
-    return orders;
-  }
-  for (const stray of host.strays) {
-    orders.push({ verb: 'kill', task: stray.task, tryNo: stray.tryNo, graceS: 0 });
-  }
-  for (const task of host.tasks) {
-    if (task.phase !== 'placed' || !task.kill) continue;
-    if (task.shown === null) {
-      if (task.sentSession === null) continue;
-      if (task.kill.why === 'cancelled' && now - task.kill.at > TOMBSTONE_MS) continue;
-      orders.push({ verb: 'run', task: task.id, tryNo: task.tryNo });
-    }
-    orders.push({ verb: 'kill', task: task.id, tryNo: task.tryNo, graceS: task.kill.graceS });
-  }
-  for (const task of host.tasks) {
-    if (task.phase !== 'placed' || task.kill || task.shown !== null || task.inherited) continue;
-    orders.push({ verb: 'run', task: task.id, tryNo: task.tryNo });
-  }
-  return orders;
+  if (!sure) return killsWhileUnsure(host);
+  return [
+    ...host.strays.map(({ task, tryNo }): Order => ({ verb: 'kill', task, tryNo, graceS: 0 })),
+    ...[...host.tasks].flatMap((task) => killsFor(task, now)),
+    ...[...host.tasks]
+      .filter(mayRun)
+      .map((task): Order => ({ verb: 'run', task: task.id, tryNo: task.tryNo })),
+  ];
+}
+
+/** A cancelled task is of no use whoever leads; nothing else is ordered without being sure, no start above all. */
+function killsWhileUnsure(host: Host): Order[] {
+  return [...host.tasks]
+    .filter(({ phase, kill, shown }) => phase === 'placed' && kill?.why === 'cancelled' && shown !== null)
+    .map((task) => ({ verb: 'kill', task: task.id, tryNo: task.tryNo, graceS: 0 }));
+}
+
+function killsFor(task: Task, now: Steady): Order[] {
+  const { id, tryNo, phase, kill, shown, sentSession } = task;
+  if (phase !== 'placed' || !kill) return [];
+  const stop: Order = { verb: 'kill', task: id, tryNo, graceS: kill.graceS };
+  if (shown !== null) return [stop];
+  if (sentSession === null) return [];
+  if (kill.why === 'cancelled' && now - kill.at > TOMBSTONE_MS) return [];
+  return [{ verb: 'run', task: id, tryNo }, stop];
+}
+
+function mayRun({ phase, kill, shown, inherited }: Task): boolean {
+  return phase === 'placed' && kill === null && shown === null && !inherited;
 }
 
 /** Kills for what a report shows of cancelled jobs, whoever started it. */
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -26,7 +26,23 @@
 export function applyReport(host: Host, report: Report, epoch: Epoch, jobs: JobStore, now: Steady): Told {
   const told: Told = { changed: false, finished: [], failed: [], lost: [], started: [] };
   if (epochOfToken(report.token) !== epoch || !host.newer(report)) return told;
+  meet(host, report, told, now);
+  const current = new Map<string, Task>();
+  for (const task of host.tasks) current.set(attemptKey({ task: task.id, tryNo: task.tryNo }), task);
+  const shown = new Set(report.attempts.map(attemptKey));
+  takeAttempts(host, report, current, jobs, host.token(epoch), told, now);
+  for (const key of host.ended.keys()) if (!shown.has(key)) host.ended.delete(key);
+  for (const [key, task] of current) {
+    if (shown.has(key) || task.phase !== 'placed') continue;
+    if (provenGone(task, report)) lose(host, task, now, told);
+    else if (task.shown !== null) host.doubted = true;
+  }
+  host.idleSince = host.empty ? (host.idleSince ?? now) : null;
+  return told;
+}
 
+/** What the report says of the machine itself. */
+function meet(host: Host, report: Report, told: Told, now: Steady): void {
   const newSession = host.known && report.session > host.session;
   if (!host.known || !host.up || newSession) told.changed = true;
   if (!host.known || newSession) host.beginSession(report.session, now);
@@ -40,30 +56,26 @@
     host.takenAt = host.takenAt === null || takenAt < host.takenAt ? takenAt : host.takenAt;
   }
   if (newSession) host.ended.clear();
+}
 
-  const current = new Map<string, Task>();
-  for (const task of host.tasks) current.set(attemptKey({ task: task.id, tryNo: task.tryNo }), task);
-
-  const shown = new Set<string>();
+function takeAttempts(
+  host: Host,
+  report: Report,
+  current: ReadonlyMap<string, Task>,
+  jobs: JobStore,
+  token: Token,
+  told: Told,
+  now: Steady,
+): void {
   const strays: Attempt[] = [];
   for (const attempt of report.attempts) {
     const key = attemptKey(attempt);
-    shown.add(key);
     const task = current.get(key);
     if (task) show(host, task, attempt, now, told);
     else if (attempt.state !== 'exited') strays.push(attempt);
-    else if (!host.ended.has(key)) host.ended.set(key, endedStray(attempt, jobs, host.token(epoch)));
+    else if (!host.ended.has(key)) host.ended.set(key, endedStray(attempt, jobs, token));
   }
   host.strays = strays;
-  for (const key of host.ended.keys()) if (!shown.has(key)) host.ended.delete(key);
-
-  for (const [key, task] of current) {
-    if (shown.has(key) || task.phase !== 'placed') continue;
-    if (provenGone(task, report)) lose(host, task, now, told);
-    else if (task.shown !== null) host.doubted = true;
-  }
-  host.idleSince = host.empty ? (host.idleSince ?? now) : null;
-  return told;
 }
 
 function provenGone(task: Task, report: Report): boolean {
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -7,15 +7,9 @@
 import { type JobSpec, Priority } from '../../src/model/job.js';
 import type { Team } from '../../src/model/team.js';
 import type { Steady, WallTime } from '../../src/model/time.js';
-import {
-  guaranteedJobs,
-  type JobView,
-  type MachineView,
-  place as placeSnapshot,
-  type Plan,
-  type Snapshot,
-  type Victim,
-} from '../../src/scheduler/place.js';
+import { place as placeSnapshot } from '../../src/scheduler/place.js';
+import { guaranteedJobs } from '../../src/scheduler/queue.js';
+import type { JobView, MachineView, Plan, Snapshot, Victim } from '../../src/scheduler/snapshot.js';
 import type { TeamUse } from '../../src/scheduler/job-store.js';
 import { plainPlace, structuredCloneOf } from './plain-place.js';
 import { isStarving, Urgency } from '../../src/scheduler/urgency.js';
--- a/test/unit/plain-place.ts
+++ b/test/unit/plain-place.ts
@@ -1,14 +1,6 @@
 import { fits, give, type JobSpec, Priority, take } from '../../src/model/job.js';
-import {
-  allowed,
-  type MachineView,
-  type Plan,
-  queueOrder,
-  type Snapshot,
-  teamRoom,
-  type Victim,
-  zoneAllows,
-} from '../../src/scheduler/place.js';
+import { allowed, queueOrder, teamRoom, zoneAllows } from '../../src/scheduler/queue.js';
+import type { MachineView, Plan, Snapshot, Victim } from '../../src/scheduler/snapshot.js';
 
 /** A copy that can be decided on without touching the original. */
 export function structuredCloneOf(now: Snapshot): Snapshot {
