--- a/src/api/http-router.ts
+++ b/src/api/http-router.ts
@@ -14,7 +14,7 @@
 /** What the router hands requests to. */
 export interface RequestHandler {
   up(): boolean;
-  beat(body: Buffer): Promise<{ status: number; body: Buffer | null }>;
+  heartbeat(body: Buffer): Promise<{ status: number; body: Buffer | null }>;
   user(verb: UserVerb, body: Buffer): Promise<UserAnswer>;
 }
 
@@ -43,7 +43,7 @@
   app.get('/up', () => new Response(null, { status: handler.up() ? 200 : 503 }));
 
   app.post('/agent/beat', async (c) => {
-    const answer = await handler.beat(await readBody(c.env.incoming));
+    const answer = await handler.heartbeat(await readBody(c.env.incoming));
     const headers = { 'content-type': 'application/json' };
     return new Response(answer.body, { status: answer.status, headers });
   });
--- /dev/null
+++ b/src/cluster/heartbeat-router.ts
@@ -0,0 +1,76 @@
+/** Brings workers' reports to whoever leads, and the answers back. */
+import type { MemberId } from '../model/ids.js';
+import type { Report } from '../model/report.js';
+import { parseJson } from '../net/http-client.js';
+import { type AnswerFrame, Kind } from '../peer/frames.js';
+import { encodeOrders, parseReport } from '../wire/workers.js';
+import type { Leadership } from './leadership.js';
+import { passedOnBy, type PeerGroup } from './peer-group.js';
+
+const RELAY_MS = 2500;
+
+/** The answer to a worker's report. */
+export interface HeartbeatAnswer {
+  readonly status: number;
+  readonly body: Buffer | null;
+}
+
+const REFUSED: HeartbeatAnswer = { status: 503, body: null };
+
+/** A leader answers itself; a follower passes the report on. */
+export class HeartbeatRouter {
+  constructor(
+    private readonly member: MemberId,
+    private readonly leadership: Leadership,
+    private readonly peers: PeerGroup,
+  ) {}
+
+  /** A report of a worker that is with this node. */
+  async take(body: Buffer): Promise<HeartbeatAnswer> {
+    // Whoever leads reads the report: one that is passed on is not read here as well.
+    if (this.leadership.leader) {
+      const parsed = parseReport(parseJson(body));
+      if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
+      const orders = await this.lead(parsed.value, this.member);
+      if (orders) return { status: 200, body: orders };
+    }
+    return (await this.relay(body)) ?? REFUSED;
+  }
+
+  /** A report that another controller passes on; null: this node can't have it answered. */
+  async takeFromPeer(
+    kind: Kind.Heartbeat | Kind.PassOn | Kind.Passed,
+    payload: Buffer,
+    from: MemberId,
+  ): Promise<AnswerFrame | null> {
+    if (!this.leadership.leader) {
+      const link = kind === Kind.PassOn ? this.peers.leader() : undefined;
+      return (await link?.ask(Kind.Passed, payload, RELAY_MS / 2)) ?? null;
+    }
+    const parsed = parseReport(parseJson(payload));
+    if (!parsed.ok) return null;
+    // Which controller the worker is with, the one before the last does not tell.
+    const orders = await this.lead(parsed.value, kind === Kind.Heartbeat ? from : passedOnBy(from));
+    return orders ? { status: 200, body: orders } : null;
+  }
+
+  private async lead(report: Report, via: MemberId): Promise<Buffer | null> {
+    const answer = await this.leadership.report(report, via);
+    return answer?.kind === 'orders' ? encodeOrders(answer.token, answer.orders) : null;
+  }
+
+  private async relay(body: Buffer): Promise<HeartbeatAnswer | null> {
+    const link = this.peers.leader();
+    if (link) {
+      const answer = await link.ask(Kind.Heartbeat, body, RELAY_MS);
+      return answer?.status === 200 ? { status: 200, body: Buffer.from(answer.body) } : null;
+    }
+    // The leader's zone may be cut off from ours, but not from a third one.
+    if (this.leadership.leader || !this.leadership.election.leader) return null;
+    for (const other of this.peers.alive) {
+      const answer = await other.ask(Kind.PassOn, body, RELAY_MS / 2);
+      if (answer?.status === 200) return { status: 200, body: Buffer.from(answer.body) };
+    }
+    return null;
+  }
+}
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -4,15 +4,13 @@
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
 import type { Epoch, HostId, JobId, MemberId, Revision } from '../model/ids.js';
-import { Priority } from '../model/job.js';
-import type { Machine } from '../model/machine.js';
 import type { Report } from '../model/report.js';
-import { type Cancel, type Steady, since, sleep } from '../model/time.js';
+import { type Cancel, type Steady, since } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { DependencyGraph } from '../scheduler/dependencies.js';
 import { JobStore } from '../scheduler/job-store.js';
 import type { OpenJob } from '../scheduler/open-job.js';
-import type { Task } from '../scheduler/task.js';
+
 import { SlackFactors } from '../scheduler/slack-factors.js';
 import { Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
@@ -32,14 +30,13 @@
 import { JobOutcomes } from './job-outcomes.js';
 import { JobWatcher } from './job-watcher.js';
 import { type ReportAnswer, ReportHandler } from './report-handler.js';
-import { type LoadedJobs, loadOpenJobs, type RestoredFleet, restoreFleet } from './takeover.js';
+import { StateRestorer } from './state-restorer.js';
+import type { LoadedJobs } from './takeover.js';
 import { summaryOf } from './summary.js';
 
 const TICK_MS = 500;
 /** By then a new leader has met the machines that live. */
 const MEETING_MS = 4000;
-/** A takeover that could not read the records tries again after this. */
-const TAKEOVER_AGAIN_MS = 200;
 /** The share of the state service's changes that a leader uses at most. */
 const STATE_SHARE = 0.7;
 /** The share of the cloud's calls that a leader makes at most. */
@@ -64,6 +61,7 @@
   private readonly drainer: HostDrainer;
   private readonly reports: ReportHandler;
   private readonly watcher: JobWatcher;
+  private readonly restorer: StateRestorer;
   private readonly outcomes: JobOutcomes;
   private over = false;
   private readyAt: Steady | null = null;
@@ -90,10 +88,7 @@
     const urgency = new Urgency(settings.objectives);
     const graph = new DependencyGraph(this.jobs, (job) => urgency.takes(lifetimes.expectedRun(job.spec)));
     const stateBudget = new Budget(clock, 1, 1);
-    this.stopRating = node.limits.whenRated(() => {
-      const rate = node.limits.writeRps * STATE_SHARE;
-      stateBudget.setRate(rate, rate);
-    });
+    this.stopRating = this.followRates(stateBudget);
     this.fleet = new FleetManager(
       ctx,
       new Budget(clock, settings.cloudRps * CLOUD_SHARE, settings.cloudRps),
@@ -140,9 +135,18 @@
       lock,
     });
     this.watcher = new JobWatcher(ctx, this, answering, lock);
+    this.restorer = new StateRestorer(ctx, fleet, this.record, this, answering);
     this.outcomes = new JobOutcomes(ctx, { fleet, lifetimes, urgency, slackFactors });
   }
 
+  private followRates(budget: Budget): Cancel {
+    const { limits } = this.ctx;
+    return limits.whenRated(() => {
+      const rate = limits.writeRps * STATE_SHARE;
+      budget.setRate(rate, rate);
+    });
+  }
+
   private contextOf(node: NodeContext, epoch: Epoch, epochRevision: Revision, grant: Grant): LeaderContext {
     return {
       ...node,
@@ -177,7 +181,7 @@
 
   /** Reads what the earlier leader left, and begins. */
   async start(): Promise<void> {
-    const from = await this.takeOver();
+    const from = await this.restorer.run();
     if (this.over || from === null) return;
     this.readyAt = this.ctx.clock.now();
     this.reports.start();
@@ -186,54 +190,12 @@
       { epoch: this.ctx.epoch, jobs: this.jobs.size, hosts: this.hosts.size },
       'leadership begun',
     );
-    for (const host of this.inOrderOfNeed()) this.dispatcher.wake(host);
+    for (const host of this.restorer.inOrderOfNeed()) this.dispatcher.wake(host);
     void this.watcher.run(from);
     this.loop();
     this.decisions.start();
   }
 
-  /** The revision from which changes are to be followed; null: the leadership is over. */
-  private async takeOver(): Promise<Revision | null> {
-    while (!this.over) {
-      const began = this.ctx.clock.now();
-      try {
-        const jobs = await loadOpenJobs(this.ctx);
-        this.restore(jobs, await restoreFleet(this.ctx, this.fleet));
-        this.answering.knew(began);
-        return jobs.revision;
-      } catch (error) {
-        this.ctx.log.info({ error: reason(error) }, 'takeover waits for the state service');
-        await sleep(this.ctx.clock, TAKEOVER_AGAIN_MS);
-      }
-    }
-    return null;
-  }
-
-  private restore({ jobs, orphans, cancelled }: LoadedJobs, fleet: RestoredFleet): void {
-    for (const job of jobs) this.open(job);
-    this.committer.leave(orphans);
-    this.record.found(fleet.records);
-    for (const { machine, address, at, up } of fleet.machines) {
-      const host = this.fleet.adopt(machine, at, address);
-      if (host && up) host.up = true;
-    }
-    this.attachHeld();
-    for (const id of cancelled) this.canceller.cancel(id);
-  }
-
-  /** Whom a new leader meets first: machines with production work, then those with room. */
-  private inOrderOfNeed(): Host[] {
-    const need = (host: Host): number => {
-      for (const task of host.tasks) if (task.job.spec.priority === Priority.Production) return 0;
-      return host.free.cpus > 0 ? 1 : 2;
-    };
-    return [...this.hosts.values()]
-      .filter((host) => host.up || !host.empty)
-      .map((host) => ({ host, need: need(host) }))
-      .sort((a, b) => a.need - b.need)
-      .map(({ host }) => host);
-  }
-
   private loop(): void {
     if (this.over) return;
     this.stopTick = this.ctx.clock.after(TICK_MS, () => {
@@ -302,28 +264,6 @@
     if (!this.over) void this.lock.runExclusive(() => ids.forEach((id) => this.canceller.cancel(id)));
   }
 
-  /** Every task that may be on a machine holds its place there, known machine or not. */
-  private attachHeld(): void {
-    for (const job of this.jobs.values()) {
-      for (const task of job.held()) {
-        const host = task.host === null ? undefined : this.hosts.get(task.host);
-        if (host) {
-          task.zone = host.machine.zone;
-          host.put(task);
-        } else if (task.host !== null) this.adoptUnknown(task, task.host);
-      }
-    }
-  }
-
-  /** A task's host is in no list yet: it is fenced like a silent one unless it is heard. */
-  private adoptUnknown(task: Task, id: HostId): void {
-    const type = this.ctx.types.values().next().value;
-    if (!type) return;
-    const machine: Machine = { id, type: type.id, zone: this.ctx.settings.zone, spot: true };
-    const host = this.fleet.adopt(machine, this.ctx.startedAt, '', true);
-    host?.put(task);
-  }
-
   private wake(id: HostId): void {
     const host = this.hosts.get(id);
     if (host) this.dispatcher.wake(host);
--- /dev/null
+++ b/src/cluster/peer-group.ts
@@ -0,0 +1,136 @@
+/** The links to all other controllers, and what is said and asked over them. */
+import { type Log, reason } from '../log/logger.js';
+import type { Epoch, JobId, MemberId } from '../model/ids.js';
+import type { Clock } from '../model/time.js';
+import {
+  type CancellationsWord,
+  decodeCancellations,
+  encodeCancellations,
+  Kind,
+  type Ping,
+} from '../peer/frames.js';
+import { PeerLink } from '../peer/link.js';
+import type { LeaderRecord } from '../store/leader-record.js';
+import type { Sibling } from '../wire/settings.js';
+import type { Cancellations } from './cancellations.js';
+import type { Siblings } from './context.js';
+
+/** What this node says of itself. */
+export interface OwnState {
+  ping(): Ping;
+  /** The epoch that this node leads; null: it does not lead. */
+  leading(): Epoch | null;
+  /** The last record of a leader that this node saw. */
+  leaderRecord(): LeaderRecord | null;
+}
+
+/** Is told what the others say. */
+export interface PeerListener {
+  /** Another node says that it leads. */
+  heardOfLeader(epoch: Epoch): void;
+  /** Every other controller has shown that it takes confirmed cancellations and split records of progress. */
+  allUpgraded(): void;
+}
+
+/** All other controllers. */
+export class PeerGroup implements Siblings {
+  readonly links: readonly PeerLink[];
+  private readonly upgraded = new Set<string>();
+
+  constructor(
+    siblings: readonly Sibling[],
+    clock: Clock,
+    private readonly log: Log,
+    private readonly confirmed: Cancellations,
+    private readonly own: OwnState,
+    private readonly listener: PeerListener,
+  ) {
+    this.links = siblings.map(
+      ({ member, address }) =>
+        new PeerLink(
+          member,
+          address,
+          clock,
+          log,
+          () => own.ping(),
+          (ping) => {
+            if (ping.leading !== null) listener.heardOfLeader(ping.leading);
+          },
+          (link) => this.versionTold(link),
+        ),
+    );
+    confirmed.onLearned((ids) => this.tell(this.links, ids));
+  }
+
+  start(): void {
+    for (const link of this.links) link.start();
+  }
+
+  /** Controllers that are heard, without this one. */
+  get alive(): readonly PeerLink[] {
+    return this.links.filter((link) => link.alive);
+  }
+
+  /** Whether the leader, as far as we know, and everybody around who could become one have this version. */
+  allSpeak(version: number): boolean {
+    const leader = this.own.leaderRecord();
+    if (leader !== null && leader.version < version) return false;
+    return this.alive.every((link) => link.speaks(version));
+  }
+
+  /** The node that leads, by its own word or by the last record that we saw. */
+  leader(): PeerLink | undefined {
+    const leading = this.alive.filter((link) => link.ping?.leading != null);
+    leading.sort((a, b) => (b.ping?.leading ?? 0) - (a.ping?.leading ?? 0));
+    return leading[0] ?? this.alive.find((link) => link.member === this.own.leaderRecord()?.member);
+  }
+
+  /** What this node knows of confirmed cancellations: all of them, or those of these jobs. */
+  word(which?: readonly JobId[]): CancellationsWord {
+    return {
+      upFor: this.confirmed.upFor,
+      leading: this.own.leading(),
+      told: this.confirmed.list(which),
+    };
+  }
+
+  /** Asks each of the others what it knows; null for one that doesn't answer or can't say. */
+  cancellations(deadlineMs: number): Promise<(CancellationsWord | null)[]> {
+    const payload = encodeCancellations(this.word());
+    return Promise.all(this.links.map((link) => this.askOne(link, payload, deadlineMs)));
+  }
+
+  private async askOne(
+    link: PeerLink,
+    payload: Buffer,
+    deadlineMs: number,
+  ): Promise<CancellationsWord | null> {
+    const answer = link.takesCancellations ? await link.ask(Kind.Cancelled, payload, deadlineMs) : null;
+    if (answer?.status !== 200) return null;
+    try {
+      return decodeCancellations(answer.body);
+    } catch (error) {
+      this.log.debug({ member: link.member, error: reason(error) }, 'a list of cancellations cannot be read');
+      return null;
+    }
+  }
+
+  private versionTold(link: PeerLink): void {
+    if (!link.takesCancellations) return;
+    // Whatever it missed while there was no connection.
+    this.tell([link]);
+    this.upgraded.add(link.member);
+    // Who has once shown its version comes back with no earlier one.
+    if (this.upgraded.size === this.links.length) this.listener.allUpgraded();
+  }
+
+  private tell(to: readonly PeerLink[], which?: readonly JobId[]): void {
+    const takers = to.filter((link) => link.takesCancellations);
+    if (takers.length === 0) return;
+    const payload = encodeCancellations(this.word(which));
+    for (const link of takers) link.send(Kind.Cancelled, 0, payload);
+  }
+}
+
+/** A reporter that is not the controller that the worker is with. */
+export const passedOnBy = (member: MemberId): MemberId => `${member} and another` as MemberId;
--- /dev/null
+++ b/src/cluster/user-router.ts
@@ -0,0 +1,102 @@
+/** Answers users' requests here or, where this node can't, at another one. */
+import type { Admission } from '../api/admission.js';
+import { Busy, unavailable, type UserAnswer, type UserService } from '../api/users.js';
+import { parseJson } from '../net/http-client.js';
+import { encodeUser, Kind, type UserVerb } from '../peer/frames.js';
+import { StateRefused, StateUnknown } from '../store/client.js';
+import type { ConnectivityMonitor } from './connectivity.js';
+import type { PeerGroup } from './peer-group.js';
+
+const FORWARD_MS = 1500;
+/** How many other nodes are asked to take what this one has no part of the changes left for. */
+const MOST_ASKED = 4;
+/** Seconds after which it is worth asking again. */
+const BUSY_RETRY_S = 2;
+
+/** Users' requests that were refused, by why. */
+export interface Refusals {
+  /** This node had no part of the changes left. */
+  busy: number;
+  /** The state service refused, or did not answer. */
+  state: number;
+}
+
+/** Every request is answered at once, if only by when to come back. */
+export class UserRouter {
+  private refusals: Refusals = { busy: 0, state: 0 };
+
+  constructor(
+    private readonly users: UserService,
+    private readonly admission: Admission,
+    private readonly connectivity: ConnectivityMonitor,
+    private readonly peers: PeerGroup,
+    /** Between 0 and 1. */
+    private readonly random: () => number,
+  ) {}
+
+  /** The refusals since the last call. */
+  takeRefusals(): Refusals {
+    const taken = this.refusals;
+    this.refusals = { busy: 0, state: 0 };
+    return taken;
+  }
+
+  /** `mayForward`: it comes from a user, and not from another controller. */
+  async take(verb: UserVerb, body: Buffer, mayForward: boolean): Promise<UserAnswer> {
+    const rank = verb === 'submit' ? 'submission' : 'query';
+    if (!this.admission.enter(rank)) return unavailable('overloaded', BUSY_RETRY_S);
+    try {
+      const elsewhere = mayForward && !this.connectivity.stateOk ? await this.forward(verb, body, 1) : null;
+      return elsewhere ?? (await this.answer(verb, body));
+    } catch (error) {
+      return await this.afterRefusal(error, verb, body, mayForward);
+    } finally {
+      this.admission.leave(rank);
+    }
+  }
+
+  private answer(verb: UserVerb, body: Buffer): Promise<UserAnswer> {
+    switch (verb) {
+      case 'submit':
+        return this.users.submit(parseJson(body));
+      case 'query':
+        return this.users.query(body.toString('utf8'));
+      case 'cancel':
+        return this.users.cancel(body.toString('utf8'));
+    }
+  }
+
+  private async afterRefusal(
+    error: unknown,
+    verb: UserVerb,
+    body: Buffer,
+    mayForward: boolean,
+  ): Promise<UserAnswer> {
+    if (error instanceof Busy) {
+      this.refusals.busy++;
+      // Each node has its part of what users may write: of several one mostly has some left.
+      const forwarded = mayForward ? await this.forward(verb, body, MOST_ASKED) : null;
+      return forwarded ?? unavailable('asked too often', BUSY_RETRY_S);
+    }
+    if (!(error instanceof StateRefused || error instanceof StateUnknown)) throw error;
+    this.refusals.state++;
+    // Asked too often is meant for all nodes: another one would only ask once more.
+    if (error instanceof StateRefused && error.tooMany) return unavailable('asked too often', BUSY_RETRY_S);
+    const forwarded = mayForward ? await this.forward(verb, body, 1) : null;
+    return forwarded ?? unavailable('state service not reached');
+  }
+
+  /** The state service may refuse this node alone: another one can then answer. */
+  private async forward(verb: UserVerb, body: Buffer, most: number): Promise<UserAnswer | null> {
+    const able = this.peers.alive.filter((link) => link.ping?.stateOk);
+    const first = Math.floor(this.random() * able.length);
+    const payload = encodeUser(verb, body);
+    for (let i = 0; i < Math.min(most, able.length); i++) {
+      const answer = await able[(first + i) % able.length]?.ask(Kind.User, payload, FORWARD_MS);
+      // Without an answer it may have been taken, and the user has waited long enough to be told.
+      if (!answer) return null;
+      if (answer.status !== 503) return parseJson(Buffer.from(answer.body)) as UserAnswer;
+    }
+    return null;
+  }
+}
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -68,15 +68,15 @@
 
   start(): void {
     this.dial();
-    this.beat();
+    this.keepAlive();
   }
 
-  private beat(): void {
+  private keepAlive(): void {
     this.clock.after(PING_MS, () => {
       if (this.open && this.lastHeard !== null && since(this.clock.now(), this.lastHeard) > SILENT_MS) {
         this.socket?.destroy();
       } else if (this.open) this.send(Kind.Ping, 0, encodePing(this.myPing()));
-      this.beat();
+      this.keepAlive();
     });
   }
 
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -467,7 +467,7 @@
     this.rules.left(task, worker.machine.id, why === 'done');
   }
 
-  beat(worker: StandInWorker, node: string, report: Report): Promise<HeartbeatAnswer | null> {
+  heartbeat(worker: StandInWorker, node: string, report: Report): Promise<HeartbeatAnswer | null> {
     if (this.copyShare > 0 && this.random() < this.copyShare) {
       this.clock.after(2000 + 38_000 * this.random(), () => this.deliverCopy(report));
     }
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -26,7 +26,7 @@
   started(worker: StandInWorker, task: TaskId, tryNo: TryNo): void;
   left(worker: StandInWorker, task: TaskId, why: string): void;
   /** Null: no answer. */
-  beat(worker: StandInWorker, node: string, report: Report): Promise<HeartbeatAnswer | null>;
+  heartbeat(worker: StandInWorker, node: string, report: Report): Promise<HeartbeatAnswer | null>;
 }
 
 interface Here {
@@ -126,7 +126,7 @@
     this.lastSent = sent;
     const session = this.session;
     const node = this.world.nodes[this.node % this.world.nodes.length] as string;
-    const answer = await this.world.beat(this, node, this.snapshot());
+    const answer = await this.world.heartbeat(this, node, this.snapshot());
     this.reporting = false;
     if (this.gone || this.hung) return;
     if (!answer || answer.status !== 200) {
--- a/test/unit/sockets.test.ts
+++ b/test/unit/sockets.test.ts
@@ -24,7 +24,7 @@
 async function front(handler: Partial<RequestHandler>, idleMs = 2000): Promise<string> {
   const whole: RequestHandler = {
     up: () => true,
-    beat: () => Promise.resolve({ status: 503, body: null }),
+    heartbeat: () => Promise.resolve({ status: 503, body: null }),
     user: (verb, body) => Promise.resolve({ status: 200, body: { verb, text: body.toString() } }),
     ...handler,
   };
@@ -64,13 +64,13 @@
   it('answers more workers than it has sockets for, in turns', async () => {
     let inside = 0;
     let most = 0;
-    const beat = async (): Promise<{ status: number; body: null }> => {
+    const heartbeat = async (): Promise<{ status: number; body: null }> => {
       most = Math.max(most, ++inside);
       await new Promise((resolve) => setImmediate(resolve));
       inside--;
       return { status: 200, body: null };
     };
-    const address = await front({ beat }, 60_000);
+    const address = await front({ heartbeat }, 60_000);
     // Ten sockets, 40 workers that keep their connections and come at the same moment, three times each.
     const report = async (worker: HttpTarget): Promise<number> => {
       for (let tries = 0; tries < 500; tries++) {
