--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -39,7 +39,7 @@
  */
 const USERS_WRITES = 0.65;
 /** Jobs that come together are taken together, up to the changes of so many seconds. */
-const USERS_BURST_S = 2;
+const USERS_BURST_S = 4;
 /** What one cancellation writes. */
 const CANCEL_WRITES = 1;
 const WATCH_MS = 20_000;
--- a/src/fleet/consolidator.ts
+++ b/src/fleet/consolidator.ts
@@ -12,8 +12,6 @@
 const EVERY_MS = 2000;
 /** A machine costs this much of its time however soon it goes back (PROTOCOL). */
 export const PAID_MS = 60_000;
-/** A task that has outrun its expectation is taken to need this part of it still. */
-const LEAST_LEFT = 0.2;
 
 /** Looks every few seconds, while nothing waits. */
 export class Consolidator {
@@ -67,7 +65,7 @@
     const { ranked: spec, readyAt } = task.job;
     const runMs = this.lifetimes.expectedRun(spec);
     const ranMs = task.runningAt === null ? 0 : since(now, task.runningAt);
-    const leftMs = Math.max(runMs * LEAST_LEFT, runMs - ranMs);
+    const leftMs = this.lifetimes.expectedLeft(spec, ranMs);
     const ageMs = Math.max(0, this.ctx.clock.wall() - readyAt);
     const mayStop = spec.spot && spec.kind === 'array' && task.phase === 'placed' && task.kill === null;
     return {
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -25,8 +25,6 @@
 /** The pause after looking what to rent: at least this, or so many times what it took. */
 const RENT_PAUSE_MS = 150;
 const RENT_PAUSE = 10;
-/** A task that has outrun its expectation is taken to need this part of it still. */
-const LEAST_LEFT = 0.2;
 
 /** What the fleet decides by. */
 interface FleetParts {
@@ -208,9 +206,8 @@
       for (const task of host.tasks) {
         const { spec } = task.job;
         if (!spec.spot) continue;
-        const run = this.parts.lifetimes.expectedRun(spec);
         const ran = task.runningAt === null ? 0 : now - task.runningAt;
-        sum += Math.max(run * LEAST_LEFT, run - ran) * spec.cpus;
+        sum += this.parts.lifetimes.expectedLeft(spec, ran) * spec.cpus;
       }
     }
     return sum;
--- a/src/forecast/lifetimes.ts
+++ b/src/forecast/lifetimes.ts
@@ -2,6 +2,7 @@
 
 const UNIT_MS = 100;
 const LOOK_AGAIN = 1.05;
+const LEAST_LEFT = 0.2;
 
 /** Run times seen per class of jobs: the empirical F of the paper's equation 9. */
 export class Lifetimes {
@@ -44,6 +45,12 @@
     return this.expected(jobClass, estimateS * 1000);
   }
 
+  /** How long such a task is still expected to run after so many ms; one that has outrun its expectation, a part of it. */
+  expectedLeft(spec: { readonly jobClass: string; readonly estimateS: number }, ranMs: number): number {
+    const runMs = this.expectedRun(spec);
+    return Math.max(runMs * LEAST_LEFT, runMs - ranMs);
+  }
+
   count(jobClass: string): number {
     return this.seen.get(jobClass)?.totalCount ?? 0;
   }
