--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -212,7 +212,7 @@
         this.cloud.adopt({ id, type, zone, spot: spot === 1 });
     }
     for (const { key, value } of records) {
-      const job = /^open\/(j-\d+)\/\d+$/.exec(key)?.[1];
+      const job = /^open\/(j-\d+)\/(?:\d+-)?\d+$/.exec(key)?.[1];
       if (job === undefined) continue;
       for (const [index, tryNo, host] of (value as { p?: [number, TryNo, HostId][] }).p ?? [])
         this.worker(host).command(token, 1 as SessionNumber, [
--- a/test/traces/upgrade.test.ts
+++ b/test/traces/upgrade.test.ts
@@ -9,6 +9,7 @@
   tokenOf,
 } from '../../src/model/ids.js';
 import {
+  decodeCancellations,
   decodePing,
   encodeCall,
   encodeFrame,
@@ -18,7 +19,11 @@
   FrameReader,
   Kind,
 } from '../../src/peer/frames.js';
-import { PROTOCOL_VERSION } from '../../src/model/protocol.js';
+import {
+  DEPENDENCIES_VERSION,
+  PROTOCOL_VERSION,
+  SPLIT_DESCRIPTIONS_VERSION,
+} from '../../src/model/protocol.js';
 import { leaderRecord } from '../../src/store/leader-record.js';
 import type { Row } from '../../src/wire/state.js';
 import { type JobWish, Site } from '../standins/site.js';
@@ -98,6 +103,71 @@
   });
 });
 
+/** Made in the same way by the version that first served dependent jobs (protocol version 1). */
+const landed = JSON.parse(readFileSync(new URL('../fixtures/landed.json', import.meta.url), 'utf8')) as {
+  records: { key: string; value: unknown; stamp: Revision }[];
+  frames: Record<'ping' | 'cancelled', string>;
+  named: string[];
+};
+
+const LANDED_WISHES: JobWish[] = [
+  { ref: 'j-000001', tasks: 310, runS: 60 },
+  { ref: 'j-000002', kind: 'service', tasks: 2, team: 'blue' },
+  { ref: 'j-000003', runS: 2, team: 'blue' },
+  { ref: 'j-000004', runS: 200, team: 'blue' },
+  { ref: 'j-000005', runS: 40, team: 'blue', awaits: ['j-000003'] },
+  { ref: 'j-000006', runS: 5, team: 'blue', awaits: ['j-000005'], rank: 'urgent', dueS: 200 },
+  { ref: 'j-000007', runS: 5, team: 'blue', awaits: ['j-000004'] },
+  { ref: 'j-000008', runS: 5, team: 'blue', awaits: landed.named },
+  ...landed.named.map((ref) => ({ ref, team: 'blue', cpus: 1, runS: 20 })),
+];
+
+describe('records of the version landed last', () => {
+  it('are taken over: split progress, dependencies in lists of their own, what is over', async () => {
+    const next = { value_kb: 1, txn_ops: 5, write_rps: 30 };
+    const site = new Site({ limit: { red: 700, blue: 60 }, reportS: 3, nodes: 3, next });
+    const rows = landed.records.map(({ key, value, stamp }) => ({ key, value, revision: stamp }));
+    site.restore(
+      rows.filter((row) => row.key !== 'leader'),
+      LANDED_WISHES,
+      tokenOf(1 as Epoch, 0 as Round),
+    );
+    site.state.sizes = { txnOps: 5, valueBytes: 1024 };
+    site.startAll();
+    await site.run(3);
+    expect(site.tasksOn('j-000001')).toBe(310);
+    expect(site.tasksOn('j-000005')).toBe(1);
+    expect(site.tasksOn('j-000006')).toBe(0);
+    expect(await site.query('j-000003')).toBe('done');
+    expect(await site.query('j-000007', 'node-1')).toBe('cancelled');
+    // Its list of dependencies has a record of its own; a machine's end splits nothing anew.
+    site.takeAway(site.hostOf('j-000001/0'));
+    await until(site, () => site.state.value('open/j-000008') === undefined, 200);
+    await until(site, () => site.state.value('open/j-000006') === undefined, 60);
+    await until(site, () => site.state.value('open/j-000001') === undefined, 120);
+    await site.run(5);
+    for (const ref of ['j-000001', 'j-000006', 'j-000008']) expect(await site.query(ref)).toBe('done');
+    expect(site.tasksOn('j-000002')).toBe(2);
+    await site.finish();
+    expect(site.rules.broken).toEqual([]);
+    expect(site.state.malformed).toEqual([]);
+  });
+
+  it('and its frames are read; what is new since is kept from it', () => {
+    const bytes = Object.values(landed.frames).map((hex) => Buffer.from(hex, 'hex'));
+    const frames = new FrameReader().push(Buffer.concat(bytes));
+    expect(frames.map((frame) => frame.kind)).toEqual([Kind.Ping, Kind.Cancelled]);
+    const ping = decodePing(frames[0]?.payload as Buffer);
+    expect(ping).toMatchObject({ version: DEPENDENCIES_VERSION, leading: 5 });
+    expect(ping.version).toBeLessThan(SPLIT_DESCRIPTIONS_VERSION);
+    expect(decodeCancellations(frames[1]?.payload as Buffer)).toEqual({
+      upFor: 61_000,
+      leading: 5,
+      told: [{ id: 'j-000412', age: 1500 }],
+    });
+  });
+});
+
 describe('frames of the production version', () => {
   it('are read, and the same frames are still written', () => {
     const bytes = Object.values(production.frames).map((hex) => Buffer.from(hex, 'hex'));
