--- a/src/cluster/peer-group.ts
+++ b/src/cluster/peer-group.ts
@@ -116,7 +116,10 @@
   }
 
   private versionTold(link: PeerLink): void {
-    if (!link.takesCancellations) return;
+    if (!link.takesCancellations) {
+      this.warnOfDowngrade(link);
+      return;
+    }
     // Whatever it missed while there was no connection.
     this.tell([link]);
     this.upgraded.add(link.member);
@@ -124,6 +127,15 @@
     if (this.upgraded.size === this.links.length) this.listener.allUpgraded();
   }
 
+  /** Going back is not supported once dependent jobs or split records exist (docs/upgrade.md). */
+  private warnOfDowngrade(link: PeerLink): void {
+    if (!this.upgraded.has(link.member)) return;
+    this.log.warn(
+      { member: link.member },
+      'a controller came back with an earlier version: dependent jobs are refused while it is there, and it must not lead while any is open',
+    );
+  }
+
   private tell(to: readonly PeerLink[], which?: readonly JobId[]): void {
     const takers = to.filter((link) => link.takesCancellations);
     if (takers.length === 0) return;
--- a/test/unit/sockets.test.ts
+++ b/test/unit/sockets.test.ts
@@ -1,11 +1,15 @@
 import { createServer, connect, type AddressInfo } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { type RequestHandler, requestListener, MAX_BODY } from '../../src/api/http-router.js';
+import { Cancellations } from '../../src/cluster/cancellations.js';
+import { PeerGroup } from '../../src/cluster/peer-group.js';
 import { silentLog } from '../../src/log/logger.js';
-import { realClock } from '../../src/model/time.js';
+import type { MemberId } from '../../src/model/ids.js';
+import { PROTOCOL_VERSION, UNVERSIONED } from '../../src/model/protocol.js';
+import { ms, realClock } from '../../src/model/time.js';
 import { HttpTarget } from '../../src/net/http-client.js';
-import { FrontServer } from '../../src/net/server.js';
-import { Kind, type Ping } from '../../src/peer/frames.js';
+import { FrontServer, splitAddress } from '../../src/net/server.js';
+import { encodeFrame, encodePing, Kind, type Ping } from '../../src/peer/frames.js';
 import { PeerLink, PeerServer } from '../../src/peer/link.js';
 
 /** Real sockets on loopback; every wait is for an event. */
@@ -132,4 +136,37 @@
     expect(answer).toMatchObject({ status: 200 });
     expect(answer?.body.toString()).toBe('{}');
   });
+
+  it('warns where a controller comes back with an earlier version', async () => {
+    const told = [PROTOCOL_VERSION, UNVERSIONED];
+    const server = createServer((socket) => {
+      const version = told.shift() ?? UNVERSIONED;
+      const ping: Ping = { member: 'b', stateOk: true, leading: null, version };
+      socket.write(encodeFrame(Kind.Ping, 0, encodePing(ping)));
+      // The first process ends, and another one takes its place.
+      if (version > UNVERSIONED) setTimeout(() => socket.destroy(), 50);
+    });
+    const address = await freeAddress();
+    const { host, port } = splitAddress(address);
+    server.listen({ host, port });
+    closing.push(() => server.close());
+    const upgraded: string[] = [];
+    const warning = await new Promise<object>((resolve) => {
+      const group = new PeerGroup(
+        [{ member: 'b' as MemberId, address }],
+        realClock,
+        { ...silentLog, warn: resolve },
+        new Cancellations(realClock, ms(1000)),
+        {
+          ping: () => ({ member: 'a', stateOk: true, leading: null, version: PROTOCOL_VERSION }),
+          leading: () => null,
+          leaderRecord: () => null,
+        },
+        { heardOfLeader: () => {}, allUpgraded: () => upgraded.push('all') },
+      );
+      group.start();
+    });
+    expect(upgraded).toEqual(['all']);
+    expect(warning).toEqual({ member: 'b' });
+  });
 });
