--- a/test/traces/trace.ts
+++ b/test/traces/trace.ts
@@ -8,6 +8,6 @@
   expect(site.rules.broken).toEqual([]);
   const path = new URL(`./${name}.txt`, import.meta.url);
   if (process.env['ACCEPT_TRACES']) writeFileSync(path, site.text);
-  expect(existsSync(path), `no kept trace ${name}; run npm run traces:accept and read it`).toBe(true);
+  expect(existsSync(path), `no golden trace ${name}; run npm run traces:accept and read it`).toBe(true);
   expect(site.text).toBe(readFileSync(path, 'utf8'));
 }
