--- a/test/standins/day.ts
+++ b/test/standins/day.ts
@@ -1,6 +1,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { type JobWish, Site } from './site.js';
+import { Site } from './site.js';
+import type { JobWish } from './site-setup.js';
 import type { Trouble, Users } from './troubles.js';
 
 interface UserJob {
--- /dev/null
+++ b/test/standins/site-setup.ts
@@ -0,0 +1,121 @@
+/** What a stand-in site is set up with: its settings, machine types, and jobs as tests ask for them. */
+import type { TypeId, ZoneId } from '../../src/model/ids.js';
+import type { MachineType } from '../../src/model/machine.js';
+import { seconds } from '../../src/model/time.js';
+import { readSettings, type Settings } from '../../src/wire/settings.js';
+
+/** A job as a test asks for it; what it leaves open is filled in. */
+export interface JobWish {
+  ref: string;
+  team?: string;
+  kind?: 'array' | 'service';
+  rank?: string;
+  tasks?: number;
+  cpus?: number;
+  spot?: boolean;
+  zone?: string;
+  samePlace?: boolean;
+  apart?: boolean;
+  runS?: number;
+  broken?: boolean;
+  awaits?: readonly string[];
+  jobClass?: string;
+  image?: string;
+  types?: readonly string[];
+  dueS?: number;
+}
+
+/** What a wish leaves open. */
+const DEFAULT_WISH = {
+  team: 'red',
+  kind: 'array' as NonNullable<JobWish['kind']>,
+  tasks: 1,
+  cpus: 2,
+  spot: false,
+  samePlace: false,
+  apart: false,
+  runS: 5,
+  image: 'img-1',
+  awaits: [] as readonly string[],
+} satisfies Partial<JobWish>;
+
+/** The machine types that the cloud offers. */
+export const TYPES: MachineType[] = [
+  {
+    id: 'small' as TypeId,
+    cpus: 8,
+    gpus: 0,
+    memoryGb: 32,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: 0.4,
+    spotPrice: 0.1,
+    boot: seconds(20),
+    zones: ['north' as ZoneId, 'south' as ZoneId],
+  },
+];
+
+export const LEASE_S = 20;
+export const CANCEL_S = 40;
+/** How large a site is, and what its state service will take. */
+export interface Size {
+  /** CPUs that each team may use. */
+  readonly limit: { red: number; blue: number };
+  readonly reportS: number;
+  readonly nodes: number;
+  /** The state service's limits from some moment on, as the settings announce them. */
+  readonly next?: object;
+}
+
+/** Two teams on a few machines. */
+export const SMALL: Size = { limit: { red: 24, blue: 40 }, reportS: 3, nodes: 3 };
+
+/** What the platform hands to one controller. */
+export function settingsOf(member: string, size: Size): Settings {
+  return readSettings({
+    member,
+    site: 'north',
+    front: '127.0.0.1:1',
+    cluster_listen: '127.0.0.1:2',
+    endpoints: { cloud: '127.0.0.1:3', state: '127.0.0.1:4' },
+    facts: {
+      teams: [
+        { name: 'red', cpus: 8, cpus_max: size.limit.red },
+        { name: 'blue', cpus: 8, cpus_max: size.limit.blue },
+      ],
+      objectives: [{ kind: 'finished', class: 'batch', within_s: 60 }],
+      workers: { report_s: size.reportS, lease_s: LEASE_S, cancel_s: CANCEL_S },
+      state: { rps: 200, write_rps: 60, value_kb: 16, txn_ops: 16, next: size.next },
+      cloud: { rps: 4, list_lag_s: 4 },
+    },
+  });
+}
+
+/** The job as its user submits it. */
+export function submissionBody({ ref, ...wish }: JobWish) {
+  const { tasks, runS, zone, types, team, rank, spot, ...more } = { ...DEFAULT_WISH, ...wish };
+  const array = more.kind === 'array';
+  return {
+    ref,
+    jobclass: more.jobClass ?? (array ? 'batch' : 'live'),
+    owner: team,
+    shape: more.kind,
+    rank: rank ?? (array ? 'standard' : 'production'),
+    shards: tasks,
+    cpus: more.cpus,
+    gpus: 0,
+    memoryGb: 4,
+    bundle: more.image,
+    pullGb: 1,
+    flavours: types ?? null,
+    hall: zone ?? null,
+    samePlace: more.samePlace,
+    apart: more.apart,
+    reclaimable: spot,
+    expectedS: array ? runS : 0,
+    savepointS: 0,
+    flushS: 0,
+    awaits: more.awaits,
+    dueS: more.dueS ?? null,
+  };
+}
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -20,7 +20,7 @@
   ZoneId,
 } from '../../src/model/ids.js';
 import { splitTaskId } from '../../src/model/ids.js';
-import type { Machine, MachineType } from '../../src/model/machine.js';
+import type { Machine } from '../../src/model/machine.js';
 import type { Order, Report } from '../../src/model/report.js';
 import { PROTOCOL_VERSION } from '../../src/model/protocol.js';
 import { seconds } from '../../src/model/time.js';
@@ -29,98 +29,16 @@
 import { limitProbe } from '../../src/store/limit-probe.js';
 import { StateLimits } from '../../src/store/limits.js';
 import type { Row } from '../../src/wire/state.js';
-import { readSettings, type Settings } from '../../src/wire/settings.js';
 import { ProcessClock, VirtualClock } from './clock.js';
 import { StandInCloud } from './cloud.js';
 import { RuleChecker } from './rules.js';
+import { CANCEL_S, type JobWish, LEASE_S, settingsOf, SMALL, submissionBody, TYPES } from './site-setup.js';
 import { StandInState } from './state.js';
 import { type HeartbeatAnswer, type JobFacts, StandInWorker, type WorkerWorld } from './worker.js';
 
-export interface JobWish {
-  ref: string;
-  team?: string;
-  kind?: 'array' | 'service';
-  rank?: string;
-  tasks?: number;
-  cpus?: number;
-  spot?: boolean;
-  zone?: string;
-  samePlace?: boolean;
-  apart?: boolean;
-  runS?: number;
-  broken?: boolean;
-  awaits?: readonly string[];
-  jobClass?: string;
-  image?: string;
-  types?: readonly string[];
-  dueS?: number;
-}
-
-/** What a wish leaves open. */
-const DEFAULT_WISH = {
-  team: 'red',
-  kind: 'array' as NonNullable<JobWish['kind']>,
-  tasks: 1,
-  cpus: 2,
-  spot: false,
-  samePlace: false,
-  apart: false,
-  runS: 5,
-  image: 'img-1',
-  awaits: [] as readonly string[],
-} satisfies Partial<JobWish>;
-
-export const TYPES: MachineType[] = [
-  {
-    id: 'small' as TypeId,
-    cpus: 8,
-    gpus: 0,
-    memoryGb: 32,
-    cacheGb: 50,
-    fetchGbPerS: 1,
-    price: 0.4,
-    spotPrice: 0.1,
-    boot: seconds(20),
-    zones: ['north' as ZoneId, 'south' as ZoneId],
-  },
-];
-
-const LEASE_S = 20;
-const CANCEL_S = 40;
 /** One way between two controllers. */
 const PEER_MS = 3;
 
-interface Size {
-  /** CPUs that each team may use. */
-  readonly limit: { red: number; blue: number };
-  readonly reportS: number;
-  readonly nodes: number;
-  /** The state service's limits from some moment on, as the settings announce them. */
-  readonly next?: object;
-}
-
-const SMALL: Size = { limit: { red: 24, blue: 40 }, reportS: 3, nodes: 3 };
-
-function settingsOf(member: string, size: Size): Settings {
-  return readSettings({
-    member,
-    site: 'north',
-    front: '127.0.0.1:1',
-    cluster_listen: '127.0.0.1:2',
-    endpoints: { cloud: '127.0.0.1:3', state: '127.0.0.1:4' },
-    facts: {
-      teams: [
-        { name: 'red', cpus: 8, cpus_max: size.limit.red },
-        { name: 'blue', cpus: 8, cpus_max: size.limit.blue },
-      ],
-      objectives: [{ kind: 'finished', class: 'batch', within_s: 60 }],
-      workers: { report_s: size.reportS, lease_s: LEASE_S, cancel_s: CANCEL_S },
-      state: { rps: 200, write_rps: 60, value_kb: 16, txn_ops: 16, next: size.next },
-      cloud: { rps: 4, list_lag_s: 4 },
-    },
-  });
-}
-
 interface Running {
   readonly clock: ProcessClock;
   readonly leadership: Leadership;
@@ -543,7 +461,7 @@
 
   /** A submission that must never be accepted: one that fits no machine, or lacks a field. */
   async refused(wish: JobWish, node: string, lacks?: string): Promise<void> {
-    const body: Record<string, unknown> = { ...this.bodyOf(wish) };
+    const body: Record<string, unknown> = { ...submissionBody(wish) };
     if (lacks !== undefined) delete body[lacks];
     const answer = await this.running
       .get(node)
@@ -603,7 +521,7 @@
 
   /** The job as the user submits it; from now on the checker knows it. */
   private describe(wish: JobWish, node: string): Parameters<RuleChecker['submitted']>[1] {
-    const body = this.bodyOf(wish);
+    const body = submissionBody(wish);
     const id = wish.ref as JobId;
     this.jobs.set(id, {
       image: 'img-1' as ImageId,
@@ -616,34 +534,6 @@
     return body;
   }
 
-  private bodyOf({ ref, ...wish }: JobWish) {
-    const { tasks, runS, zone, types, team, rank, spot, ...more } = { ...DEFAULT_WISH, ...wish };
-    const array = more.kind === 'array';
-    return {
-      ref,
-      jobclass: more.jobClass ?? (array ? 'batch' : 'live'),
-      owner: team,
-      shape: more.kind,
-      rank: rank ?? (array ? 'standard' : 'production'),
-      shards: tasks,
-      cpus: more.cpus,
-      gpus: 0,
-      memoryGb: 4,
-      bundle: more.image,
-      pullGb: 1,
-      flavours: types ?? null,
-      hall: zone ?? null,
-      samePlace: more.samePlace,
-      apart: more.apart,
-      reclaimable: spot,
-      expectedS: array ? runS : 0,
-      savepointS: 0,
-      flushS: 0,
-      awaits: more.awaits,
-      dueS: more.dueS ?? null,
-    };
-  }
-
   async query(ref: string, node = 'node-0'): Promise<string> {
     const answer = await this.ask(node, `asks for ${ref}`, (users) => users.query(ref));
     if (answer.status === 200 || answer.status === 404) return this.heard(ref, answer);
--- a/test/traces/upgrade.test.ts
+++ b/test/traces/upgrade.test.ts
@@ -26,7 +26,8 @@
 } from '../../src/model/protocol.js';
 import { leaderRecord } from '../../src/store/leader-record.js';
 import type { Row } from '../../src/wire/state.js';
-import { type JobWish, Site } from '../standins/site.js';
+import { Site } from '../standins/site.js';
+import type { JobWish } from '../standins/site-setup.js';
 import { begun, until } from './steps.js';
 
 /** Made by the production version itself, on its stand-ins (docs/upgrade.md says how). */
--- a/test/unit/health.test.ts
+++ b/test/unit/health.test.ts
@@ -8,7 +8,7 @@
 import { Host } from '../../src/workers/host.js';
 import { HostRegistry } from '../../src/workers/host-registry.js';
 import { VirtualClock } from '../standins/clock.js';
-import { TYPES } from '../standins/site.js';
+import { TYPES } from '../standins/site-setup.js';
 
 /** Three machines, one of them silent; whether it is fenced when a probe fails after `failsMs`. */
 async function fenced(failsMs: number): Promise<boolean> {
--- a/test/unit/lease.test.ts
+++ b/test/unit/lease.test.ts
@@ -12,7 +12,7 @@
 import { JobStore } from '../../src/scheduler/job-store.js';
 import { Host } from '../../src/workers/host.js';
 import { applyReport } from '../../src/workers/reports.js';
-import { TYPES } from '../standins/site.js';
+import { TYPES } from '../standins/site-setup.js';
 
 const EPOCH = 3 as Epoch;
 const LEASE = 28_000;
--- a/test/unit/place.test.ts
+++ b/test/unit/place.test.ts
@@ -13,7 +13,7 @@
 import type { TeamUse } from '../../src/scheduler/job-store.js';
 import { plainPlace, structuredCloneOf } from './plain-place.js';
 import { isStarving, Urgency } from '../../src/scheduler/urgency.js';
-import { TYPES } from '../standins/site.js';
+import { TYPES } from '../standins/site-setup.js';
 
 const spec = (over: Partial<JobSpec>): JobSpec => ({
   id: 'j-000001' as JobId,
