--- a/test/traces/upgrade.test.ts
+++ b/test/traces/upgrade.test.ts
@@ -64,6 +64,14 @@
   return site;
 }
 
+async function readRow(site: Site, key: string): Promise<Row> {
+  const reading = site.state.for('node-9', site.clock).get(key);
+  await site.run(0.1);
+  const row = await reading;
+  if (!row) throw new Error(`${key} is missing`);
+  return row;
+}
+
 describe('records of the production version', () => {
   it.each([
     ['while others of it are about, and are written as it reads them', true, undefined],
@@ -98,6 +106,32 @@
     expect(site.state.malformed.length).toBeLessThanOrEqual(1);
   });
 
+  it('stay as a new leader has them when a late write of the old leader arrives, and an old one’s cancellation counts', async () => {
+    const site = left(false);
+    const epochBefore = records.find((row) => row.key === 'epoch')?.revision as Revision;
+    site.startAll();
+    await site.run(3);
+    const old = site.state.for('node-9', site.clock);
+    const late = old.commit(
+      [{ key: 'epoch', revision: epochBefore }],
+      [{ set: 'open/j-000001/0000', value: { d: [[0, 299]] } }],
+    );
+    await site.run(1);
+    expect(await late).toEqual({ ok: false, failed: ['epoch'] });
+    expect(site.tasksOn('j-000001')).toBe(310);
+    // As the production version cancels: the record's state alone, on the record's revision.
+    const row = await readRow(site, 'job/j-000001');
+    const cancelled = old.commit(
+      [{ key: row.key, revision: row.revision }],
+      [{ set: row.key, value: { ...(row.value as object), s: 'c' } }],
+    );
+    await site.run(10);
+    expect(await cancelled).toMatchObject({ ok: true });
+    expect(site.tasksOn('j-000001')).toBe(0);
+    expect(site.state.value('open/j-000001')).toBe(undefined);
+    expect(site.rules.broken).toEqual([]);
+  });
+
   it('name no leader that could serve what is new', () => {
     const row = records.find((r) => r.key === 'leader');
     expect(leaderRecord(row?.value)).toMatchObject({ version: 0, member: 'node-0' });
