--- a/src/api/http-router.ts
+++ b/src/api/http-router.ts
@@ -1,7 +1,6 @@
-import type { IncomingMessage } from 'node:http';
-import { Hono } from 'hono';
-import { getRequestListener, type HttpBindings } from '@hono/node-server';
-import type { RequestListener } from 'node:http';
+/** Routes of the front address: users, workers' heartbeats and health checks. */
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
+import { LinearRouter } from 'hono/router/linear-router';
 import type { UserVerb } from '../peer/frames.js';
 import type { UserAnswer } from './users.js';
 
@@ -11,6 +10,9 @@
 /** A request body over `MAX_BODY`. */
 class TooLong extends Error {}
 
+/** The client went away before its request was complete. */
+class Aborted extends Error {}
+
 /** What the router hands requests to. */
 export interface RequestHandler {
   up(): boolean;
@@ -18,55 +20,107 @@
   user(verb: UserVerb, body: Buffer): Promise<UserAnswer>;
 }
 
-async function readBody(req: IncomingMessage): Promise<Buffer> {
-  if (Number(req.headers['content-length'] ?? 0) > MAX_BODY) throw new TooLong();
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of req) {
-    size += (part as Buffer).length;
-    if (size > MAX_BODY) throw new TooLong();
-    parts.push(part as Buffer);
-  }
-  return Buffer.concat(parts);
-}
-
-function userResponse(answer: UserAnswer): Response {
-  const headers: Record<string, string> = { 'content-type': 'application/json' };
-  if (answer.retryAfter !== undefined) headers['retry-after'] = String(answer.retryAfter);
-  return new Response(JSON.stringify(answer.body), { status: answer.status, headers });
+/** An answer, ready to be written. */
+interface HttpAnswer {
+  readonly status: number;
+  readonly body: Buffer | string | null;
+  readonly retryAfter?: number;
+  /** The connection ends with this answer: the rest of the request has not been read. */
+  readonly close?: boolean;
 }
 
-/** Routes of the front address: users, workers and health checks. */
-export function requestListener(handler: RequestHandler): RequestListener {
-  const app = new Hono<{ Bindings: HttpBindings }>();
+/** Answers one request; `id` is the path's parameter, where the route has one. */
+type Route = (request: IncomingMessage, id: string) => HttpAnswer | Promise<HttpAnswer>;
 
-  app.get('/up', () => new Response(null, { status: handler.up() ? 200 : 503 }));
+const NO_SUCH_PATH: HttpAnswer = { status: 404, body: '{"error":"no such path"}' };
+const BODY_TOO_LONG: HttpAnswer = { status: 413, body: '{"error":"body over 64 KiB"}', close: true };
+const INTERNAL: HttpAnswer = { status: 500, body: '{"error":"internal"}' };
 
-  app.post('/agent/beat', async (c) => {
-    const answer = await handler.heartbeat(await readBody(c.env.incoming));
-    const headers = { 'content-type': 'application/json' };
-    return new Response(answer.body, { status: answer.status, headers });
+function readBody(request: IncomingMessage): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    if (Number(request.headers['content-length'] ?? 0) > MAX_BODY) {
+      reject(new TooLong());
+      return;
+    }
+    const parts: Buffer[] = [];
+    let size = 0;
+    request.on('data', (part: Buffer) => {
+      size += part.length;
+      if (size > MAX_BODY) reject(new TooLong());
+      else parts.push(part);
+    });
+    request.on('end', () => resolve(parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts)));
+    request.on('error', reject);
+    request.on('close', () => {
+      if (!request.complete) reject(new Aborted());
+    });
   });
+}
+
+function userAnswer({ status, body, retryAfter }: UserAnswer): HttpAnswer {
+  const text = JSON.stringify(body);
+  return retryAfter === undefined ? { status, body: text } : { status, body: text, retryAfter };
+}
 
-  app.post('/v2/runs', async (c) =>
-    userResponse(await handler.user('submit', await readBody(c.env.incoming))),
+function routes(handler: RequestHandler): LinearRouter<Route> {
+  const router = new LinearRouter<Route>();
+  router.add('GET', '/up', () => ({ status: handler.up() ? 200 : 503, body: null }));
+  router.add('POST', '/agent/beat', async (request) => handler.heartbeat(await readBody(request)));
+  router.add('POST', '/v2/runs', async (request) =>
+    userAnswer(await handler.user('submit', await readBody(request))),
   );
-  app.get('/v2/runs/:id', async (c) =>
-    userResponse(await handler.user('query', Buffer.from(c.req.param('id')))),
+  router.add('GET', '/v2/runs/:id', async (_request, id) =>
+    userAnswer(await handler.user('query', Buffer.from(id))),
   );
-  app.post('/v2/runs/:id/cancel', async (c) => {
-    await readBody(c.env.incoming);
-    return userResponse(await handler.user('cancel', Buffer.from(c.req.param('id'))));
+  router.add('POST', '/v2/runs/:id/cancel', async (request, id) => {
+    await readBody(request);
+    return userAnswer(await handler.user('cancel', Buffer.from(id)));
   });
+  return router;
+}
 
-  app.notFound(() => new Response('{"error":"no such path"}', { status: 404 }));
-  app.onError((error) => {
-    if (error instanceof TooLong) {
-      return new Response('{"error":"body over 64 KiB"}', { status: 413, headers: { connection: 'close' } });
-    }
-    return new Response('{"error":"internal"}', { status: 500 });
-  });
-  // The adapter's own Response costs half of what the runtime's does, and every report is answered by one.
-  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: true });
-  return (request, response) => void listener(request, response);
+/** The path without its query. */
+function pathOf(url: string): string {
+  const query = url.indexOf('?');
+  return query < 0 ? url : url.slice(0, query);
+}
+
+function decoded(parameter: string): string {
+  try {
+    return decodeURIComponent(parameter);
+  } catch {
+    return parameter;
+  }
+}
+
+async function answer(router: LinearRouter<Route>, request: IncomingMessage): Promise<HttpAnswer> {
+  const method = request.method === 'HEAD' ? 'GET' : (request.method ?? '');
+  const [found] = router.match(method, pathOf(request.url ?? ''))[0];
+  if (!found) return NO_SUCH_PATH;
+  const [route, parameters] = found as [Route, Record<string, string>];
+  try {
+    return await route(request, decoded(parameters['id'] ?? ''));
+  } catch (error) {
+    return error instanceof TooLong ? BODY_TOO_LONG : INTERNAL;
+  }
+}
+
+function write(response: ServerResponse, { status, body, retryAfter, close }: HttpAnswer): void {
+  if (response.destroyed) return;
+  const headers: Record<string, string | number> = { 'content-length': body?.length ?? 0 };
+  if (body !== null) headers['content-type'] = 'application/json';
+  if (typeof body === 'string') headers['content-length'] = Buffer.byteLength(body);
+  if (retryAfter !== undefined) headers['retry-after'] = retryAfter;
+  if (close) headers['connection'] = 'close';
+  response.writeHead(status, headers);
+  response.end(body ?? undefined);
+}
+
+/**
+ * The front address's listener, on Hono's router. Hono's application and its adapter are left out: they answer
+ * with the runtime's fetch objects, and only loading these took as long as starting all the rest of the program.
+ */
+export function requestListener(handler: RequestHandler): RequestListener {
+  const router = routes(handler);
+  return (request, response) => void answer(router, request).then((ready) => write(response, ready));
 }
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -58,6 +58,9 @@
 /** This node has used up its share of what the state service takes; another one may have some left. */
 export class Busy extends Error {}
 
+/** One for all: thrown hundreds of times a second in a crowd, and nobody reads its stack. */
+const BUSY = new Busy('asked too often');
+
 /** What an acceptance writes in its transaction, and the further records that stand before it. */
 interface Acceptance {
   readonly records: readonly Write[];
@@ -184,7 +187,7 @@
     let written = 0;
     for (let tries = 1; ; tries++) {
       // Every node takes its share of what all may write: this one's acceptances cost as many times more.
-      if (!this.writes.take((writes.length + records.length - written) * this.sharers())) throw new Busy();
+      if (!this.writes.take((writes.length + records.length - written) * this.sharers())) throw BUSY;
       try {
         // What has no room in the record stands before the job is accepted.
         for (const record of records.slice(written)) {
--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -51,6 +51,8 @@
   readonly types: Map<TypeId, MachineType>;
   /** Direct calls to workers that may be under way at once. */
   readonly workerCalls: number;
+  /** The share of its processor time that this process uses, between 0 and 1. */
+  readonly load: () => number;
   readonly limits: StateLimits;
   readonly cancellations: Cancellations;
   readonly siblings: Siblings;
--- a/src/cluster/heartbeat-router.ts
+++ b/src/cluster/heartbeat-router.ts
@@ -1,11 +1,13 @@
 /** Brings workers' reports to whoever leads, and the answers back. */
-import type { MemberId } from '../model/ids.js';
+import type { HostId, MemberId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
 import { parseJson } from '../net/http-client.js';
 import { type AnswerFrame, Kind } from '../peer/frames.js';
-import { encodeOrders, parseReport } from '../wire/workers.js';
+import { encodeOrders, encodeRedirect, parseReport } from '../wire/workers.js';
+import type { NodeContext } from './context.js';
 import type { Leadership } from './leadership.js';
 import { passedOnBy, type PeerGroup } from './peer-group.js';
+import { WorkerRedirects } from './worker-redirects.js';
 
 const RELAY_MS = 2500;
 
@@ -19,11 +21,17 @@
 
 /** A leader answers itself; a follower passes the report on. */
 export class HeartbeatRouter {
+  private readonly member: MemberId;
+  private readonly redirects: WorkerRedirects;
+
   constructor(
-    private readonly member: MemberId,
+    { member, clock, load }: NodeContext,
     private readonly leadership: Leadership,
     private readonly peers: PeerGroup,
-  ) {}
+  ) {
+    this.member = member;
+    this.redirects = new WorkerRedirects(clock, load);
+  }
 
   /** A report of a worker that is with this node. */
   async take(body: Buffer): Promise<HeartbeatAnswer> {
@@ -31,6 +39,8 @@
     if (this.leadership.leader) {
       const parsed = parseReport(parseJson(body));
       if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
+      const elsewhere = this.elsewhere(parsed.value.host);
+      if (elsewhere) return { status: 421, body: encodeRedirect(elsewhere) };
       const orders = await this.lead(parsed.value, this.member);
       if (orders) return { status: 200, body: orders };
     }
@@ -54,6 +64,15 @@
     return orders ? { status: 200, body: orders } : null;
   }
 
+  /** The controller that this worker should report to instead: one that reaches the state service and this leader. */
+  private elsewhere(host: HostId): MemberId | null {
+    const able = this.peers.alive.filter((link) => link.ping?.stateOk);
+    return this.redirects.target(
+      host,
+      able.map((link) => link.member as MemberId),
+    );
+  }
+
   private async lead(report: Report, via: MemberId): Promise<Buffer | null> {
     const answer = await this.leadership.report(report, via);
     return answer?.kind === 'orders' ? encodeOrders(answer.token, answer.orders) : null;
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -8,7 +8,7 @@
 import type { MemberId } from '../model/ids.js';
 import { PROTOCOL_VERSION } from '../model/protocol.js';
 import { realClock } from '../model/time.js';
-import { HttpTarget } from '../net/http-client.js';
+import { HttpTarget, NoSocket } from '../net/http-client.js';
 import { FrontServer } from '../net/server.js';
 import { shareSockets, type SocketShares } from '../net/sockets.js';
 import {
@@ -22,7 +22,7 @@
   type Ping,
 } from '../peer/frames.js';
 import { type Asked, PeerServer } from '../peer/link.js';
-import { type RawCaller, RoutedCaller } from '../peer/routed-caller.js';
+import { NO_SOCKET_STATUS, type RawCaller, RoutedCaller } from '../peer/routed-caller.js';
 import { StateClient } from '../store/client.js';
 import { limitProbe } from '../store/limit-probe.js';
 import { StateLimits } from '../store/limits.js';
@@ -34,6 +34,7 @@
 import type { NodeContext } from './context.js';
 import { HeartbeatRouter } from './heartbeat-router.js';
 import { Leadership } from './leadership.js';
+import { LoadMonitor } from './load-monitor.js';
 import { MachineTypeCatalogue } from './machine-types.js';
 import { type OwnState, PeerGroup } from './peer-group.js';
 import { ProgressBoard } from './progress-board.js';
@@ -74,6 +75,7 @@
     random: () => number,
   ) {
     const clock = realClock;
+    const monitor = new LoadMonitor(clock);
     const shares = shareSockets(settings.sockets, settings.siblings.length);
     this.targets = new WorkerTargets(shares.workers);
     this.connectivity = new ConnectivityMonitor(clock);
@@ -94,10 +96,11 @@
       ops,
       store,
       cloud: new CloudClient(new HttpTarget(settings.cloudAddress, shares.cloud), CLOUD_MS),
-      workers: new RoutedCaller(this.directCaller(), this.peers.links, clock),
+      workers: new RoutedCaller(this.directCaller(), this.peers.links, clock, () => monitor.load),
       random,
       types: new Map(),
       workerCalls: Math.floor(shares.workers * CALLS_SHARE),
+      load: () => monitor.load,
       limits,
       cancellations,
       allSpeak: (version) => this.peers.allSpeak(version),
@@ -113,7 +116,7 @@
     cancellations.onLearned((ids) => this.leadership.leader?.cancelled(ids));
     this.admission = new Admission(clock, { submission: MOST_SUBMISSIONS, query: MOST_QUESTIONS });
     this.userRouter = new UserRouter(this.users, this.admission, this.connectivity, this.peers, random);
-    this.heartbeats = new HeartbeatRouter(settings.member, this.leadership, this.peers);
+    this.heartbeats = new HeartbeatRouter(this.ctx, this.leadership, this.peers);
     this.front = this.frontServer(shares);
     this.peerServer = this.serverForPeers(shares);
   }
@@ -216,16 +219,22 @@
 
   private async callForPeer(payload: Buffer): Promise<AnswerFrame> {
     const call = decodeCall(payload);
-    const reply = await this.targets.raw(call.verb, call.address, call.body, call.deadlineMs);
-    return { status: reply.status, body: Buffer.from(JSON.stringify(reply.body ?? null)) };
+    try {
+      const reply = await this.targets.raw(call.verb, call.address, call.body, call.deadlineMs);
+      return { status: reply.status, body: Buffer.from(JSON.stringify(reply.body ?? null)) };
+    } catch (error) {
+      if (error instanceof NoSocket) return { status: NO_SOCKET_STATUS, body: Buffer.alloc(0) };
+      throw error;
+    }
   }
 
   private tellProgress(): void {
     this.ctx.clock.after(PROGRESS_MS, () => {
       if (this.leadership.leader) {
-        const payload = encodeProgress(this.leadership.leader.progress());
-        this.progress.take(payload);
-        for (const link of this.peers.links) link.send(Kind.Progress, 0, payload);
+        for (const payload of encodeProgress(this.leadership.leader.progress())) {
+          this.progress.take(payload);
+          for (const link of this.peers.links) link.send(Kind.Progress, 0, payload);
+        }
       }
       this.tellProgress();
     });
@@ -241,6 +250,7 @@
           stateOk: this.connectivity.stateOk,
           peers: this.peers.alive.length,
           lateMs: this.admission.lateMs,
+          load: Math.round(this.ctx.load() * 100) / 100,
           refusals: this.userRouter.takeRefusals(),
           rssMb: Math.round(process.memoryUsage.rss() / 1e6),
           cpuMs: Math.round((cpu.user + cpu.system) / 1000),
--- a/src/cluster/progress-board.ts
+++ b/src/cluster/progress-board.ts
@@ -7,22 +7,34 @@
 /** Counts older than this are not shown. */
 const LIVES_MS = 5000;
 
+interface Shown {
+  readonly progress: Progress;
+  readonly at: Steady;
+}
+
 /** What this node knows of progress. */
 export class ProgressBoard {
-  private progress = new Map<JobId, Progress>();
-  private takenAt: Steady | null = null;
+  private readonly progress = new Map<JobId, Shown>();
 
   constructor(private readonly clock: Clock) {}
 
   /** Null: nothing is known that is new enough. */
   of(id: JobId): Progress | null {
-    if (this.takenAt === null || since(this.clock.now(), this.takenAt) > LIVES_MS) return null;
-    return this.progress.get(id) ?? null;
+    const shown = this.progress.get(id);
+    return shown && since(this.clock.now(), shown.at) <= LIVES_MS ? shown.progress : null;
   }
 
-  /** A leader's counts, as they come over the peer link. */
+  /** A part of a leader's counts, as they come over the peer link. */
   take(payload: Buffer): void {
-    this.progress = new Map(decodeProgress(payload).map((job) => [job.id, job]));
-    this.takenAt = this.clock.now();
+    const at = this.clock.now();
+    for (const job of decodeProgress(payload)) {
+      // The oldest come first.
+      this.progress.delete(job.id);
+      this.progress.set(job.id, { progress: job, at });
+    }
+    for (const [id, shown] of this.progress) {
+      if (since(at, shown.at) <= LIVES_MS) return;
+      this.progress.delete(id);
+    }
   }
 }
--- /dev/null
+++ b/src/cluster/worker-redirects.ts
@@ -0,0 +1,41 @@
+/** Which of the workers that report to a busy leader should report through another controller. */
+import type { HostId, MemberId } from '../model/ids.js';
+import { type Clock, type Steady, since } from '../model/time.js';
+
+/** From this load on a leader sends its own workers to the others: a report that a follower passes on costs it half. */
+const BUSY_LOAD = 0.6;
+/**
+ * A worker that is back so soon was not served there, and stays. Well below any lease: a worker that is sent away
+ * once more, by mistake, still has time for two reports.
+ */
+const SENT_AWAY_ONCE_MS = 120_000;
+
+/** Remembers whom it has sent away, each for a while. */
+export class WorkerRedirects {
+  private readonly sentAway = new Map<HostId, Steady>();
+  private turn = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly load: () => number,
+  ) {}
+
+  /** The controller that the worker should report to; null: this one. */
+  target(host: HostId, others: readonly MemberId[]): MemberId | null {
+    if (others.length === 0 || this.load() < BUSY_LOAD) return null;
+    const now = this.clock.now();
+    this.forget(now);
+    if (this.sentAway.has(host)) return null;
+    this.sentAway.set(host, now);
+    this.turn = (this.turn + 1) % others.length;
+    return others[this.turn] ?? null;
+  }
+
+  /** The oldest come first. */
+  private forget(now: Steady): void {
+    for (const [host, at] of this.sentAway) {
+      if (since(now, at) < SENT_AWAY_ONCE_MS) return;
+      this.sentAway.delete(host);
+    }
+  }
+}
--- a/src/config/limits.ts
+++ b/src/config/limits.ts
@@ -21,7 +21,9 @@
   const least = (field: string, is: number, needed: number, why: string): void => {
     if (is < needed) lines.push(`${field}: ${is} is little, ${needed} is the least ${why}`);
   };
-  const { sockets, siblings } = settings;
+  const { cpuShare, sockets, siblings } = settings;
+  if (cpuShare !== null && !(cpuShare > 0 && cpuShare <= 1))
+    lines.push(`facts.resources.cpu: ${cpuShare} is no share of a core, it is taken for a whole one`);
   const others = Math.ceil(sockets - shareSockets(sockets, siblings.length).front);
   least('facts.resources.sockets', sockets, others + LEAST_FRONT, 'that leaves workers and users room');
   if (settings.memoryMb !== null)
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -147,22 +147,38 @@
   readonly running: number;
 }
 
-/** Per job: u8 name length, name, u32 done, u32 running. */
-export function encodeProgress(jobs: readonly JobProgress[]): Buffer {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for (const job of jobs) {
-    const name = Buffer.from(job.id, 'ascii');
-    const part = Buffer.allocUnsafe(9 + name.length);
-    part.writeUInt8(name.length, 0);
-    name.copy(part, 1);
-    part.writeUInt32BE(job.done, 1 + name.length);
-    part.writeUInt32BE(job.running, 5 + name.length);
-    size += part.length;
-    if (size > MAX_PAYLOAD) break;
-    parts.push(part);
+/** Bytes beside a job's name. */
+const PROGRESS_FIXED = 9;
+
+/** Per job: u8 name length, name, u32 done, u32 running. A list too long for one frame is several payloads. */
+export function encodeProgress(jobs: readonly JobProgress[], most = MAX_PAYLOAD): Buffer[] {
+  const payloads: Buffer[] = [];
+  let from = 0;
+  do {
+    let size = 0;
+    let to = from;
+    for (; to < jobs.length; to++) {
+      const length = PROGRESS_FIXED + (jobs[to] as JobProgress).id.length;
+      if (size + length > most) break;
+      size += length;
+    }
+    payloads.push(encodeProgressPart(jobs.slice(from, to), size));
+    from = to;
+  } while (from < jobs.length);
+  return payloads;
+}
+
+function encodeProgressPart(jobs: readonly JobProgress[], size: number): Buffer {
+  const part = Buffer.allocUnsafe(size);
+  let at = 0;
+  for (const { id, done, running } of jobs) {
+    part.writeUInt8(id.length, at);
+    part.write(id, at + 1, 'ascii');
+    part.writeUInt32BE(done, at + 1 + id.length);
+    part.writeUInt32BE(running, at + 5 + id.length);
+    at += PROGRESS_FIXED + id.length;
   }
-  return Buffer.concat(parts);
+  return part;
 }
 
 /** Throws `BadFrame`. */
--- a/src/peer/routed-caller.ts
+++ b/src/peer/routed-caller.ts
@@ -1,3 +1,4 @@
+/** Calls to workers: directly, through another controller across a cut, or through an idler one while this one is busy. */
 import type { WorkerCaller } from '../cluster/context.js';
 import type { SessionNumber, Token } from '../model/ids.js';
 import type { Order, Report } from '../model/report.js';
@@ -7,27 +8,74 @@
 import { encodeCall, type CallVerb, Kind } from './frames.js';
 import type { PeerLink } from './link.js';
 
-/** After a direct call failed, a worker is asked through other controllers for this long. */
+/** After a call failed on one way, others are taken for this long. */
 const DETOUR_MS = 8000;
+/** What a controller that calls on our behalf is given beyond the call's own deadline. */
+const RELAY_MS = 300;
+/**
+ * From this load on calls are handed to the other controllers: a frame costs half of what a call does, and a leader
+ * on a tenth of a core has its time used up while the others idle.
+ */
+const BUSY_LOAD = 0.6;
+/** The answer of a controller that had no socket for the call: nothing was sent. */
+export const NO_SOCKET_STATUS = 429;
 
 /** One call to a worker, wherever it is made from. */
 export interface RawCaller {
   call(verb: CallVerb, address: string, body: unknown, deadlineMs: number): Promise<CommandReply>;
 }
 
+/** Addresses to which a way is not taken for a while. */
+class Avoided {
+  private readonly until = new Map<string, Steady>();
+
+  constructor(private readonly clock: Clock) {}
+
+  add(address: string): void {
+    this.until.set(address, plus(this.clock.now(), DETOUR_MS));
+  }
+
+  has(address: string): boolean {
+    const until = this.until.get(address);
+    if (until === undefined) return false;
+    if (until > this.clock.now()) return true;
+    this.until.delete(address);
+    return false;
+  }
+
+  delete(address: string): void {
+    this.until.delete(address);
+  }
+}
+
+/** Always the same one for an address, so that its connections to workers are used again. */
+function linkFor(address: string, links: readonly PeerLink[]): PeerLink | undefined {
+  let hash = 0;
+  for (let i = 0; i < address.length; i++) hash = (hash * 31 + address.charCodeAt(i)) >>> 0;
+  return links[hash % Math.max(1, links.length)];
+}
+
 /**
  * Reaches workers directly or, across a cut, through another controller: two zones that cannot
  * reach each other are mostly both reached from a third.
  */
 export class RoutedCaller implements WorkerCaller {
-  private readonly detours = new Map<string, Steady>();
+  /** Not reached directly. */
+  private readonly detours: Avoided;
+  /** Not reached through the controller that makes calls for us while we are busy. */
+  private readonly notHelped: Avoided;
   private turn = 0;
 
   constructor(
     private readonly direct: RawCaller,
     private readonly links: readonly PeerLink[],
-    private readonly clock: Clock,
-  ) {}
+    clock: Clock,
+    /** The share of its processor time that this process uses. */
+    private readonly load: () => number,
+  ) {
+    this.detours = new Avoided(clock);
+    this.notHelped = new Avoided(clock);
+  }
 
   async command(
     address: string,
@@ -37,24 +85,25 @@
     deadlineMs: number,
   ): Promise<CommandReply> {
     const body = commandBody(token, session, orders);
-    const until = this.detours.get(address);
-    if (until !== undefined && until > this.clock.now()) {
+    if (this.detours.has(address)) {
       const reply = await this.throughPeers('commands', address, body, deadlineMs);
       if (reply) return reply;
       this.detours.delete(address);
       throw new NoAnswer('no controller reaches the worker');
     }
+    const helper = this.helperFor(address);
+    if (helper) return this.throughHelper(helper, 'commands', address, body, deadlineMs);
     try {
       return await this.direct.call('commands', address, body, deadlineMs);
     } catch (error) {
       if (error instanceof NoSocket) throw error;
-      if (this.links.some((l) => l.alive)) this.detours.set(address, plus(this.clock.now(), DETOUR_MS));
+      if (this.alive.length > 0) this.detours.add(address);
       throw error;
     }
   }
 
   async show(address: string, deadlineMs: number, everyWay: boolean): Promise<Report | null> {
-    if (!everyWay) return (await this.direct.call('show', address, undefined, deadlineMs)).report;
+    if (!everyWay) return (await this.showOneWay(address, deadlineMs)).report;
     try {
       return await Promise.any([
         this.direct.call('show', address, undefined, deadlineMs),
@@ -70,6 +119,45 @@
     }
   }
 
+  private showOneWay(address: string, deadlineMs: number): Promise<CommandReply> {
+    const helper = this.helperFor(address);
+    if (helper) return this.throughHelper(helper, 'show', address, undefined, deadlineMs);
+    return this.direct.call('show', address, undefined, deadlineMs);
+  }
+
+  private get alive(): PeerLink[] {
+    return this.links.filter((link) => link.alive);
+  }
+
+  /** The controller that makes this call for us; undefined: we make it. */
+  private helperFor(address: string): PeerLink | undefined {
+    if (this.load() < BUSY_LOAD || this.notHelped.has(address)) return undefined;
+    return linkFor(address, this.alive);
+  }
+
+  private async throughHelper(
+    helper: PeerLink,
+    verb: CallVerb,
+    address: string,
+    body: unknown,
+    deadlineMs: number,
+  ): Promise<CommandReply> {
+    try {
+      return await this.ask(helper, encodeCall(verb, address, deadlineMs, body), deadlineMs);
+    } catch (error) {
+      this.notHelped.add(address);
+      throw error;
+    }
+  }
+
+  /** Throws `NoSocket` where nothing was sent, and `NoAnswer`. */
+  private async ask(link: PeerLink, payload: Buffer, deadlineMs: number): Promise<CommandReply> {
+    const answer = await link.ask(Kind.Call, payload, deadlineMs + RELAY_MS);
+    if (answer?.status === NO_SOCKET_STATUS) throw new NoSocket('the other controller has no socket free');
+    if (answer?.status !== 200 && answer?.status !== 409) throw new NoAnswer('not reached');
+    return readCommandReply(answer.status, JSON.parse(answer.body.toString('utf8')));
+  }
+
   /** Commands take one way at a time; a look may be taken by all at once. */
   private async throughPeers(
     verb: CallVerb,
@@ -78,15 +166,12 @@
     deadlineMs: number,
   ): Promise<CommandReply | null> {
     const payload = encodeCall(verb, address, deadlineMs, body);
-    const ask = async (link: PeerLink): Promise<CommandReply> => {
-      const answer = await link.ask(Kind.Call, payload, deadlineMs + 300);
-      if (answer?.status !== 200 && answer?.status !== 409) throw new NoAnswer('not reached');
-      return readCommandReply(answer.status, JSON.parse(answer.body.toString('utf8')));
-    };
-    const alive = this.links.filter((l) => l.alive);
-    if (verb === 'show') return Promise.any(alive.map(ask)).catch(() => null);
+    const { alive } = this;
+    if (verb === 'show') {
+      return Promise.any(alive.map((link) => this.ask(link, payload, deadlineMs))).catch(() => null);
+    }
     // One way only: a command that brought no answer may still arrive, and its caller must know.
     const link = alive[this.turn++ % Math.max(1, alive.length)];
-    return link ? ask(link).catch(() => null) : null;
+    return link ? this.ask(link, payload, deadlineMs).catch(() => null) : null;
   }
 }
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -58,7 +58,9 @@
       ),
     }),
     cloud: z.object({ rps: positive, list_lag_s: amount }),
-    resources: z.nullish(z.object({ sockets: z.nullish(count), memory_mb: z.nullish(amount) })),
+    resources: z.nullish(
+      z.object({ cpu: z.nullish(z.number()), sockets: z.nullish(count), memory_mb: z.nullish(amount) }),
+    ),
   }),
 });
 
@@ -104,6 +106,8 @@
   readonly stateNext: StateLimitsOf;
   readonly cloudRps: number;
   readonly listLag: Millis;
+  /** The share of a core that this process gets, as the platform says it; null: it does not say. */
+  readonly cpuShare: number | null;
   readonly sockets: number;
   readonly memoryMb: number | null;
 }
@@ -128,6 +132,11 @@
   return { rps: stated.rps ?? before.rps, writeRps: stated.write_rps ?? before.writeRps, valueBytes, txnOps };
 }
 
+/** The share of a core to reckon with; a whole one where the settings name none that makes sense. */
+export function usableShare({ cpuShare }: Pick<Settings, 'cpuShare'>): number {
+  return cpuShare !== null && cpuShare > 0 && cpuShare <= 1 ? cpuShare : 1;
+}
+
 /** Throws an error whose message is one line naming the field. */
 export function readSettings(raw: unknown): Settings {
   const read = settings.safeParse(raw);
@@ -167,6 +176,7 @@
     stateNext,
     cloudRps: f.cloud.rps,
     listLag: seconds(f.cloud.list_lag_s),
+    cpuShare: f.resources?.cpu ?? null,
     sockets: f.resources?.sockets ?? 1000,
     memoryMb: f.resources?.memory_mb ?? null,
   };
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,5 +1,15 @@
 import * as z from 'zod/mini';
-import type { Counter, HostId, TaskId, SessionNumber, Token, TryNo, TypeId, ZoneId } from '../model/ids.js';
+import type {
+  Counter,
+  HostId,
+  MemberId,
+  TaskId,
+  SessionNumber,
+  Token,
+  TryNo,
+  TypeId,
+  ZoneId,
+} from '../model/ids.js';
 import type { Attempt, AttemptState, Order, Report } from '../model/report.js';
 import { seconds } from '../model/time.js';
 import { amount, count, firstIssue, word } from './common.js';
@@ -12,7 +22,8 @@
   ended: 'exited',
 };
 
-const report = z.object({
+/** What a report has to look like. */
+export const reportSchema = z.object({
   host: word,
   address: word,
   flavour: word,
@@ -27,11 +38,44 @@
   ),
 });
 
+type WireReport = z.infer<typeof reportSchema>;
+type WireAttempt = NonNullable<WireReport['shards']>[number];
+/** A field whose type is still to be checked. */
+type Unchecked<T> = { readonly [Field in keyof T]?: unknown };
+
+const MOST_LETTERS = 200;
+const isWord = (value: unknown): boolean =>
+  typeof value === 'string' && value.length > 0 && value.length <= MOST_LETTERS;
+const isCount = (value: unknown): boolean => Number.isSafeInteger(value) && (value as number) >= 0;
+const isObject = (value: unknown): value is object => typeof value === 'object' && value !== null;
+
+function isAttempt(value: unknown): value is WireAttempt {
+  if (!isObject(value)) return false;
+  const { shard, try: tryNo, status, cause } = value as Unchecked<WireAttempt>;
+  return isWord(shard) && isCount(tryNo) && isWord(status) && (cause == null || typeof cause === 'string');
+}
+
+/**
+ * The same as `reportSchema` checks, a tenth of its time: reports come by the hundred a second, and next to all of them
+ * are well-formed. the schema says what is wrong with the others; a test compares the two.
+ */
+function isReport(body: unknown): body is WireReport {
+  if (!isObject(body)) return false;
+  const w = body as Unchecked<WireReport>;
+  const words = isWord(w.host) && isWord(w.address) && isWord(w.flavour) && isWord(w.hall);
+  const counts = isCount(w.tenure) && isCount(w.counter) && isCount(w.epoch);
+  const notice = w.warningS == null || (typeof w.warningS === 'number' && w.warningS >= 0);
+  if (!words || !counts || !notice || typeof w.reclaimable !== 'boolean') return false;
+  return w.shards == null || (Array.isArray(w.shards) && w.shards.every(isAttempt));
+}
+
 /** Checks every field of a report. */
 export function parseReport(body: unknown): Parsed<Report> {
-  const read = report.safeParse(body);
-  if (!read.success) return { ok: false, error: firstIssue(read.error) };
-  const w = read.data;
+  if (!isReport(body)) {
+    const { error } = reportSchema.safeParse(body);
+    return { ok: false, error: error ? firstIssue(error) : 'not a report' };
+  }
+  const w = body;
   const attempts: Attempt[] = [];
   for (const s of w.shards ?? []) {
     attempts.push({
@@ -64,6 +108,11 @@
   return o.verb === 'kill' ? { ...base, drainS: o.graceS } : base;
 }
 
+/** The body of an answer that sends a worker to another controller. */
+export function encodeRedirect(member: MemberId): Buffer {
+  return Buffer.from(JSON.stringify({ foreman: member }));
+}
+
 /** The body of an answer to a report. */
 export function encodeOrders(token: Token, orders: readonly Order[]): Buffer {
   return Buffer.from(JSON.stringify({ epoch: token, orders: orders.map(order) }));
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -2,6 +2,7 @@
 import type { ZoneId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
 import { NoSocket } from '../net/http-client.js';
+import { usableShare } from '../wire/settings.js';
 import { atMost, type Millis, ms, type Steady, plus, since } from '../model/time.js';
 import type { Host } from './host.js';
 
@@ -25,6 +26,11 @@
 const ASK_AFTER_MS = 2000;
 /** The part of the direct calls that such early questions may be. */
 const ASKED_SHARE = 0.5;
+/** The part of our processor time that they may take, and what one takes; a busy leader asks none. */
+const ASKED_PROCESSOR_SHARE = 0.1;
+const QUESTION_MS = 0.4;
+const TICK_MS = 500;
+const BUSY_LOAD = 0.75;
 /** More machines lost at once than this share are no machines' failure, but the network's. */
 const MANY = 0.4;
 const MOST_OF_A_ZONE = 0.8;
@@ -49,6 +55,8 @@
   up: number;
   readonly lost: Host[];
   readonly mute: Host[];
+  /** Machines that hold replicas and have said nothing for a while. */
+  readonly unheard: Host[];
   readonly zones: Map<ZoneId, ZoneSurvey>;
 }
 
@@ -73,6 +81,8 @@
   private strangerAt: Steady;
   private asked = 0;
   private probing = 0;
+  /** Early questions that one tick may ask. */
+  private readonly askedPerTick: number;
   private readonly silent: Millis;
   private readonly unreached: Millis;
 
@@ -83,6 +93,8 @@
     private readonly fence: (host: Host, why: string) => void,
     private readonly leaseOver: (host: Host) => void,
   ) {
+    const processorMs = TICK_MS * usableShare(ctx.settings) * ASKED_PROCESSOR_SHARE;
+    this.askedPerTick = Math.max(1, Math.floor(processorMs / QUESTION_MS));
     this.lastHeard = ctx.startedAt;
     this.lastTick = ctx.startedAt;
     this.strangerAt = ctx.startedAt;
@@ -141,6 +153,7 @@
   /** Looks at every machine, and fences those that are lost. */
   tick(now: Steady): void {
     const survey = this.survey(now);
+    this.askLongestSilent(survey.unheard, now);
     for (const host of survey.mute) this.fenceMute(host, survey);
     for (const host of survey.lost) this.judge(host, survey, now);
   }
@@ -148,7 +161,7 @@
   private survey(now: Steady): Survey {
     const late = since(now, this.lastTick) > TICK_LATE_MS;
     this.lastTick = now;
-    const survey: Survey = { up: 0, lost: [], mute: [], zones: new Map() };
+    const survey: Survey = { up: 0, lost: [], mute: [], unheard: [], zones: new Map() };
     for (const host of this.ctx.hosts.values()) {
       if (!host.up && host.empty) continue;
       survey.up++;
@@ -169,10 +182,11 @@
     }
     if (!this.askedEarly(host)) return;
     zone.asked++;
-    if (host.probes >= PROBES && this.silentFor(host, now) >= ASK_AFTER_MS) {
+    if (this.silentFor(host, now) < ASK_AFTER_MS) return;
+    if (host.probes >= PROBES) {
       survey.mute.push(host);
       zone.mute++;
-    } else this.askEarly(host, now);
+    } else survey.unheard.push(host);
   }
 
   /** Several at once are judged by their reports: it may be a cut. */
@@ -218,13 +232,18 @@
     return host.hasReplicas;
   }
 
-  private askEarly(host: Host, now: Steady): void {
-    if (
-      host.probing ||
-      this.asked >= Math.max(1, this.ctx.workerCalls * ASKED_SHARE) ||
-      this.silentFor(host, now) < ASK_AFTER_MS
-    )
-      return;
+  /**
+   * One that hangs rises to the head of the list. With every silent machine asked, the questions took a third of a
+   * leader's time on a tenth of a core, and reports and decisions waited.
+   */
+  private askLongestSilent(hosts: Host[], now: Steady): void {
+    if (this.ctx.load() > BUSY_LOAD) return;
+    hosts.sort((a, b) => this.silentFor(b, now) - this.silentFor(a, now));
+    for (const host of hosts.slice(0, this.askedPerTick)) this.askEarly(host);
+  }
+
+  private askEarly(host: Host): void {
+    if (host.probing || this.asked >= Math.max(1, this.ctx.workerCalls * ASKED_SHARE)) return;
     if (this.probing >= this.ctx.workerCalls) return;
     this.asked++;
     this.probe(host, () => {
--- /dev/null
+++ b/test/profile/main.ts
@@ -0,0 +1,266 @@
+/**
+ * Where controllers' processor time and memory go: real processes on loopback against the stand-ins of state service,
+ * cloud and workers. `npm run profile -- --machines 400 --seconds 60`: what each controller used, and the share of
+ * each function by V8's profiler. The numbers of real days differ: this shows what an event costs.
+ */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdirSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import type { HostId, ImageId, JobId, TypeId, ZoneId } from '../../src/model/ids.js';
+import { realClock, sleep } from '../../src/model/time.js';
+import { HttpTarget, NoAnswer } from '../../src/net/http-client.js';
+import { StandInCloud } from '../standins/cloud.js';
+import { type JobWish, LEASE_S, submissionBody, TYPES } from '../standins/site-setup.js';
+import { StandInState } from '../standins/state.js';
+import { type JobFacts, StandInWorker, type WorkerWorld } from '../standins/worker.js';
+import { cloudHandler, heartbeatAnswer, reportBody, serve, stateHandler, workersHandler } from './servers.js';
+import { printShares } from './shares.js';
+
+const { values } = parseArgs({
+  options: {
+    machines: { type: 'string', default: '400' },
+    seconds: { type: 'string', default: '60' },
+    /** Jobs a second. */
+    services: { type: 'string', default: '1.2' },
+    arrays: { type: 'string', default: '0.3' },
+    tasks: { type: 'string', default: '70' },
+    'report-s': { type: 'string', default: '6' },
+    flags: { type: 'string', default: '--max-old-space-size=76 --max-semi-space-size=8' },
+    profile: { type: 'boolean', default: true },
+    program: { type: 'string', default: 'target/plumyoke.cjs' },
+  },
+  allowNegative: true,
+});
+const OUT = 'target/profile';
+const STATE = 21_001;
+const CLOUD = 21_002;
+const WORKERS = 21_003;
+const FRONT = 21_010;
+const PEER = 21_020;
+const NODES = [0, 1, 2];
+const REPORT_MS = Number(values['report-s']) * 1000;
+const POLL_MS = 5000;
+const RUN_S = 35;
+
+const addressOf = (id: HostId): string => {
+  const n = Number(id.slice('host-'.length));
+  return `127.1.${n >> 8}.${n & 255}:${WORKERS}`;
+};
+const hostAt = (ip: string): HostId => {
+  const [, , high, low] = ip.split('.').map(Number);
+  return `host-${String(((high ?? 0) << 8) + (low ?? 0)).padStart(6, '0')}` as HostId;
+};
+
+const workers = new Map<HostId, StandInWorker>();
+const links = new Map<HostId, HttpTarget[]>();
+const jobs = new Map<JobId, JobFacts>();
+const fronts = NODES.map((n) => new HttpTarget(`127.0.0.1:${FRONT + n}`, 200));
+let started = 0;
+
+const world: WorkerWorld = {
+  nodes: NODES.map(String),
+  job: (id) => jobs.get(id),
+  started: () => started++,
+  left: () => {},
+  async heartbeat(worker, node, report) {
+    const { id } = worker.machine;
+    const targets = links.get(id) ?? NODES.map((n) => new HttpTarget(`127.0.0.1:${FRONT + n}`, 1));
+    links.set(id, targets);
+    try {
+      const reply = await (targets[Number(node)] as HttpTarget).call(
+        'POST',
+        '/agent/beat',
+        reportBody(report, addressOf),
+        4000,
+      );
+      return heartbeatAnswer(reply.status, reply.body);
+    } catch {
+      return null;
+    }
+  },
+};
+
+const state = new StandInState(realClock);
+const cloud = new StandInCloud(
+  realClock,
+  TYPES,
+  (machine) =>
+    workers.set(machine.id, new StandInWorker(machine, realClock, world, LEASE_S * 1000, REPORT_MS)),
+  (id) => {
+    workers.get(id)?.vanish();
+    workers.delete(id);
+  },
+  () => {},
+);
+
+function settings(n: number): string {
+  const siblings = NODES.filter((other) => other !== n).map(
+    (other) =>
+      `[[siblings]]\nmember = "node-${other}"\nsite = "north"\naddress = "127.0.0.1:${PEER + other}"\n`,
+  );
+  const teams = ['red', 'blue'].map(
+    (name) =>
+      `[[facts.teams]]\nname = "${name}"\ncpus = 1500.0\ncpus_max = 60000.0\ngpus = 0.0\ngpus_max = 0.0\n`,
+  );
+  return `member = "node-${n}"
+site = "north"
+front = "127.0.0.1:${FRONT + n}"
+cluster_listen = "127.0.0.1:${PEER + n}"
+${siblings.join('')}
+[endpoints]
+cloud = "127.0.0.1:${CLOUD}"
+state = "127.0.0.1:${STATE}"
+[facts]
+nodes = 3
+zones = ["north", "south"]
+clock_error_ms = 1000.0
+${teams.join('')}
+[[facts.objectives]]
+kind = "finished"
+class = "batch"
+within_s = 150.0
+share = 0.9
+[facts.workers]
+report_s = ${values['report-s']}
+lease_s = ${LEASE_S}
+gang_wait_s = 45.0
+gang_peer_s = 4.0
+cancel_s = 59.0
+[facts.state]
+rps = 200.0
+write_rps = 60.0
+value_kb = 16.0
+txn_ops = 16
+[facts.cloud]
+rps = 4.0
+list_lag_s = 2.0
+[facts.resources]
+cpu = 0.102
+memory_mb = 204.0
+sockets = 2500
+`;
+}
+
+function startNode(n: number): ChildProcess {
+  const path = `${OUT}/node-${n}.toml`;
+  writeFileSync(path, settings(n));
+  const profiling = values.profile
+    ? ['--cpu-prof', `--cpu-prof-dir=${OUT}`, `--cpu-prof-name=node-${n}.cpuprofile`]
+    : [];
+  const flags = values.flags.split(' ').filter((flag) => flag !== '');
+  const exit = ['-r', `./${OUT}/exit.cjs`];
+  const child = spawn(
+    process.execPath,
+    [...flags, ...profiling, ...exit, values.program, 'serve', '--config', path],
+    {
+      stdio: ['ignore', 'ignore', 'pipe'],
+      env: { ...process.env, LOG_LEVEL: 'info' },
+    },
+  );
+  child.stderr?.on('data', (lines: Buffer) => summaries(n, lines.toString()));
+  return child;
+}
+
+const last = new Map<number, Record<string, unknown>>();
+
+function summaries(n: number, lines: string): void {
+  for (const line of lines.split('\n')) {
+    if (!line.includes('"msg":"summary"')) continue;
+    try {
+      last.set(n, JSON.parse(line) as Record<string, unknown>);
+    } catch {
+      // Cut in two by the pipe; the next one tells as much.
+    }
+  }
+}
+
+let nextJob = 0;
+
+/** Submits a job and asks for it until it is over. */
+async function user(kind: 'array' | 'service'): Promise<void> {
+  const ref = `j-${String(nextJob++).padStart(6, '0')}`;
+  const wish: JobWish = {
+    ref,
+    kind,
+    team: nextJob % 2 ? 'red' : 'blue',
+    tasks: kind === 'array' ? Number(values.tasks) : 2,
+    cpus: kind === 'array' ? 4 : 2,
+    spot: kind === 'array',
+    runS: RUN_S,
+    image: `img-${nextJob % 10}`,
+  };
+  jobs.set(ref as JobId, {
+    image: wish.image as ImageId,
+    fetchMs: 1500,
+    runMs: kind === 'array' ? RUN_S * 1000 : null,
+    broken: false,
+  });
+  const until = performance.now() + 90_000;
+  const front = (): HttpTarget => fronts[Math.floor(Math.random() * fronts.length)] as HttpTarget;
+  let accepted = false;
+  while (performance.now() < until) {
+    try {
+      if (!accepted) {
+        const reply = await front().call('POST', '/v2/runs', submissionBody(wish), 5000);
+        accepted = reply.status < 300;
+      } else {
+        const reply = await front().call('GET', `/v2/runs/${ref}`, undefined, 2000);
+        if ((reply.body as { status?: string })?.status === 'done') return;
+      }
+    } catch (error) {
+      if (!(error instanceof NoAnswer)) throw error;
+    }
+    await sleep(realClock, accepted ? POLL_MS : 1000);
+  }
+  await front()
+    .call('POST', `/v2/runs/${ref}/cancel`, {}, 5000)
+    .catch(() => {});
+}
+
+function arrive(kind: 'array' | 'service', perSecond: number): void {
+  if (perSecond <= 0) return;
+  realClock.after((-Math.log(1 - Math.random()) * 1000) / perSecond, () => {
+    void user(kind);
+    arrive(kind, perSecond);
+  });
+}
+
+async function run(): Promise<void> {
+  rmSync(OUT, { recursive: true, force: true });
+  mkdirSync(OUT, { recursive: true });
+  writeFileSync(`${OUT}/exit.cjs`, "process.on('SIGTERM', () => process.exit(0));\n");
+  await serve(STATE, '127.0.0.1', stateHandler(state.for('all', realClock)));
+  await serve(CLOUD, '127.0.0.1', cloudHandler(cloud.for(realClock), TYPES, addressOf));
+  await serve(
+    WORKERS,
+    '0.0.0.0',
+    workersHandler((ip) => workers.get(hostAt(ip)), addressOf),
+  );
+  for (let n = 0; n < Number(values.machines); n++)
+    cloud.adopt({
+      id: `host-${String(n).padStart(6, '0')}` as HostId,
+      type: TYPES[0]?.id as TypeId,
+      zone: (n % 2 ? 'north' : 'south') as ZoneId,
+      spot: n % 3 === 0,
+    });
+  const nodes = NODES.map(startNode);
+  await sleep(realClock, 3000);
+  for (let n = 0; n < 150 * Number(values.services); n++) void user('service');
+  arrive('service', Number(values.services));
+  arrive('array', Number(values.arrays));
+  await sleep(realClock, Number(values.seconds) * 1000);
+  for (const node of nodes) node.kill('SIGTERM');
+  await Promise.all(nodes.map((node) => new Promise((resolve) => node.on('exit', resolve))));
+  console.log(
+    `${workers.size} machines, ${started} starts, ${nextJob} jobs, ${state.requests} state requests`,
+  );
+  for (const n of NODES) console.log(`node-${n}: ${JSON.stringify(last.get(n))}`);
+  if (!values.profile) process.exit(0);
+  for (const name of readdirSync(OUT).filter((file) => file.endsWith('.cpuprofile'))) {
+    console.log(`\n${name}`);
+    printShares(JSON.parse(readFileSync(`${OUT}/${name}`, 'utf8')) as Parameters<typeof printShares>[0]);
+  }
+  process.exit(0);
+}
+
+void run();
--- /dev/null
+++ b/test/profile/servers.ts
@@ -0,0 +1,254 @@
+/** The stand-ins of state service, cloud and workers behind real sockets, in the words of their protocols. */
+import { createServer, type IncomingMessage } from 'node:http';
+import type { Cloud } from '../../src/cloud/client.js';
+import type {
+  GrantId,
+  HostId,
+  RentalName,
+  Revision,
+  SessionNumber,
+  Token,
+  TryNo,
+  TypeId,
+  ZoneId,
+  TaskId,
+} from '../../src/model/ids.js';
+import type { MachineType } from '../../src/model/machine.js';
+import type { Attempt, Order, Report } from '../../src/model/report.js';
+import { StateRefused, type StateStore } from '../../src/store/client.js';
+import type { Write } from '../../src/wire/state.js';
+import type { HeartbeatAnswer, StandInWorker } from '../standins/worker.js';
+
+/** A request, its body parsed. */
+interface Request {
+  readonly method: string;
+  readonly url: URL;
+  /** The address that the client connected to. */
+  readonly to: string;
+  readonly body: never;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+type Handler = (request: Request) => Promise<Answer>;
+
+async function readJson(request: IncomingMessage): Promise<never> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  const text = Buffer.concat(parts).toString();
+  return (text === '' ? undefined : JSON.parse(text)) as never;
+}
+
+/** Serves `handler` on an address; a refusal of the state service becomes its 503. */
+export function serve(port: number, host: string, handler: Handler): Promise<void> {
+  const server = createServer((request, response) => {
+    void readJson(request)
+      .then((body) => {
+        const url = new URL(request.url ?? '/', 'http://local');
+        return handler({ method: request.method ?? '', url, to: request.socket.localAddress ?? '', body });
+      })
+      .catch((error: unknown): Answer => {
+        if (error instanceof StateRefused) return { status: error.tooMany ? 429 : 503, body: {} };
+        return { status: 400, body: { error: String(error) } };
+      })
+      .then(({ status, body }) => {
+        response.writeHead(status, { 'content-type': 'application/json' });
+        response.end(JSON.stringify(body));
+      });
+  });
+  server.keepAliveTimeout = 120_000;
+  return new Promise((resolve) => server.listen(port, host, 1024, resolve));
+}
+
+const rowOf = (row: { key: string; value: unknown; revision: Revision }): object => ({
+  key: row.key,
+  data: row.value,
+  stamp: row.revision,
+});
+
+interface WireCommit {
+  readonly if: readonly { readonly key: string; readonly stamp: Revision }[];
+  readonly writes?: readonly WireWrite[];
+}
+
+interface WireWrite {
+  readonly set?: string;
+  readonly drop?: string;
+  readonly data?: unknown;
+  readonly tether?: GrantId;
+}
+
+function writeOf({ set, drop, data, tether }: WireWrite): Write {
+  if (set === undefined) return { drop: drop ?? '' };
+  return tether === undefined ? { set, value: data } : { set, value: data, grant: tether };
+}
+
+async function commit(store: StateStore, { if: conditions, writes = [] }: WireCommit): Promise<Answer> {
+  const result = await store.commit(
+    conditions.map(({ key, stamp }) => ({ key, revision: stamp })),
+    writes.map(writeOf),
+  );
+  if (result.ok) return { status: 200, body: { ledger: result.revision } };
+  return { status: 409, body: { failed: result.failed } };
+}
+
+async function changes(store: StateStore, query: URLSearchParams): Promise<Answer> {
+  const after = Number(query.get('after')) as Revision;
+  const read = await store.changes(query.get('under') ?? '', after, Number(query.get('waitMs')));
+  const news = (read?.changes ?? []).map(({ key, value, revision }) =>
+    value === undefined ? { drop: key, stamp: revision } : { set: key, data: value, stamp: revision },
+  );
+  return { status: 200, body: { ledger: read?.revision, news } };
+}
+
+async function range(store: StateStore, query: URLSearchParams): Promise<Answer> {
+  const page = await store.range(query.get('under') ?? '', query.get('after') ?? undefined);
+  return { status: 200, body: { rows: page.rows.map(rowOf), more: page.more, ledger: page.revision } };
+}
+
+async function grants(store: StateStore, { method, url, body }: Request): Promise<Answer> {
+  if (url.pathname === '/grants') {
+    const { ttlMs } = body as { ttlMs: number };
+    return { status: 200, body: { tether: await store.grant(ttlMs) } };
+  }
+  const grant = Number(url.pathname.split('/')[2]) as GrantId;
+  if (method !== 'DELETE') return { status: (await store.touch(grant)) ? 200 : 404, body: {} };
+  await store.release(grant);
+  return { status: 200, body: {} };
+}
+
+/** The state service's interface over a stand-in. */
+export function stateHandler(store: StateStore): Handler {
+  return async (request) => {
+    const { pathname, searchParams } = request.url;
+    if (pathname === '/commit') return commit(store, request.body);
+    if (pathname === '/changes') return changes(store, searchParams);
+    if (pathname === '/keys') return range(store, searchParams);
+    if (pathname.startsWith('/grants')) return grants(store, request);
+    const row = await store.get(decodeURIComponent(pathname.slice('/keys/'.length)));
+    return row ? { status: 200, body: rowOf(row) } : { status: 404, body: {} };
+  };
+}
+
+/** The cloud's interface over a stand-in. */
+export function cloudHandler(
+  cloud: Cloud,
+  types: readonly MachineType[],
+  addressOf: (id: HostId) => string,
+): Handler {
+  return async ({ method, url, body }) => {
+    if (url.pathname === '/machine_types') {
+      const flavours = types.map((t) => ({
+        name: t.id,
+        cpus: t.cpus,
+        gpus: t.gpus,
+        memoryGb: t.memoryGb,
+        cacheGb: t.cacheGb,
+        fetchGbPerS: t.fetchGbPerS,
+        price: t.price,
+        spotPrice: t.spotPrice,
+        startupS: t.boot / 1000,
+        halls: t.zones,
+      }));
+      return { status: 200, body: { flavours } };
+    }
+    if (url.pathname === '/machines/delete') {
+      await cloud.remove((body as { hosts: HostId[] }).hosts);
+      return { status: 200, body: {} };
+    }
+    if (method === 'POST') {
+      const w = body as {
+        hire: RentalName;
+        flavour: TypeId;
+        hall: ZoneId;
+        reclaimable: boolean;
+        howMany: number;
+      };
+      const rented = await cloud.rent({
+        name: w.hire,
+        type: w.flavour,
+        zone: w.hall,
+        spot: w.reclaimable,
+        count: w.howMany,
+      });
+      return rented === 'no capacity'
+        ? { status: 503, body: { error: rented } }
+        : { status: 200, body: { hosts: rented.hosts } };
+    }
+    const most = Number(url.searchParams.get('most') ?? 500);
+    const { machines } = await cloud.list(url.searchParams.get('after') ?? '');
+    const hosts = machines.slice(0, most).map((m) => ({
+      ref: m.id,
+      address: addressOf(m.id),
+      flavour: m.type,
+      hall: m.zone,
+      reclaimable: m.spot,
+      status: m.status,
+      heldS: m.age / 1000,
+    }));
+    return { status: 200, body: { hosts, more: machines.length > most } };
+  };
+}
+
+const STATES: Record<Attempt['state'], string> = {
+  fetching: 'pulling',
+  running: 'running',
+  saving: 'flushing',
+  exited: 'ended',
+};
+
+/** A worker's report in the words of the protocol. */
+export function reportBody(report: Report, addressOf: (id: HostId) => string): object {
+  return {
+    host: report.host,
+    address: addressOf(report.host),
+    flavour: report.type,
+    hall: report.zone,
+    reclaimable: report.spot,
+    tenure: report.session,
+    counter: report.counter,
+    epoch: report.token,
+    warningS: report.notice,
+    shards: report.attempts.map((a) => ({
+      shard: a.task,
+      try: a.tryNo,
+      status: STATES[a.state],
+      cause: a.cause,
+    })),
+  };
+}
+
+interface WireOrder {
+  readonly verb: 'run' | 'kill' | 'clear';
+  readonly shard: TaskId;
+  readonly try: TryNo;
+  readonly drainS?: number;
+}
+
+const orderOf = ({ verb, shard: task, try: tryNo, drainS: graceS = 0 }: WireOrder): Order =>
+  verb === 'kill' ? { verb, task, tryNo, graceS } : { verb, task, tryNo };
+
+/** What a controller answered to a report. */
+export function heartbeatAnswer(status: number, body: unknown): HeartbeatAnswer {
+  const { epoch = 0, orders = [] } = (body ?? {}) as { epoch?: number; orders?: WireOrder[] };
+  return { status, token: epoch as Token, orders: orders.map(orderOf) };
+}
+
+/** All workers' interfaces; which one is meant, the address that was called tells. */
+export function workersHandler(
+  workerAt: (address: string) => StandInWorker | undefined,
+  addressOf: (id: HostId) => string,
+): Handler {
+  return ({ url, body, to }) => {
+    const worker = workerAt(to);
+    if (!worker) return Promise.resolve({ status: 404, body: {} });
+    if (url.pathname === '/show')
+      return Promise.resolve({ status: 200, body: reportBody(worker.show(), addressOf) });
+    const { epoch, tenure, orders } = body as { epoch: Token; tenure: SessionNumber; orders: WireOrder[] };
+    const { executed, report } = worker.command(epoch, tenure, orders.map(orderOf));
+    return Promise.resolve({ status: executed ? 200 : 409, body: reportBody(report, addressOf) });
+  };
+}
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -79,6 +79,9 @@
   private repeating: number | null = null;
   private readonly heldOrders: { pair: string; run: () => void }[] = [];
 
+  /** The share of its processor time that each node uses. */
+  load = 0;
+
   /** Direct calls to workers under way, at most so far. */
   mostCalls = 0;
   private calls = 0;
@@ -160,6 +163,7 @@
       random: this.random,
       types: new Map(this.typesUnknown ? [] : TYPES.map((t) => [t.id, t])),
       workerCalls: 64,
+      load: () => this.load,
       limits,
       cancellations,
       allSpeak: (version) => version <= this.version && !this.nodes.some((other) => this.old.has(other)),
--- a/test/traces/upgrade.test.ts
+++ b/test/traces/upgrade.test.ts
@@ -217,7 +217,9 @@
     const hex = (kind: Kind, request: number, payload: Buffer): string =>
       encodeFrame(kind, request, payload).toString('hex');
     const job = { id: 'j-000412' as JobId, done: 3, running: 13 };
-    expect(hex(Kind.Progress, 0, encodeProgress([job]))).toBe(production.frames.progress);
+    expect(encodeProgress([job]).map((payload) => hex(Kind.Progress, 0, payload))).toEqual([
+      production.frames.progress,
+    ]);
     expect(hex(Kind.User, 7, encodeUser('cancel', Buffer.from(job.id)))).toBe(production.frames.user);
     expect(hex(Kind.Call, 8, encodeCall('show', '10.1.0.1:9000', 800, undefined))).toBe(
       production.frames.call,
--- a/test/unit/health.test.ts
+++ b/test/unit/health.test.ts
@@ -31,6 +31,7 @@
     settings: { reportEvery: seconds(3), workerLease: seconds(20) },
     ended: () => false,
     workerCalls: 64,
+    load: () => 0,
     workers: {
       show: () =>
         new Promise((_, reject) => clock.after(failsMs, () => reject(new NoAnswer('deadline passed')))),
--- /dev/null
+++ b/test/unit/load.test.ts
@@ -0,0 +1,135 @@
+import { describe, expect, it } from 'vitest';
+import { LoadMonitor } from '../../src/cluster/load-monitor.js';
+import { WorkerRedirects } from '../../src/cluster/worker-redirects.js';
+import type { LeaderContext } from '../../src/cluster/context.js';
+import { defaultOperators } from '../../src/config/operators.js';
+import { openLog } from '../../src/log/logger.js';
+import type { HostId, JobId, MemberId, TaskId, TypeId, ZoneId } from '../../src/model/ids.js';
+import { seconds } from '../../src/model/time.js';
+import type { Task } from '../../src/scheduler/task.js';
+import { Health } from '../../src/workers/health.js';
+import { Host } from '../../src/workers/host.js';
+import { HostRegistry } from '../../src/workers/host-registry.js';
+import { VirtualClock } from '../standins/clock.js';
+import { TYPES } from '../standins/site-setup.js';
+
+describe('the load monitor', () => {
+  it('tells a process that has used up its share from one that waits', async () => {
+    const clock = new VirtualClock();
+    const loop = { idle: 0, active: 0 };
+    const monitor = new LoadMonitor(clock, () => ({ ...loop }));
+    for (let i = 0; i < 8; i++) {
+      loop.active += 500;
+      await clock.advance(500);
+    }
+    expect(monitor.load).toBeGreaterThan(0.95);
+    for (let i = 0; i < 8; i++) {
+      loop.idle += 500;
+      await clock.advance(500);
+    }
+    expect(monitor.load).toBeLessThan(0.05);
+  });
+});
+
+describe('a busy leader', () => {
+  const others = ['b', 'c'] as MemberId[];
+  const host = (n: number): HostId => `host-${n}` as HostId;
+
+  it('sends its workers to the other controllers in turn, and a leader with time to spare none', () => {
+    const clock = new VirtualClock();
+    let load = 0.9;
+    const redirects = new WorkerRedirects(clock, () => load);
+    const targets = [1, 2, 3, 4].map((n) => redirects.target(host(n), others));
+    expect(new Set(targets)).toEqual(new Set(others));
+    expect(redirects.target(host(5), [])).toBeNull();
+    load = 0.3;
+    expect(redirects.target(host(6), others)).toBeNull();
+  });
+
+  // A follower that cannot pass reports on would send the worker back, and its lease would run out between the two.
+  it('keeps a worker that comes back soon', async () => {
+    const clock = new VirtualClock();
+    const redirects = new WorkerRedirects(clock, () => 1);
+    expect(redirects.target(host(1), others)).not.toBeNull();
+    await clock.advance(2000);
+    expect(redirects.target(host(1), others)).toBeNull();
+    await clock.advance(200_000);
+    expect(redirects.target(host(1), others)).not.toBeNull();
+  });
+});
+
+/** Questions to 300 machines with replicas that have not reported for so long, in one tick. */
+async function questions(cpuShare: number | null, load: number): Promise<HostId[]> {
+  const clock = new VirtualClock();
+  const hosts = new HostRegistry();
+  const asked: HostId[] = [];
+  const ctx = {
+    clock,
+    hosts,
+    startedAt: clock.now(),
+    ops: defaultOperators(),
+    settings: { reportEvery: seconds(6), workerLease: seconds(34), cpuShare },
+    ended: () => false,
+    workerCalls: 1000,
+    load: () => load,
+    workers: {
+      show: (address: string) => {
+        asked.push(address.split(':')[0] as HostId);
+        return new Promise(() => {});
+      },
+    },
+  } as unknown as LeaderContext;
+  const ignore = (): void => {};
+  const health = new Health(ctx, 0, ignore, ignore, ignore);
+  await clock.advance(4000);
+  for (let n = 0; n < 300; n++) {
+    const machine = {
+      id: `host-${n}` as HostId,
+      type: 'small' as TypeId,
+      zone: 'north' as ZoneId,
+      spot: false,
+    };
+    const host = new Host(machine, TYPES[0] as (typeof TYPES)[0], clock.now());
+    Object.assign(host, { up: true, known: true, address: `${machine.id}:1` });
+    host.put({ id: `j-${n}/0` as TaskId, job: { spec: { id: `j-${n}` as JobId, kind: 'service' } } } as Task);
+    host.heardAt = (clock.now() - 2000 - n) as Host['heardAt'];
+    hosts.add(host);
+  }
+  await clock.advance(100);
+  health.tick(clock.now());
+  await clock.advance(100);
+  health.tick(clock.now());
+  return asked;
+}
+
+describe('early questions to machines with replicas', () => {
+  // With all of them asked, they took a third of a leader's processor time on a tenth of a core.
+  it('take a bounded part of the processor time, the longest silent first', async () => {
+    const small = await questions(0.1, 0);
+    expect(small.length).toBeGreaterThan(0);
+    expect(small.length).toBeLessThanOrEqual(26);
+    expect(small[0]).toBe('host-299');
+    const whole = await questions(1, 0);
+    expect(whole.length).toBeGreaterThan(100);
+    expect((await questions(null, 0)).length).toBe(whole.length);
+  });
+
+  it('are not asked by a leader that is behind with its work', async () => {
+    expect(await questions(0.1, 0.9)).toEqual([]);
+  });
+});
+
+describe('the log', () => {
+  it('writes one JSON object a line, at or above its level', () => {
+    const lines: string[] = [];
+    const log = openLog('node-0', 'info', (line) => lines.push(line));
+    log.debug({}, 'not written');
+    log.info({ jobs: 3 }, 'written');
+    log.error({ error: 'a\nb' }, 'written too');
+    expect(lines.map((line) => line.indexOf('\n') === line.length - 1)).toEqual([true, true]);
+    expect(lines.map((line) => JSON.parse(line) as unknown)).toMatchObject([
+      { level: 30, member: 'node-0', jobs: 3, msg: 'written' },
+      { level: 50, member: 'node-0', error: 'a\nb', msg: 'written too' },
+    ]);
+  });
+});
--- a/test/unit/sockets.test.ts
+++ b/test/unit/sockets.test.ts
@@ -58,6 +58,21 @@
     expect((await http.call('GET', '/elsewhere', undefined, 5000)).status).toBe(404);
   });
 
+  it('tells a user when to come back, and answers 500 for what it could not do', async () => {
+    const address = await front({
+      user: (verb) =>
+        verb === 'query'
+          ? Promise.resolve({ status: 503, body: { error: 'busy' }, retryAfter: 2 })
+          : Promise.reject(new Error('cannot')),
+    });
+    const response = await fetch(`http://${address}/v2/runs/j-000001?as=is`);
+    expect([response.status, response.headers.get('retry-after')]).toEqual([503, '2']);
+    expect(await response.json()).toEqual({ error: 'busy' });
+    expect((await fetch(`http://${address}/v2/runs/a/b/c`)).status).toBe(404);
+    expect((await fetch(`http://${address}/v2/runs`, { method: 'POST', body: '{}' })).status).toBe(500);
+    expect((await fetch(`http://${address}/up`, { method: 'HEAD' })).status).toBe(200);
+  });
+
   it('refuses a body over the limit and goes on', async () => {
     const address = await front({});
     const long = await target(address).call('POST', '/v2/runs', 'x'.repeat(MAX_BODY), 5000);
--- a/test/unit/wire.test.ts
+++ b/test/unit/wire.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { ProgressBoard } from '../../src/cluster/progress-board.js';
 import { readOperators } from '../../src/config/operators.js';
 import type { HostId, JobId, TaskIndex, TryNo } from '../../src/model/ids.js';
 import {
@@ -12,8 +13,9 @@
 import { decodeChunk, encodeChunk } from '../../src/store/progress-record.js';
 import { tooSmall } from '../../src/config/limits.js';
 import { readSettings } from '../../src/wire/settings.js';
+import { VirtualClock } from '../standins/clock.js';
 import { parseSubmission } from '../../src/wire/users.js';
-import { parseReport } from '../../src/wire/workers.js';
+import { parseReport, reportSchema } from '../../src/wire/workers.js';
 
 const submission = {
   ref: 'j-000412',
@@ -73,6 +75,48 @@
     });
     expect(parsed).toMatchObject({ ok: true, value: { attempts: [{ state: 'running' }], notice: null } });
   });
+
+  // Reports are checked by hand first and by the schema only where that fails: neither may take what the other refuses.
+  const whole = {
+    host: 'host-000001',
+    address: '10.1.0.1:9000',
+    flavour: 'g8',
+    hall: 'a',
+    reclaimable: false,
+    tenure: 1,
+    counter: 2,
+    epoch: 3,
+    warningS: 4.5,
+    shards: [{ shard: 'j-000001/0', try: 1, status: 'running', cause: 'done' }],
+  };
+  const attempt = whole.shards[0];
+  const values = [undefined, null, true, -1, 0, 1.5, 2 ** 60, '', 'x', 'x'.repeat(201), {}, [], [null]];
+
+  it.each(Object.keys(whole))(
+    'with any value for %s are taken or refused by one rule, with a reason',
+    (field) => {
+      for (const value of values) {
+        const body = { ...whole, [field]: value };
+        const parsed = parseReport(body);
+        expect(parsed.ok, JSON.stringify(value)).toBe(reportSchema.safeParse(body).success);
+        if (!parsed.ok) expect(parsed.error).toContain(field);
+      }
+    },
+  );
+
+  it.each(Object.keys(attempt ?? {}))(
+    'with any value for an attempt’s %s are taken or refused by one rule',
+    (field) => {
+      for (const value of values) {
+        const body = { ...whole, shards: [attempt, { ...attempt, [field]: value }] };
+        expect(parseReport(body).ok, JSON.stringify(value)).toBe(reportSchema.safeParse(body).success);
+      }
+    },
+  );
+
+  it('are refused when they are no object', () => {
+    for (const body of [null, undefined, 3, 'x', []]) expect(parseReport(body).ok).toBe(false);
+  });
 });
 
 describe('frames', () => {
@@ -96,7 +140,18 @@
 
   it('carry the progress of jobs', () => {
     const jobs = [{ id: 'j-000412' as JobId, done: 3, running: 13 }];
-    expect(decodeProgress(encodeProgress(jobs))).toEqual(jobs);
+    expect(encodeProgress(jobs).map(decodeProgress)).toEqual([jobs]);
+    expect(encodeProgress([]).map(decodeProgress)).toEqual([[]]);
+  });
+
+  it('carry a list that is too long for one in several, and lose nothing', () => {
+    const jobs = Array.from({ length: 9000 }, (_, n) => ({ id: `j-${n}` as JobId, done: n, running: n % 7 }));
+    const payloads = encodeProgress(jobs, 4096);
+    expect(payloads.every((payload) => payload.length <= 4096)).toBe(true);
+    expect(payloads.flatMap(decodeProgress)).toEqual(jobs);
+    const board = new ProgressBoard(new VirtualClock());
+    for (const payload of payloads) board.take(payload);
+    expect([board.of('j-0' as JobId)?.done, board.of('j-8999' as JobId)?.done]).toEqual([0, 8999]);
   });
 });
 
