First-fit's shelf moves the machines that were placed on, instead of sorting all anew

Of a leader's own code with 1,500 machines decisions took 15%, the order of machines 4%. The drawn clusters against plain first-fit decide the same.

--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -54,8 +54,8 @@
     mine.gpus += spec.gpus;
     job.zones.set(m.zone, (job.zones.get(m.zone) ?? 0) + 1);
     job.waiting--;
-    this.shelves.spot.touch();
-    this.shelves.firm.touch();
+    this.shelves.spot.touch(m);
+    this.shelves.firm.touch(m);
   }
 
   private firstFit(job: JobView, mine: TeamUse, open: number, which: (m: MachineView) => boolean): number {
@@ -107,8 +107,6 @@
         give(m.free, v);
       }
       this.start(job, mine, m);
-      this.shelves.spot.reopen(m);
-      this.shelves.firm.reopen(m);
       open--;
       const again = offerOf(job.spec, m, from, may);
       if (again) offers[best] = again;
--- a/test/profile/main.ts
+++ b/test/profile/main.ts
@@ -6,6 +6,8 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdirSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { HostId, ImageId, JobId, TypeId, ZoneId } from '../../src/model/ids.js';
 import { realClock, sleep } from '../../src/model/time.js';
 import { HttpTarget, NoAnswer } from '../../src/net/http-client.js';
@@ -32,6 +34,9 @@
   allowNegative: true,
 });
 const OUT = 'target/profile';
+/** The same arrivals in every run. */
+const generator = xoroshiro128plus(7);
+const random = (): number => uniformFloat64(generator);
 const STATE = 21_001;
 const CLOUD = 21_002;
 const WORKERS = 21_003;
@@ -196,7 +201,7 @@
     broken: false,
   });
   const until = performance.now() + 90_000;
-  const front = (): HttpTarget => fronts[Math.floor(Math.random() * fronts.length)] as HttpTarget;
+  const front = (): HttpTarget => fronts[Math.floor(random() * fronts.length)] as HttpTarget;
   let accepted = false;
   while (performance.now() < until) {
     try {
@@ -219,7 +224,7 @@
 
 function arrive(kind: 'array' | 'service', perSecond: number): void {
   if (perSecond <= 0) return;
-  realClock.after((-Math.log(1 - Math.random()) * 1000) / perSecond, () => {
+  realClock.after((-Math.log(1 - random()) * 1000) / perSecond, () => {
     void user(kind);
     arrive(kind, perSecond);
   });
