--- a/test/profile/main.ts
+++ b/test/profile/main.ts
@@ -22,6 +22,8 @@
   options: {
     machines: { type: 'string', default: '400' },
     seconds: { type: 'string', default: '60' },
+    /** All controllers end after so many seconds and come back: what is measured begins there. */
+    'restart-after': { type: 'string', default: '0' },
     /** Jobs a second. */
     services: { type: 'string', default: '1.2' },
     arrays: { type: 'string', default: '0.3' },
@@ -230,6 +232,12 @@
   });
 }
 
+async function end(nodes: readonly ChildProcess[]): Promise<void> {
+  const ended = nodes.map((node) => new Promise((resolve) => node.on('exit', resolve)));
+  for (const node of nodes) node.kill('SIGTERM');
+  await Promise.all(ended);
+}
+
 async function run(): Promise<void> {
   rmSync(OUT, { recursive: true, force: true });
   mkdirSync(OUT, { recursive: true });
@@ -248,14 +256,18 @@
       zone: (n % 2 ? 'north' : 'south') as ZoneId,
       spot: n % 3 === 0,
     });
-  const nodes = NODES.map(startNode);
+  let nodes = NODES.map(startNode);
   await sleep(realClock, 3000);
   for (let n = 0; n < 150 * Number(values.services); n++) void user('service');
   arrive('service', Number(values.services));
   arrive('array', Number(values.arrays));
+  if (Number(values['restart-after']) > 0) {
+    await sleep(realClock, Number(values['restart-after']) * 1000);
+    await end(nodes);
+    nodes = NODES.map(startNode);
+  }
   await sleep(realClock, Number(values.seconds) * 1000);
-  for (const node of nodes) node.kill('SIGTERM');
-  await Promise.all(nodes.map((node) => new Promise((resolve) => node.on('exit', resolve))));
+  await end(nodes);
   console.log(
     `${workers.size} machines, ${started} starts, ${nextJob} jobs, ${state.requests} state requests`,
   );
