--- a/src/cluster/heartbeat-router.ts
+++ b/src/cluster/heartbeat-router.ts
@@ -1,7 +1,9 @@
 /** Brings workers' reports to whoever leads, and the answers back. */
 import type { HostId, MemberId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
+import { type Clock, since } from '../model/time.js';
 import { parseJson } from '../net/http-client.js';
+import { Turns } from '../net/turns.js';
 import { type AnswerFrame, Kind } from '../peer/frames.js';
 import { encodeOrders, encodeRedirect, parseReport } from '../wire/workers.js';
 import type { NodeContext } from './context.js';
@@ -23,6 +25,8 @@
 export class HeartbeatRouter {
   private readonly member: MemberId;
   private readonly redirects: WorkerRedirects;
+  private readonly turns = new Turns();
+  private readonly clock: Clock;
 
   constructor(
     { member, clock, load }: NodeContext,
@@ -30,6 +34,7 @@
     private readonly peers: PeerGroup,
   ) {
     this.member = member;
+    this.clock = clock;
     this.redirects = new WorkerRedirects(clock, load);
   }
 
@@ -37,6 +42,7 @@
   async take(body: Buffer): Promise<HeartbeatAnswer> {
     // Whoever leads reads the report: one that is passed on is not read here as well.
     if (this.leadership.leader) {
+      if (!(await this.itsTurn())) return REFUSED;
       const parsed = parseReport(parseJson(body));
       if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
       const elsewhere = this.elsewhere(parsed.value.host);
@@ -57,6 +63,7 @@
       const link = kind === Kind.PassOn ? this.peers.leader() : undefined;
       return (await link?.ask(Kind.Passed, payload, RELAY_MS / 2)) ?? null;
     }
+    if (!(await this.itsTurn())) return null;
     const parsed = parseReport(parseJson(payload));
     if (!parsed.ok) return null;
     // Which controller the worker is with, the one before the last does not tell.
@@ -64,6 +71,13 @@
     return orders ? { status: 200, body: orders } : null;
   }
 
+  /** False: the turn came so late that nobody waits for the answer any more. */
+  private async itsTurn(): Promise<boolean> {
+    const arrivedAt = this.clock.now();
+    await this.turns.turn();
+    return since(this.clock.now(), arrivedAt) < RELAY_MS;
+  }
+
   /** The controller that this worker should report to instead: one that reaches the state service and this leader. */
   private elsewhere(host: HostId): MemberId | null {
     const able = this.peers.alive.filter((link) => link.ping?.stateOk);
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -69,9 +69,13 @@
     if (this.settle()) this.reject(new NoAnswer(why));
   }
 
+  /** A process that is behind has its timers first: an answer that lies unread in the socket still counts. */
   private expire(): void {
-    this.failed('deadline passed');
-    this.connection?.destroy();
+    setImmediate(() => {
+      if (this.settled) return;
+      this.failed('deadline passed');
+      this.connection?.destroy();
+    });
   }
 
   private settle(): boolean {
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -148,10 +148,11 @@
         resolve(null);
         return;
       }
-      const late = this.clock.after(deadlineMs, () => {
-        this.waiting.delete(request);
-        resolve(null);
-      });
+      const giveUp = (): void => {
+        if (this.waiting.delete(request)) resolve(null);
+      };
+      // A process that is behind has its timers first: an answer that lies unread in the socket still counts.
+      const late = this.clock.after(deadlineMs, () => setImmediate(giveUp));
       this.waiting.set(request, (answer) => {
         late();
         resolve(answer);
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -62,7 +62,9 @@
   /** An empty command tells a worker our epoch and brings its report. */
   private meet(): void {
     for (const host of this.strangers) {
-      if (this.contacts >= Math.max(1, this.most * CONTACTS_SHARE) || this.inFlight >= this.most) return;
+      // The busier this process is, the more of them are left to report by themselves.
+      const mostContacts = Math.max(1, this.most * CONTACTS_SHARE * (1 - this.ctx.load()));
+      if (this.contacts >= mostContacts || this.inFlight >= this.most) return;
       this.strangers.delete(host);
       // It may have reported by itself meanwhile.
       if (host.known || host.commandInFlight || !this.mayCall(host)) continue;
--- a/test/unit/http.test.ts
+++ b/test/unit/http.test.ts
@@ -156,3 +156,17 @@
     expect((await workers.raw('show', c, undefined, 5000)).status).toBe(200);
   });
 });
+
+describe('a process that is behind', () => {
+  // Its timers come first: the answer lay in the socket all the while, and the call had been carried out.
+  it('still takes an answer that came in time', async () => {
+    const address = await server((_request, socket) => {
+      socket.write(OK);
+      // The answer has left; now nothing else gets its turn until the deadline has passed.
+      const until = performance.now() + 150;
+      while (performance.now() < until);
+    });
+    const answered = targetAt(address, 1).call('GET', '/x', undefined, 60);
+    expect((await answered).status).toBe(200);
+  });
+});
--- a/test/unit/load.test.ts
+++ b/test/unit/load.test.ts
@@ -6,6 +6,7 @@
 import { openLog } from '../../src/log/logger.js';
 import type { HostId, JobId, MemberId, TaskId, TypeId, ZoneId } from '../../src/model/ids.js';
 import { seconds } from '../../src/model/time.js';
+import { Turns } from '../../src/net/turns.js';
 import type { Task } from '../../src/scheduler/task.js';
 import { Health } from '../../src/workers/health.js';
 import { Host } from '../../src/workers/host.js';
@@ -133,3 +134,24 @@
     ]);
   });
 });
+
+describe('turns', () => {
+  // A socket brings hundreds of reports at once; a grant's renewal must not wait for all of them.
+  it('are given in order, a few at a time, with room for other work between them', async () => {
+    const deferred: (() => void)[] = [];
+    const turns = new Turns((run) => deferred.push(run), 3);
+    const done: number[] = [];
+    const all = Array.from({ length: 7 }, (_, n) => turns.turn().then(() => done.push(n)));
+    const counts: number[] = [];
+    for (let run = deferred.shift(); run; run = deferred.shift()) {
+      run();
+      await new Promise((resolve) => setImmediate(resolve));
+      counts.push(done.length);
+    }
+    await Promise.all(all);
+    expect(counts).toEqual([3, 6, 7]);
+    expect(done).toEqual([0, 1, 2, 3, 4, 5, 6]);
+    void turns.turn();
+    expect(deferred).toHaveLength(1);
+  });
+});
