A leader whose machines report at the same moments is not deaf between them; a site of 4,500 machines

Now some machines must have let a report's time pass besides. Lists of the stand-ins' cloud and state service come in pages of 500.

--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -18,6 +18,8 @@
 const DEAF_REPORTS = 40;
 const DEAF_LEAST_MS = 2000;
 const DEAF_MOST_MS = 7000;
+/** And so many machines must have let a report's time pass. */
+const DEAF_OVERDUE = 0.03;
 /** A tick that comes later than this finds its own process held up: nobody is judged by it. */
 const TICK_LATE_MS = 700;
 /** A probe that took so many times its deadline tells of our own process. */
@@ -77,6 +79,7 @@
  */
 export class Health {
   private lastHeard: Steady;
+  private heardAny = false;
   private lastTick: Steady;
   private strangerAt: Steady;
   private asked = 0;
@@ -109,6 +112,7 @@
     host.heardAt = now;
     host.metAt ??= now;
     this.lastHeard = now;
+    this.heardAny = true;
     // One that is heard and not reached stays under suspicion: only a contact clears it.
     if (this.lost(host, now)) return;
     host.probes = 0;
@@ -144,8 +148,15 @@
     // Held up ourselves, we have not listened either.
     if (held > TICK_LATE_MS) this.lastHeard = plus(this.lastHeard, held);
     let up = 0;
-    for (const host of this.ctx.hosts.values()) if (host.up || !host.empty) up++;
+    let overdue = 0;
+    for (const host of this.ctx.hosts.values()) {
+      if (!host.up && host.empty) continue;
+      up++;
+      if (this.silentFor(host, now) > this.silent) overdue++;
+    }
     if (up < 2) return false;
+    // After a takeover all machines may report at the same moments, and between these nobody is heard.
+    if (this.heardAny && overdue < up * DEAF_OVERDUE) return false;
     const expected = (this.ctx.settings.reportEvery / up) * DEAF_REPORTS;
     return since(now, this.lastHeard) > Math.min(DEAF_MOST_MS, Math.max(DEAF_LEAST_MS, expected));
   }
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -5,6 +5,8 @@
 import { poolKey } from '../../src/fleet/plan.js';
 
 const LATENCY_MS = 80;
+/** Machines in one answer. */
+const PAGE = 500;
 
 interface Rented1 extends Machine {
   readonly at: number;
@@ -96,17 +98,16 @@
           }
         }),
       list: (after) =>
-        ask(() => ({
-          more: false,
-          machines: [...this.machines.values()]
-            .filter((m) => m.id > after)
-            .map((m): ListedMachine => ({
-              ...m,
-              address: address(m.id),
-              status: m.up ? 'running' : 'starting',
-              age: ms(this.clock.now() - m.at),
-            })),
-        })),
+        ask(() => {
+          const rest = [...this.machines.values()].filter((m) => m.id > after);
+          const machines = rest.slice(0, PAGE).map((m): ListedMachine => ({
+            ...m,
+            address: address(m.id),
+            status: m.up ? 'running' : 'starting',
+            age: ms(this.clock.now() - m.at),
+          }));
+          return { more: rest.length > PAGE, machines };
+        }),
     };
   }
 }
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -17,6 +17,8 @@
 }
 
 const LATENCY_MS = 5;
+/** Rows in one answer. */
+const PAGE = 500;
 const DEADLINE_MS = 1000;
 const TXN_BYTES = 64 * 1024;
 
@@ -159,7 +161,7 @@
             .filter(([key]) => key.startsWith(prefix) && (after === undefined || key > after))
             .sort(([a], [b]) => (a < b ? -1 : 1))
             .map(([key, e]) => ({ key, value: e.value, revision: e.revision }));
-          return { rows, more: false, revision: this.revision as Revision };
+          return { rows: rows.slice(0, PAGE), more: rows.length > PAGE, revision: this.revision as Revision };
         }),
       commit: (conditions, writes) => {
         const error = malformed(this.sizes, conditions, writes);
