Controllers tell each other how busy they are; work goes only to those with time; memory guard; measured least

Pings carry the load in a byte more, which earlier versions leave unread. Near the heap's end caches are dropped and submissions refused. Clean-ups: who passes on a report is named where reports are routed; one answer per transaction to whether drops are postponed.

--- a/src/api/admission.ts
+++ b/src/api/admission.ts
@@ -16,6 +16,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly most: Readonly<Record<Rank, number>>,
+    /** Whether the process has no memory left for new work. */
+    private readonly memoryScarce: () => boolean = () => false,
   ) {
     this.expected = clock.now();
     this.turn();
@@ -32,7 +34,7 @@
 
   enter(rank: Rank): boolean {
     if (this.inside[rank] >= this.most[rank]) return false;
-    if (rank === 'submission' && this.lateness > LATE_MS) return false;
+    if (rank === 'submission' && (this.lateness > LATE_MS || this.memoryScarce())) return false;
     this.inside[rank]++;
     return true;
   }
--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -44,6 +44,12 @@
     KEPT_ENDED,
   );
 
+  /** Everything here can be read again. */
+  clear(): void {
+    this.open.clear();
+    this.ended.clear();
+  }
+
   known(id: JobId): Known | undefined {
     return this.open.get(id);
   }
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -102,6 +102,11 @@
     this.dependencies = new Dependencies(ctx, this.cache, this.confirmations, (id) => this.lookAt(id));
   }
 
+  /** Drops what can be read again. */
+  shedCaches(): void {
+    this.cache.clear();
+  }
+
   /** Sees every job's record change, so that most questions need only a confirmation. */
   async watch(): Promise<void> {
     let after: Revision | null = null;
--- a/src/cluster/heartbeat-router.ts
+++ b/src/cluster/heartbeat-router.ts
@@ -8,7 +8,7 @@
 import { encodeOrders, encodeRedirect, parseReport } from '../wire/workers.js';
 import type { NodeContext } from './context.js';
 import type { Leadership } from './leadership.js';
-import { passedOnBy, type PeerGroup } from './peer-group.js';
+import type { PeerGroup } from './peer-group.js';
 import { WorkerRedirects } from './worker-redirects.js';
 
 const RELAY_MS = 2500;
@@ -21,6 +21,9 @@
 
 const REFUSED: HeartbeatAnswer = { status: 503, body: null };
 
+/** A reporter that is not the controller that the worker is with. */
+const passedOnBy = (member: MemberId): MemberId => `${member} and another` as MemberId;
+
 /** A leader answers itself; a follower passes the report on. */
 export class HeartbeatRouter {
   private readonly member: MemberId;
@@ -80,7 +83,7 @@
 
   /** The controller that this worker should report to instead: one that reaches the state service and this leader. */
   private elsewhere(host: HostId): MemberId | null {
-    const able = this.peers.alive.filter((link) => link.ping?.stateOk);
+    const able = this.peers.alive.filter((link) => link.hasTime && link.ping?.stateOk);
     return this.redirects.target(
       host,
       able.map((link) => link.member as MemberId),
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -36,6 +36,7 @@
 import { Leadership } from './leadership.js';
 import { LoadMonitor } from './load-monitor.js';
 import { MachineTypeCatalogue } from './machine-types.js';
+import { MemoryMonitor } from './memory-monitor.js';
 import { type OwnState, PeerGroup } from './peer-group.js';
 import { ProgressBoard } from './progress-board.js';
 import { UserRouter } from './user-router.js';
@@ -114,7 +115,9 @@
     );
     this.leadership = new Leadership(this.ctx, () => this.machineTypes.known());
     cancellations.onLearned((ids) => this.leadership.leader?.cancelled(ids));
-    this.admission = new Admission(clock, { submission: MOST_SUBMISSIONS, query: MOST_QUESTIONS });
+    const memory = new MemoryMonitor(clock, () => this.users.shedCaches());
+    const most = { submission: MOST_SUBMISSIONS, query: MOST_QUESTIONS };
+    this.admission = new Admission(clock, most, () => memory.scarce);
     this.userRouter = new UserRouter(this.users, this.admission, this.connectivity, this.peers, random);
     this.heartbeats = new HeartbeatRouter(this.ctx, this.leadership, this.peers);
     this.front = this.frontServer(shares);
@@ -188,6 +191,7 @@
       stateOk: this.connectivity.stateOk,
       leading: this.leadership.leader?.epoch ?? null,
       version: PROTOCOL_VERSION,
+      load: this.ctx.load(),
     };
   }
 
--- a/src/cluster/peer-group.ts
+++ b/src/cluster/peer-group.ts
@@ -1,6 +1,6 @@
 /** The links to all other controllers, and what is said and asked over them. */
 import { type Log, reason } from '../log/logger.js';
-import type { Epoch, JobId, MemberId } from '../model/ids.js';
+import type { Epoch, JobId } from '../model/ids.js';
 import type { Clock } from '../model/time.js';
 import {
   type CancellationsWord,
@@ -143,6 +143,3 @@
     for (const link of takers) link.send(Kind.Cancelled, 0, payload);
   }
 }
-
-/** A reporter that is not the controller that the worker is with. */
-export const passedOnBy = (member: MemberId): MemberId => `${member} and another` as MemberId;
--- a/src/config/limits.ts
+++ b/src/config/limits.ts
@@ -1,8 +1,8 @@
 import { shareSockets } from '../net/sockets.js';
 import type { Settings } from '../wire/settings.js';
 
-/** What the program itself takes: the heap of `deploy/service.toml` and the runtime beside it. */
-const PROCESS_MB = 130;
+/** Measured: at their most, a follower held 30 to 40 MB, a leader of 450 machines 50 MB (docs/settings.md). */
+const PROCESS_MB = 64;
 /** Users, health checks and a few workers at once. */
 const LEAST_FRONT = 64;
 /** Renewals, watches and one decision a second. */
--- a/src/forecast/lifetimes.ts
+++ b/src/forecast/lifetimes.ts
@@ -34,7 +34,7 @@
   }
 
   /** The owner's estimate, corrected by how far the class's estimates have been off. */
-  expected(jobClass: string, estimateMs: number): number {
+  private expected(jobClass: string, estimateMs: number): number {
     const sum = this.sums.get(jobClass);
     if (!sum || this.count(jobClass) < 8) return estimateMs;
     return estimateMs * Math.min(3, Math.max(0.3, sum.ran / sum.estimated));
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -66,6 +66,9 @@
   }
 }
 
+/** Bytes of a ping beside the name. */
+const PING_FIXED = 12;
+
 /** What a controller says of itself twice a second. */
 export interface Ping {
   readonly member: string;
@@ -73,20 +76,23 @@
   readonly leading: Epoch | null;
   /**
    * The sender's protocol version. A reader closes the connection on a kind that it doesn't know, so kinds
-   * above 8 go only to a peer whose pings say that it has them. Older readers leave this last byte unread.
+   * above 8 go only to a peer whose pings say that it has them. Older readers leave what follows the name unread.
    */
   readonly version: number;
+  /** The share of its processor time that the sender uses, between 0 and 1; a sender that does not say: 0. */
+  readonly load: number;
 }
 
-/** u8 state service reached, u64 epoch led (0: none), u8 name length, name, u8 version. */
+/** u8 state service reached, u64 epoch led (0: none), u8 name length, name, u8 version, u8 load in percent. */
 export function encodePing(ping: Ping): Buffer {
   const name = Buffer.from(ping.member, 'utf8');
-  const out = Buffer.allocUnsafe(11 + name.length);
+  const out = Buffer.allocUnsafe(PING_FIXED + name.length);
   out.writeUInt8(ping.stateOk ? 1 : 0, 0);
   out.writeBigUInt64BE(BigInt(ping.leading ?? 0), 1);
   out.writeUInt8(name.length, 9);
   name.copy(out, 10);
   out.writeUInt8(ping.version, 10 + name.length);
+  out.writeUInt8(Math.round(ping.load * 100), 11 + name.length);
   return out;
 }
 
@@ -101,6 +107,7 @@
     leading: epoch === 0 ? null : (epoch as Epoch),
     member: payload.toString('utf8', 10, 10 + length),
     version: payload.length > 10 + length ? payload.readUInt8(10 + length) : UNVERSIONED,
+    load: payload.length > 11 + length ? payload.readUInt8(11 + length) / 100 : 0,
   };
 }
 
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -22,6 +22,8 @@
 const REDIAL_MS = 400;
 const DIAL_MS = 1500;
 const MOST_UNSENT = 4 << 20;
+/** From this load on a controller is handed no work of others. */
+const NO_TIME_LOAD = 0.7;
 
 /** Frames of one turn of the loop leave in one write: each write costs a system call. */
 function writeFrame(socket: Socket, frame: Buffer): void {
@@ -129,6 +131,11 @@
     return this.alive && (this.ping?.version ?? UNVERSIONED) >= version;
   }
 
+  /** Heard, and with time to spare for work that is handed to it. */
+  get hasTime(): boolean {
+    return this.alive && (this.ping?.load ?? 0) < NO_TIME_LOAD;
+  }
+
   /** It takes confirmed cancellations. */
   get takesCancellations(): boolean {
     return this.speaks(DEPENDENCIES_VERSION);
--- a/src/peer/routed-caller.ts
+++ b/src/peer/routed-caller.ts
@@ -132,7 +132,10 @@
   /** The controller that makes this call for us; undefined: we make it. */
   private helperFor(address: string): PeerLink | undefined {
     if (this.load() < BUSY_LOAD || this.notHelped.has(address)) return undefined;
-    return linkFor(address, this.alive);
+    return linkFor(
+      address,
+      this.links.filter((link) => link.hasTime),
+    );
   }
 
   private async throughHelper(
--- a/src/store/committer.ts
+++ b/src/store/committer.ts
@@ -151,7 +151,8 @@
     const before = batch.writes.length;
     const stored = [...job.chunks.values()].filter((c) => c.revision > 0).map((c) => c.key);
     const drops = [...stored, ...job.superseded, ...furtherKeys(job.spec)];
-    const need = 2 + (this.mayPostpone() ? 0 : drops.length);
+    const postpones = this.mayPostpone();
+    const need = 2 + (postpones ? 0 : drops.length);
     if (batch.writes.length > 0 && batch.writes.length + need > max) return;
     if (tells(job)) {
       batch.conditions.push({ key: keys.job(id), revision: job.revision });
@@ -166,7 +167,7 @@
     }
     batch.writes.push({ drop: keys.openHead(id) });
     // What does not fit stays behind without a head, which no takeover reads as a job, and goes later.
-    const room = this.mayPostpone() ? 0 : this.ctx.limits.txnOps - batch.writes.length;
+    const room = postpones ? 0 : this.ctx.limits.txnOps - batch.writes.length;
     for (const key of drops.slice(0, room)) batch.writes.push({ drop: key });
     batch.closing.push({ job, leftOver: drops.slice(room) });
     this.counts.closings += batch.writes.length - before;
--- a/test/unit/load.test.ts
+++ b/test/unit/load.test.ts
@@ -1,12 +1,26 @@
 import { describe, expect, it } from 'vitest';
 import { LoadMonitor } from '../../src/cluster/load-monitor.js';
+import { Admission } from '../../src/api/admission.js';
+import { MemoryMonitor } from '../../src/cluster/memory-monitor.js';
 import { WorkerRedirects } from '../../src/cluster/worker-redirects.js';
 import type { LeaderContext } from '../../src/cluster/context.js';
 import { defaultOperators } from '../../src/config/operators.js';
 import { openLog } from '../../src/log/logger.js';
-import type { HostId, JobId, MemberId, TaskId, TypeId, ZoneId } from '../../src/model/ids.js';
+import type {
+  HostId,
+  JobId,
+  MemberId,
+  SessionNumber,
+  TaskId,
+  Token,
+  TypeId,
+  ZoneId,
+} from '../../src/model/ids.js';
 import { seconds } from '../../src/model/time.js';
+import { NoAnswer, NoSocket } from '../../src/net/http-client.js';
 import { Turns } from '../../src/net/turns.js';
+import type { PeerLink } from '../../src/peer/link.js';
+import { NO_SOCKET_STATUS, RoutedCaller } from '../../src/peer/routed-caller.js';
 import type { Task } from '../../src/scheduler/task.js';
 import { Health } from '../../src/workers/health.js';
 import { Host } from '../../src/workers/host.js';
@@ -155,3 +169,79 @@
     expect(deferred).toHaveLength(1);
   });
 });
+
+describe('a process that runs out of memory', () => {
+  it('drops its caches and refuses submissions, and takes them again afterwards', async () => {
+    const clock = new VirtualClock();
+    const heap = { used_heap_size: 50, heap_size_limit: 100 };
+    let shed = 0;
+    const memory = new MemoryMonitor(
+      clock,
+      () => shed++,
+      () => ({ ...heap }),
+    );
+    const admission = new Admission(clock, { submission: 1, query: 1 }, () => memory.scarce);
+    const taken = async (): Promise<boolean[]> => {
+      await clock.advance(1000);
+      return (['submission', 'query'] as const).map((rank) => {
+        const entered = admission.enter(rank);
+        if (entered) admission.leave(rank);
+        return entered;
+      });
+    };
+    expect(await taken()).toEqual([true, true]);
+    heap.used_heap_size = 95;
+    expect(await taken()).toEqual([false, true]);
+    expect(shed).toBe(1);
+    heap.used_heap_size = 50;
+    expect(await taken()).toEqual([true, true]);
+  });
+});
+
+describe('calls to workers from a busy leader', () => {
+  const reply = { status: 200, body: Buffer.from('{}') };
+  const link = (asked: string[], name: string, hasTime: boolean, status = 200): PeerLink =>
+    ({
+      alive: true,
+      hasTime,
+      ask: () => {
+        asked.push(name);
+        return Promise.resolve({ ...reply, status });
+      },
+    }) as unknown as PeerLink;
+
+  function caller(load: number, links: (asked: string[]) => PeerLink[]) {
+    const asked: string[] = [];
+    const direct = {
+      call: () => {
+        asked.push('direct');
+        return Promise.resolve({ executed: true, report: null });
+      },
+    };
+    const routed = new RoutedCaller(direct, links(asked), new VirtualClock(), () => load);
+    const command = () => routed.command('10.1.0.1:9000', 1 as Token, 1 as SessionNumber, [], 1500);
+    return { asked, command };
+  }
+
+  it('go through another controller that has time, and through none that has not', async () => {
+    const idle = caller(0.2, (asked) => [link(asked, 'b', true)]);
+    await idle.command();
+    expect(idle.asked).toEqual(['direct']);
+    const busy = caller(0.9, (asked) => [link(asked, 'b', true)]);
+    await busy.command();
+    expect(busy.asked).toEqual(['b']);
+    const allBusy = caller(0.9, (asked) => [link(asked, 'b', false)]);
+    await allBusy.command();
+    expect(allBusy.asked).toEqual(['direct']);
+  });
+
+  it('are made directly after they failed there: that a controller reaches no worker says nothing of the worker', async () => {
+    const failing = caller(0.9, (asked) => [link(asked, 'b', true, 503)]);
+    await expect(failing.command()).rejects.toThrow(NoAnswer);
+    await failing.command();
+    expect(failing.asked).toEqual(['b', 'direct']);
+    // Nothing was sent: the host is under no suspicion.
+    const full = caller(0.9, (asked) => [link(asked, 'b', true, NO_SOCKET_STATUS)]);
+    await expect(full.command()).rejects.toThrow(NoSocket);
+  });
+});
