Comments: a bound that was told the wrong way round, figures that were reckoned

The 120 s after which a worker may be sent away again lie well over a lease, not below it; some factors in comments were never measured.

--- a/src/cluster/worker-redirects.ts
+++ b/src/cluster/worker-redirects.ts
@@ -2,11 +2,11 @@
 import type { HostId, MemberId } from '../model/ids.js';
 import { type Clock, type Steady, since } from '../model/time.js';
 
-/** From this load on a leader sends its own workers to the others: a report that a follower passes on costs it half. */
+/** From this load on a leader sends its own workers to the others: a report that a follower passes on costs less. */
 const BUSY_LOAD = 0.6;
 /**
- * A worker that is back so soon was not served there, and stays. Well below any lease: a worker that is sent away
- * once more, by mistake, still has time for two reports.
+ * A worker that is back so soon was not served there, and stays. Well over any lease: sent to and fro within one, a
+ * worker would lose its tasks.
  */
 const SENT_AWAY_ONCE_MS = 120_000;
 
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -149,7 +149,7 @@
 
 /**
  * Keep-alive calls to one address, each with a deadline; what finds no connection free waits for one within it.
- * The runtime's own client took three times as long a call: a leader makes most of its calls to hundreds of workers.
+ * With the runtime's own client all calls of a leader took twice the time in a profile, most of them to workers.
  */
 export class HttpTarget implements HttpCaller {
   private readonly host: string;
--- a/src/peer/routed-caller.ts
+++ b/src/peer/routed-caller.ts
@@ -13,7 +13,7 @@
 /** What a controller that calls on our behalf is given beyond the call's own deadline. */
 const RELAY_MS = 300;
 /**
- * From this load on calls are handed to the other controllers: a frame costs half of what a call does, and a leader
+ * From this load on calls are handed to the other controllers: a frame costs less than a call does, and a leader
  * on a tenth of a core has its time used up while the others idle.
  */
 const BUSY_LOAD = 0.6;
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -56,7 +56,7 @@
 }
 
 /**
- * The same as `reportSchema` checks, a tenth of its time: reports come by the hundred a second, and next to all of them
+ * The same as `reportSchema` checks, in less time: reports come by the hundred a second, and next to all of them
  * are well-formed. the schema says what is wrong with the others; a test compares the two.
  */
 function isReport(body: unknown): body is WireReport {
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -244,8 +244,8 @@
   }
 
   /**
-   * One that hangs rises to the head of the list. With every silent machine asked, the questions took a third of a
-   * leader's time on a tenth of a core, and reports and decisions waited.
+   * One that hangs rises to the head of the list. With every silent machine asked, the questions were reckoned to
+   * take a third of a leader's time on a tenth of a core, and reports and decisions waited.
    */
   private askLongestSilent(hosts: Host[], now: Steady): void {
     if (this.ctx.load() > BUSY_LOAD) return;
