--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -24,7 +24,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'packages/*/src/**/*.ts'],
     plugins: { jsdoc },
     rules: {
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
--- /dev/null
+++ b/packages/membership/test/input.test.ts
@@ -0,0 +1,203 @@
+import {
+  checkSettings,
+  DEFAULT_TUNING,
+  majorityOf,
+  Membership,
+  type MembershipEnvironment,
+  type MembershipSettings,
+  type MemberId,
+  MembershipSettingsError,
+  MemberState,
+  PeerSupport,
+  RejectReason,
+} from '@plumyoke/membership';
+import { VirtualClock } from '@plumyoke/standins';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+const MEMBERS = ['a', 'b', 'c'] as MemberId[];
+const SETTINGS: MembershipSettings = {
+  ...DEFAULT_TUNING,
+  self: 'a' as MemberId,
+  members: MEMBERS,
+  majority: majorityOf(3),
+};
+
+interface Lone {
+  readonly clock: VirtualClock;
+  readonly membership: Membership;
+  readonly lines: string[];
+  readonly requests: string[];
+}
+
+/** One member; what it asks is recorded, and answered by nobody. */
+function lone(support = PeerSupport.Supported, settings = SETTINGS): Lone {
+  const clock = new VirtualClock();
+  const lines: string[] = [];
+  const requests: string[] = [];
+  const environment: MembershipEnvironment = {
+    clock,
+    random: () => 0.5,
+    log: { info: (_, text) => lines.push(text), warn: (_, text) => lines.push(text) },
+    selfReport: () => ({ load: 0, ready: true }),
+    transport: {
+      support: () => support,
+      request: (to) => {
+        requests.push(to);
+        return new Promise((resolve) => clock.after(100, () => resolve(null)));
+      },
+    },
+  };
+  return { clock, membership: new Membership(settings, environment), lines, requests };
+}
+
+const probe = (from: string, sequence = 1, process = 'p1', incarnation = 5): Uint8Array =>
+  Buffer.from(
+    JSON.stringify({
+      kind: 'probe',
+      from: { member: from, process, incarnation },
+      sequence,
+      aboutReceiver: null,
+      missing: [],
+    }),
+  );
+
+describe('settings', () => {
+  it.each<[string, Partial<MembershipSettings>]>([
+    ['members: b is named twice', { members: ['a', 'b', 'b'] as MemberId[] }],
+    ['members: a (this controller) is not named', { members: ['b', 'c'] as MemberId[] }],
+    ['members: an empty name', { members: ['a', ''] as MemberId[] }],
+    ['majority: 1 of 3 controllers is no majority; at least 2 are needed', { majority: 1 }],
+    ['majority: above the 3 controllers that there are', { majority: 4 }],
+    ['majority: not a whole number', { majority: 2.5 }],
+    ['probeIntervalMs: below 10', { probeIntervalMs: -500 }],
+    ['probeTimeoutMs: above 500', { probeTimeoutMs: 700 }],
+    ['suspicionMs: not a number', { suspicionMs: Number.NaN }],
+    ['suspicionMs: above 600000', { suspicionMs: 1e9 }],
+    ['pauseThresholdMs: below 10', { pauseThresholdMs: 0 }],
+    ['maxMessagesPerSecond: below 4', { maxMessagesPerSecond: 1 }],
+  ])('%s', (message, change) => {
+    expect(() => checkSettings({ ...SETTINGS, ...change })).toThrow(MembershipSettingsError);
+    expect(() => checkSettings({ ...SETTINGS, ...change })).toThrow(message);
+  });
+});
+
+describe('messages from outside', () => {
+  it('answers a peer, and counts what it drops by reason, logging each at a bounded rate', async () => {
+    const { membership, clock, lines } = lone();
+    expect(await membership.handle(probe('b'))).not.toBeNull();
+    for (let i = 0; i < 50; i++) {
+      expect(await membership.handle(probe('stranger'))).toBeNull();
+      expect(await membership.handle(Buffer.from('{'))).toBeNull();
+      expect(await membership.handle(Buffer.from('{"kind":"poke"}'))).toBeNull();
+      expect(await membership.handle(Buffer.alloc(70_000, 0x20))).toBeNull();
+      await clock.advance(20);
+    }
+    expect(membership.rejected.get(RejectReason.Stranger)).toBe(50);
+    expect(membership.rejected.get(RejectReason.Malformed)).toBe(50);
+    expect(membership.rejected.get(RejectReason.UnknownKind)).toBe(50);
+    expect(membership.rejected.get(RejectReason.Oversized)).toBe(50);
+    expect(lines).toHaveLength(4);
+  });
+
+  it('answers no more than the settings allow, however many ask', async () => {
+    const { membership } = lone();
+    let answered = 0;
+    for (let i = 0; i < 1000; i++) if (await membership.handle(probe('b', i + 1))) answered++;
+    expect(answered).toBe(SETTINGS.maxMessagesPerSecond);
+    expect(membership.rejected.get(RejectReason.Throttled)).toBe(1000 - answered);
+  });
+
+  it('never throws, whatever arrives', async () => {
+    const { membership, clock } = lone();
+    const bytes = fc.uint8Array({ maxLength: 200 });
+    const text = fc.json().map((json) => Buffer.from(json));
+    const nearly = fc
+      .record({
+        kind: fc.constantFrom('probe', 'answer', 'indirect-probe', 'indirect-answer'),
+        from: fc.record({
+          member: fc.constantFrom('b', 'x', ''),
+          process: fc.string(),
+          incarnation: fc.integer(),
+        }),
+        sequence: fc.integer(),
+        aboutReceiver: fc.constantFrom(null, 1, {}),
+        missing: fc.array(fc.string()),
+        target: fc.constantFrom('a', 'b', 'nobody'),
+        rows: fc.array(fc.anything()),
+      })
+      .map((message) => Buffer.from(JSON.stringify(message)));
+    await fc.assert(
+      fc.asyncProperty(fc.oneof(bytes, text, nearly), async (payload) => {
+        const answer = membership.handle(payload);
+        await clock.advance(1000);
+        await answer;
+      }),
+      { seed: 7, numRuns: 500 },
+    );
+  });
+
+  // A copy that arrives minutes later must not keep a dead member alive.
+  it('takes a repeated message for no sign of life, and one of an earlier process for none either', async () => {
+    const { membership, clock } = lone();
+    membership.start();
+    const heardAgo = async (): Promise<number | null | undefined> => {
+      const answer = await membership.handle(probe('c'));
+      const { rows } = JSON.parse(Buffer.from(answer ?? []).toString()) as {
+        rows: { peers: { identity: { member: string }; heardAgoMs: number | null }[] }[];
+      };
+      return rows[0]?.peers.find(({ identity }) => identity.member === 'b')?.heardAgoMs;
+    };
+    await membership.handle(probe('b', 7));
+    await clock.advance(9000);
+    await membership.handle(probe('b', 7));
+    await membership.handle(probe('b', 3));
+    await membership.handle(probe('b', 99, 'p0', 4));
+    expect(await heardAgo()).toBe(9000);
+    await membership.handle(probe('b', 8));
+    expect(await heardAgo()).toBe(0);
+    expect(membership.rejected.get(RejectReason.Stale)).toBe(1);
+  });
+
+  it('tells a process whose clock lies behind what it has to outrun', async () => {
+    const { membership } = lone();
+    await membership.handle(probe('b', 1, 'p1', 1000));
+    const answer = await membership.handle(probe('b', 1, 'p2', 900));
+    const { aboutReceiver } = JSON.parse(Buffer.from(answer ?? []).toString()) as {
+      aboutReceiver: { identity: { process: string; incarnation: number } };
+    };
+    expect(aboutReceiver.identity).toMatchObject({ process: 'p1', incarnation: 1000 });
+    await membership.handle(probe('b', 2, 'p2', 1001));
+    expect(membership.members().find(({ member }) => member === 'b')?.identity?.process).toBe('p2');
+  });
+});
+
+describe('a peer of an earlier version', () => {
+  it('is asked nothing, and unknown, not suspected', async () => {
+    const { membership, clock, requests } = lone(PeerSupport.Unsupported);
+    membership.start();
+    await clock.advance(20_000);
+    expect(requests).toEqual([]);
+    expect(membership.state('b' as MemberId)).toBe(MemberState.Unknown);
+  });
+
+  it('is no suspect while nothing was ever heard of it', async () => {
+    const { membership, clock } = lone(PeerSupport.Unknown);
+    membership.start();
+    await clock.advance(20_000);
+    expect(membership.state('b' as MemberId)).toBe(MemberState.Unknown);
+  });
+});
+
+describe('the traffic', () => {
+  it('stays within the settings, with peers that answer nothing and helpers that are asked for each', async () => {
+    const settings = { ...SETTINGS, maxMessagesPerSecond: 6 };
+    const { membership, clock, requests } = lone(PeerSupport.Supported, settings);
+    await membership.handle(probe('b'));
+    await membership.handle(probe('c'));
+    membership.start();
+    await clock.advance(30_000);
+    expect(requests.length).toBeGreaterThan(6 * 20);
+    expect(requests.length).toBeLessThanOrEqual(6 * 31);
+  });
+});
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,9 @@
+/** Stand-ins for clocks, networks, stores and controllers, and the checker of what they did. For tests and measurements. */
+export { EffectHistory } from './history.js';
+export { SimulatedNetwork } from './network.js';
+export { SharedStore } from './shared-store.js';
+export { type ClusterOptions, type Defects, SimulatedCluster } from './simulated-cluster.js';
+export { ProcessClock, type SimulatedClock, VirtualClock } from './virtual-clock.js';
+export { buildController } from './loopback/build-controller.js';
+export { Laboratory } from './loopback/laboratory.js';
+export { FailoverMode } from './loopback/protocol.js';
--- /dev/null
+++ b/packages/standins/src/measure/takeover-main.ts
@@ -0,0 +1,222 @@
+/**
+ * `npm run measure:takeover`: how long a takeover takes, by stage, with the failure detector and by the grant alone, on
+ * this machine. Long: not for CI.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { cpus } from 'node:os';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { build as buildHistogram, type Histogram } from 'hdr-histogram-js';
+import { buildController } from '../loopback/build-controller.js';
+import { FailoverMode } from '../loopback/protocol.js';
+import { BoxLoad } from './box-load.js';
+import { FAILURE_KINDS, type FailureKind } from './failure-kinds.js';
+import { barPlot, htmlPage, htmlTable, linePlot } from './report.js';
+import { type TakeoverTimes, Trial } from './trial.js';
+
+/** From the repository's root, where `npm run` starts. */
+const CONTROLLER_SOURCE = 'packages/standins/src/loopback/controller-main.ts';
+const PERCENTILES = [50, 90, 99];
+const CURVE_STEP = 2;
+const HOUR_MS = 3_600_000;
+const STAGES = ['suspectMs', 'failedMs', 'claimedMs', 'servingMs'] as const;
+type Stage = (typeof STAGES)[number];
+
+/** One combination that is measured. */
+interface Setup {
+  readonly mode: FailoverMode;
+  readonly controllers: number;
+  readonly kind: FailureKind;
+  /** Busy processes beside it. */
+  readonly load: number;
+}
+
+interface Result extends Setup {
+  readonly histograms: Readonly<Record<Stage, Histogram>>;
+  readonly failures: number;
+  /** Takeovers that did not happen within the time that a trial waits. */
+  readonly missing: number;
+}
+
+interface Options {
+  readonly failures: number;
+  readonly parallel: number;
+  readonly sizes: readonly number[];
+  readonly loads: readonly number[];
+  readonly quietMs: number;
+  readonly folder: string;
+}
+
+function readOptions(): Options {
+  const { values } = parseArgs({
+    options: {
+      failures: { type: 'string', default: '200' },
+      parallel: { type: 'string', default: '10' },
+      sizes: { type: 'string', default: '3,5' },
+      loads: { type: 'string', default: '0,16' },
+      'quiet-s': { type: 'string', default: '60' },
+      out: { type: 'string', default: 'target' },
+    },
+  });
+  const numbers = (text: string): number[] => text.split(',').map(Number);
+  return {
+    failures: Number(values.failures),
+    parallel: Number(values.parallel),
+    sizes: numbers(values.sizes),
+    loads: numbers(values.loads),
+    quietMs: Number(values['quiet-s']) * 1000,
+    folder: values.out,
+  };
+}
+
+function setups({ sizes, loads }: Options): Setup[] {
+  const found: Setup[] = [];
+  for (const load of loads)
+    for (const controllers of sizes)
+      for (const kind of FAILURE_KINDS)
+        for (const mode of [FailoverMode.Membership, FailoverMode.GrantOnly])
+          found.push({ mode, controllers, kind, load });
+  return found;
+}
+
+async function measure(setup: Setup, { failures, parallel }: Options, program: string): Promise<Result> {
+  const each = Math.ceil(failures / parallel);
+  const load = new BoxLoad(setup.load);
+  try {
+    const trials = Array.from({ length: parallel }, () =>
+      new Trial({ ...setup, failures: each, program }).run(),
+    );
+    return collect(setup, (await Promise.all(trials)).flat());
+  } finally {
+    load.end();
+  }
+}
+
+function collect(setup: Setup, times: readonly TakeoverTimes[]): Result {
+  const histogramOf = (stage: Stage): Histogram => {
+    const histogram = buildHistogram();
+    for (const time of times) {
+      const value = time[stage];
+      if (value !== null) histogram.recordValue(Math.max(0, Math.round(value)));
+    }
+    return histogram;
+  };
+  const histograms = Object.fromEntries(STAGES.map((stage) => [stage, histogramOf(stage)])) as Record<
+    Stage,
+    Histogram
+  >;
+  const missing = times.filter(({ servingMs }) => servingMs === null).length;
+  return { ...setup, histograms, failures: times.length, missing };
+}
+
+async function falseSuspicions(options: Options, program: string): Promise<string[][]> {
+  const rows: string[][] = [];
+  for (const load of options.loads) {
+    for (const controllers of options.sizes) {
+      const box = new BoxLoad(load);
+      const kind = FAILURE_KINDS[0] as FailureKind;
+      const setup = { mode: FailoverMode.Membership, controllers, kind, failures: 0, program };
+      const trials = Array.from({ length: options.parallel }, () =>
+        new Trial(setup).quietSuspicions(options.quietMs),
+      );
+      const counts = await Promise.all(trials);
+      box.end();
+      const hours = (options.quietMs * options.parallel) / HOUR_MS;
+      const total = counts.reduce((sum, count) => sum + count, 0);
+      rows.push([
+        `${controllers} controllers, load ${load}`,
+        String(total),
+        hours.toFixed(2),
+        (total / hours).toFixed(1),
+      ]);
+    }
+  }
+  return rows;
+}
+
+const nameOf = ({ kind, controllers, load, mode }: Setup): string =>
+  `${kind.name}, ${controllers} controllers, load ${load}, ${mode}`;
+
+function cells(result: Result, stage: Stage): string[] {
+  const histogram = result.histograms[stage];
+  if (histogram.totalCount === 0) return PERCENTILES.map(() => '-');
+  return PERCENTILES.map((percentile) => String(histogram.getValueAtPercentile(percentile)));
+}
+
+function curve(result: Result): [number, number][] {
+  const points: [number, number][] = [];
+  for (let percentile = 0; percentile <= 100; percentile += CURVE_STEP) {
+    points.push([result.histograms.servingMs.getValueAtPercentile(percentile), percentile]);
+  }
+  return points;
+}
+
+function plots(results: readonly Result[]): string[] {
+  return FAILURE_KINDS.flatMap((kind) => {
+    const ofKind = results.filter((result) => result.kind === kind);
+    const categories = [
+      ...new Set(ofKind.map(({ controllers, load }) => `${controllers} controllers, load ${load}`)),
+    ];
+    const median = (mode: FailoverMode): (number | null)[] =>
+      ofKind
+        .filter((result) => result.mode === mode)
+        .map(({ histograms }) => histograms.servingMs.getValueAtPercentile(50));
+    return [
+      barPlot(`${kind.name}: until another controller serves, median`, 'ms', categories, [
+        { name: 'failure detector', values: median(FailoverMode.Membership) },
+        { name: 'grant alone', values: median(FailoverMode.GrantOnly) },
+      ]),
+      linePlot(
+        `${kind.name}: share of takeovers that were over by then`,
+        'ms',
+        '%',
+        ofKind.map((result) => ({ name: nameOf(result), points: curve(result) })),
+      ),
+    ];
+  });
+}
+
+async function main(): Promise<void> {
+  const options = readOptions();
+  const program = await buildController(CONTROLLER_SOURCE);
+  const results: Result[] = [];
+  for (const setup of setups(options)) {
+    const result = await measure(setup, options, program);
+    results.push(result);
+    const serving = cells(result, 'servingMs').join(' / ');
+    process.stdout.write(
+      `${nameOf(setup)}: ${result.failures} failures, ${result.missing} not taken over, serving after ${serving} ms\n`,
+    );
+  }
+  const quiet = await falseSuspicions(options, program);
+  for (const [name, total, hours, rate] of quiet) {
+    process.stdout.write(`quiet, ${name}: ${total} suspicions in ${hours} cluster hours, ${rate} an hour\n`);
+  }
+  const header = [
+    'setup',
+    'failures',
+    'missing',
+    ...STAGES.flatMap((stage) => PERCENTILES.map((p) => `${stage.slice(0, -2)} p${p}`)),
+  ];
+  const rows = results.map((result) => [
+    nameOf(result),
+    String(result.failures),
+    String(result.missing),
+    ...STAGES.flatMap((stage) => cells(result, stage)),
+  ]);
+  const page = htmlPage(
+    'Takeovers by stand-in controllers',
+    `Milliseconds from the failure. All processes ran on this one machine (${cpus().length} cores) over loopback, ${options.parallel} clusters at once; "load" is the number of busy processes beside them. Times on separate machines will differ.`,
+    [
+      htmlTable(header, rows),
+      htmlTable(['quiet clusters', 'suspicions', 'hours', 'an hour'], quiet),
+      ...plots(results),
+    ],
+  );
+  mkdirSync(options.folder, { recursive: true });
+  const path = join(options.folder, 'takeover.html');
+  writeFileSync(path, page);
+  process.stdout.write(`report: ${path}\n`);
+}
+
+void main();
--- /dev/null
+++ b/src/cli/members.ts
@@ -0,0 +1,102 @@
+/** `plumyoke members`: the controllers as a running one sees them, and what to do about them. */
+import { loadSettings } from '../config/operators.js';
+import { Kind } from '../peer/frames.js';
+import { askOnce, NoReply } from '../peer/ask-once.js';
+import { type MemberLine, type MembersReport, readMembersReport } from '../wire/members.js';
+import { renderTable } from './table.js';
+
+const ASK_MS = 5000;
+const OK_STATUS = 200;
+
+/** The list could not be had; the message is one line with what to do next. */
+class MembersUnavailable extends Error {}
+
+const ADVICE: Readonly<Record<string, string>> = {
+  alive: 'nothing',
+  linked: 'nothing',
+  left: 'it was stopped on purpose; start it again when it should serve',
+  suspect: 'wait some seconds: it either answers or is failed',
+  failed: 'its work is with another controller; see whether its process runs, and start it',
+  unknown: 'not heard of yet, or an earlier version: see whether its process runs',
+  'no link': 'see whether its process runs, and whether the network lets the two through',
+};
+
+/** What an operator should do about one controller. */
+export function adviceFor({ state, connection }: MemberLine): string {
+  if (state === 'alive' && connection === 'partly-cut')
+    return 'it serves; look at the network between the controllers named below';
+  if (state === 'suspect' && connection === 'deaf')
+    return 'it is heard but hears nobody: look at the network towards it';
+  return ADVICE[state] ?? 'nothing known';
+}
+
+const MINUTE_S = 60;
+const HOUR_S = 3600;
+
+function duration(ms: number): string {
+  const seconds = Math.round(ms / 1000);
+  if (seconds < MINUTE_S) return `${seconds} s`;
+  if (seconds < HOUR_S) return `${Math.floor(seconds / MINUTE_S)} min`;
+  return `${Math.floor(seconds / HOUR_S)} h`;
+}
+
+/** The report as text: a table, the evidence where something is wrong, and what was dropped. */
+export function renderMembers(report: MembersReport): string {
+  const rows = report.members.map((line) => [
+    line.member,
+    line.state,
+    report.failureDetection ? duration(line.forMs) : '-',
+    line.load === null ? '-' : `${Math.round(line.load * 100)}%`,
+    line.owns.length === 0 ? '-' : line.owns.join(', '),
+    adviceFor(line),
+  ]);
+  const lines = [
+    `Controllers as ${report.observer} sees them:`,
+    '',
+    ...renderTable(['CONTROLLER', 'STATE', 'SINCE', 'LOAD', 'OWNS', 'WHAT TO DO'], rows),
+  ];
+  if (!report.failureDetection) {
+    lines.push(
+      '',
+      'Failure detection is off on this controller (deploy/membership.toml); states are those of its links.',
+    );
+  }
+  const evidence = report.members
+    .filter(({ state, connection }) => state !== 'alive' || connection === 'partly-cut')
+    .flatMap((line) => line.evidence);
+  if (evidence.length > 0) lines.push('', 'Evidence:', ...evidence.map((sentence) => `  ${sentence}`));
+  const dropped = Object.entries(report.dropped).filter(([, count]) => count > 0);
+  if (dropped.length > 0) {
+    lines.push(
+      '',
+      'Messages dropped since its start:',
+      ...dropped.map(([why, count]) => `  ${count} ${why}`),
+    );
+  }
+  return `${lines.join('\n')}\n`;
+}
+
+async function ask(address: string): Promise<MembersReport> {
+  const unavailable = (problem: string, next: string): MembersUnavailable =>
+    new MembersUnavailable(`the controller at ${address} cannot be asked: ${problem}; ${next}`);
+  try {
+    const answer = await askOnce(address, Kind.Members, Buffer.alloc(0), ASK_MS);
+    if (answer.status !== OK_STATUS)
+      throw unavailable(`it answered ${answer.status}`, 'try another controller');
+    return readMembersReport(JSON.parse(answer.body.toString('utf8')));
+  } catch (error) {
+    if (error instanceof MembersUnavailable) throw error;
+    if (error instanceof NoReply) {
+      const next =
+        'see whether its process runs (an earlier version does not know the question), or name another with --address';
+      throw unavailable(error.message, next);
+    }
+    throw unavailable('its answer cannot be read', 'use the program of the same version');
+  }
+}
+
+/** Where to ask: `address`, or the controller whose settings these are. */
+export async function members(config: string | undefined, address: string | undefined): Promise<void> {
+  const target = address ?? loadSettings(config ?? '').clusterListen;
+  process.stdout.write(renderMembers(await ask(target)));
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,16 +1,23 @@
-/** The command line: `serve` and `check-config`. */
+/** The command line: `serve`, `check-config` and `members`. */
 import { parseArgs } from 'node:util';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { Node } from '../cluster/node.js';
 import { BadSettings, loadOperators, loadSettings } from '../config/operators.js';
+import { members } from './members.js';
 import { tooSmall } from '../config/limits.js';
+import { type Features, loadFeatures } from '../config/features.js';
 import { openLog, reason } from '../log/logger.js';
+import type { Settings } from '../wire/settings.js';
 
 /** What a command is called with. */
 interface Options {
-  readonly config: string;
+  readonly config: string | undefined;
   readonly operators: string | undefined;
+  /** The folder of feature files. */
+  readonly features: string | undefined;
+  /** A controller's address for other controllers. */
+  readonly address: string | undefined;
 }
 
 /** One command, its line in the help, and what it does. */
@@ -25,9 +32,21 @@
 const COMMANDS: Readonly<Record<string, Command>> = {
   serve: { description: 'run one controller until it is killed', run: serve },
   'check-config': { description: 'check the settings files and say what is wrong with them', run: check },
+  members: {
+    description: 'ask a running controller how all controllers are',
+    run: ({ config, address }) => {
+      if (address === undefined) required(config);
+      return members(config, address);
+    },
+  },
 };
 
-const HELP = `Usage: plumyoke <command> --config <path> [--operators <path>]
+function required(config: string | undefined): string {
+  if (config === undefined) throw new BadUsage("option '--config <path>' is missing");
+  return config;
+}
+
+const HELP = `Usage: plumyoke <command> --config <path> [options]
 
 Schedules jobs on rented machines, through any failure.
 
@@ -39,6 +58,8 @@
 Options:
   -c, --config <path>     the platform's settings file (TOML)
   -o, --operators <path>  the operators' own settings (TOML; or PLUMYOKE_OPERATORS)
+  -f, --features <folder> the folder of feature files, each of which turns one on
+  -a, --address <ip:port> members: the controller to ask, by its cluster_listen; default: that of --config
   -h, --help              show this text
 `;
 
@@ -46,8 +67,9 @@
 const EXIT_UNUSABLE = 2;
 
 async function serve(options: Options): Promise<void> {
-  const settings = loadSettings(options.config);
+  const settings = loadSettings(required(options.config));
   const operators = loadOperators(options.operators);
+  const features = await checkedFeatures(options, settings);
   const log = openLog(settings.member);
   for (const line of tooSmall(settings)) log.error({ field: line }, 'settings are too small');
   const generator = xoroshiro128plus(Date.now() ^ (process.pid << 12));
@@ -55,12 +77,23 @@
   // One odd answer from outside must never end the process.
   process.on('unhandledRejection', (error) => log.error({ error: reason(error) }, 'unhandled rejection'));
   process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught exception'));
-  await new Node(settings, operators, log, random).run();
+  await new Node(settings, operators, features, log, random).run();
+}
+
+/** The features that are on, checked against the platform's settings. Their code is loaded only where it is used. */
+async function checkedFeatures({ features: folder }: Options, settings: Settings): Promise<Features> {
+  const features = loadFeatures(folder);
+  if (features.failover) {
+    const { checkFailover } = await import('../cluster/failover/failover-settings.js');
+    checkFailover(settings, features.failover);
+  }
+  return features;
 }
 
-function check(options: Options): void {
-  const settings = loadSettings(options.config);
+async function check(options: Options): Promise<void> {
+  const settings = loadSettings(required(options.config));
   loadOperators(options.operators);
+  await checkedFeatures(options, settings);
   for (const line of tooSmall(settings)) process.stderr.write(`plumyoke: warning: ${line}\n`);
   process.stdout.write(`${settings.member}: settings are valid\n`);
 }
@@ -73,6 +106,8 @@
       options: {
         config: { type: 'string', short: 'c' },
         operators: { type: 'string', short: 'o' },
+        features: { type: 'string', short: 'f' },
+        address: { type: 'string', short: 'a' },
         help: { type: 'boolean', short: 'h' },
       },
     });
@@ -89,10 +124,12 @@
   }
   const [name = '', ...rest] = positionals;
   const command = COMMANDS[name];
-  if (!command || rest.length > 0) throw new BadUsage('expected one of the commands serve, check-config');
-  if (values.config === undefined) throw new BadUsage("option '--config <path>' is missing");
+  if (!command || rest.length > 0) {
+    throw new BadUsage(`expected one of the commands ${Object.keys(COMMANDS).join(', ')}`);
+  }
+  const { config, features, address } = values;
   const operators = values.operators ?? process.env['PLUMYOKE_OPERATORS'];
-  await command.run({ config: values.config, operators });
+  await command.run({ config, operators, features, address });
 }
 
 /** Runs the command that the arguments name. Sets the exit code: 2 for unusable arguments or settings. */
--- a/src/cluster/context.ts
+++ b/src/cluster/context.ts
@@ -7,6 +7,7 @@
 import type { Order, Report } from '../model/report.js';
 import type { Clock, Steady } from '../model/time.js';
 import type { JobStore } from '../scheduler/job-store.js';
+import type { Records } from './failover/record-prefetch.js';
 import type { CancellationsWord } from '../peer/frames.js';
 import type { StateLimits } from '../store/limits.js';
 import type { StateStore } from '../store/client.js';
@@ -58,6 +59,8 @@
   readonly siblings: Siblings;
   /** Whether the leader and every controller that could take over, as far as known, have this protocol version. */
   readonly allSpeak: (version: number) => boolean;
+  /** Records under a prefix that were read ahead of a takeover, brought up to date; null: they have to be read. */
+  readonly readAhead: (prefix: string) => Promise<Records | null>;
 }
 
 /** What the parts of one leadership share. */
--- /dev/null
+++ b/src/cluster/failover/failover-settings.ts
@@ -0,0 +1,43 @@
+/** The failure detector's settings: its feature file, and the controllers of the platform's file. */
+import {
+  checkSettings,
+  DEFAULT_TUNING,
+  majorityOf,
+  type MemberId,
+  type MembershipSettings,
+  MembershipSettingsError,
+} from '@plumyoke/membership';
+import { FAILOVER_FILE, type FailoverFeature } from '../../config/features.js';
+import { BadSettings } from '../../config/operators.js';
+import type { Settings } from '../../wire/settings.js';
+
+type Controllers = Pick<Settings, 'member' | 'siblings'>;
+
+/** Every controller of the platform's settings is a member. */
+export function membershipSettings(
+  { member, siblings }: Controllers,
+  feature: FailoverFeature,
+): MembershipSettings {
+  const members: readonly string[] = [member, ...siblings.map((sibling) => sibling.member)];
+  return {
+    ...DEFAULT_TUNING,
+    self: member as string as MemberId,
+    members: members as readonly MemberId[],
+    majority: majorityOf(members.length),
+    probeIntervalMs: feature.probe_interval_s * 1000,
+    probeTimeoutMs: feature.probe_timeout_s * 1000,
+    suspicionMs: feature.suspicion_s * 1000,
+    pauseThresholdMs: feature.pause_s * 1000,
+    maxMessagesPerSecond: feature.max_messages_per_s,
+  };
+}
+
+/** Throws `BadSettings` where the two files cannot be used together. */
+export function checkFailover(settings: Controllers, feature: FailoverFeature): void {
+  try {
+    checkSettings(membershipSettings(settings, feature));
+  } catch (error) {
+    if (!(error instanceof MembershipSettingsError)) throw error;
+    throw new BadSettings(`${FAILOVER_FILE}: ${error.message}`);
+  }
+}
--- /dev/null
+++ b/src/cluster/failover/failover.ts
@@ -0,0 +1,195 @@
+/**
+ * Failure detection in a controller: watches the other controllers, prepares this one to succeed a suspected leader and,
+ * where that is switched on, replaces a leader that a majority has found silent before its grant ends.
+ */
+import {
+  describeEvidence,
+  Membership,
+  type MemberId,
+  type MembershipEvent,
+  MemberState,
+  type MemberView,
+  type Transport,
+} from '@plumyoke/membership';
+import { DEFAULT_TAKEOVER, EffectGate, rankSuccessors, TakeoverCoordinator } from '@plumyoke/takeover';
+import type { FailoverFeature } from '../../config/features.js';
+import { MEMBERSHIP_VERSION } from '../../model/protocol.js';
+import type { MemberLine } from '../../wire/members.js';
+import type { NodeContext } from '../context.js';
+import type { ElectionAid } from '../election.js';
+import type { Leadership } from '../leadership.js';
+import { membershipSettings } from './failover-settings.js';
+import { CLUSTER, LeaderClaims } from './leader-claims.js';
+import { RecordPrefetch, type Records } from './record-prefetch.js';
+
+/** The leader's record is read this often where nothing tells of a change. */
+const READ_EVERY_MS = 10_000;
+/** The second choice for a free leadership waits so long, the third twice as long. */
+const STANDBY_STEP_MS = 100;
+/** And nobody longer than this: the better ones may be gone. */
+const STANDBY_MOST_MS = 300;
+
+/** What failure detection works with. */
+export interface FailoverEnvironment {
+  readonly context: NodeContext;
+  readonly feature: FailoverFeature;
+  readonly transport: Transport;
+  /** Whether every other controller has shown this protocol version. */
+  readonly allHaveSpoken: (version: number) => boolean;
+  readonly leadership: Leadership;
+  /** Whether this node reaches the state service. */
+  readonly stateOk: () => boolean;
+}
+
+/** Everything that a node with failure detection does beside what one without does. */
+export class Failover implements ElectionAid {
+  private readonly membership: Membership;
+  private readonly coordinator: TakeoverCoordinator<void>;
+  private readonly prefetch: RecordPrefetch;
+  readonly guard: EffectGate;
+
+  /** Throws `MembershipSettingsError`. */
+  constructor(private readonly environment: FailoverEnvironment) {
+    const { context, feature, transport, leadership } = environment;
+    const { clock, log, store, random } = context;
+    this.membership = new Membership(membershipSettings(context.settings, feature), {
+      clock,
+      random,
+      log,
+      transport,
+      selfReport: () => ({ load: context.load(), ready: environment.stateOk() && context.types.size > 0 }),
+    });
+    this.prefetch = new RecordPrefetch(store, clock, log);
+    const pauseThresholdMs = feature.pause_s * 1000;
+    this.guard = new EffectGate(clock, pauseThresholdMs, (pausedMs) => this.woke(pausedMs));
+    const claims = new LeaderClaims({
+      store,
+      clock,
+      election: leadership.election,
+      mayReplaceEarly: () => feature.early_takeover && environment.allHaveSpoken(MEMBERSHIP_VERSION),
+    });
+    const settings = {
+      ...DEFAULT_TAKEOVER,
+      readEveryMs: READ_EVERY_MS,
+      pauseThresholdMs,
+      claimOnFailure: feature.early_takeover,
+    };
+    this.coordinator = new TakeoverCoordinator<void>(
+      [CLUSTER],
+      { clock, log, membership: this.membership, claims, settings },
+      {
+        prepare: () => this.prefetch.begin(),
+        discard: () => this.prefetch.discard(),
+        // The election has begun the leadership already.
+        adopt: () => Promise.resolve(),
+        stop: ({ epoch }, why) => this.replaced(epoch, why),
+      },
+    );
+    this.membership.listen((event) => this.tell(event));
+  }
+
+  start(): void {
+    this.environment.leadership.election.assist(this);
+    this.membership.start();
+    this.guard.start();
+    this.coordinator.start();
+  }
+
+  /** A peer's message; null: dropped. */
+  handle(payload: Buffer): Promise<Uint8Array | null> {
+    return this.membership.handle(payload);
+  }
+
+  /** Records that were read ahead; null: none. */
+  readAhead(prefix: string): Promise<Records | null> {
+    return this.prefetch.take(prefix);
+  }
+
+  // For the election (`ElectionAid`)
+
+  get process(): string {
+    return this.membership.identity.process;
+  }
+
+  leaderChanged(): void {
+    this.coordinator.refresh(CLUSTER);
+  }
+
+  leadershipEnded(): void {
+    this.coordinator.relinquished(CLUSTER);
+  }
+
+  /** By its place among the possible successors; one that has prepared does not wait. */
+  standbyMs(): number {
+    const ranking = rankSuccessors(CLUSTER, this.membership.members());
+    const rank = ranking.indexOf(this.environment.context.member as string as MemberId);
+    return rank < 0 ? 0 : Math.min(STANDBY_MOST_MS, rank * STANDBY_STEP_MS);
+  }
+
+  private woke(pausedMs: number): void {
+    const { leadership, context } = this.environment;
+    if (leadership.leader === null) return;
+    context.log.info(
+      { pausedMs: Math.round(pausedMs) },
+      'stood still while leading: the grant is confirmed first',
+    );
+    leadership.election.renewNow();
+  }
+
+  private replaced(epoch: number, why: string): void {
+    const { leadership } = this.environment;
+    if (leadership.leader?.epoch === epoch) leadership.leader.end(why);
+  }
+
+  /** Lines for the log: what changed, and on which evidence. */
+  private tell(event: MembershipEvent): void {
+    const { log } = this.environment.context;
+    switch (event.kind) {
+      case 'state-changed': {
+        const { member, from, to, evidence } = event;
+        log.info(
+          { member, from, to, evidence: evidence.map(describeEvidence) },
+          'a controller changed its state',
+        );
+        break;
+      }
+      case 'contact-changed':
+        log.info({ withMajority: event.withMajority }, 'contact with the other controllers changed');
+        break;
+      case 'self-suspected':
+        log.info(
+          { incarnation: event.incarnation },
+          'the others suspected this controller, which has refuted it',
+        );
+        break;
+      default:
+        log.debug({ event }, 'membership');
+    }
+  }
+
+  // For operators
+
+  /** All controllers as this one sees them. */
+  lines(): MemberLine[] {
+    const leader = this.environment.leadership.election.leader;
+    return this.membership.members().map((view) => memberLine(view, leader));
+  }
+
+  dropped(): Record<string, number> {
+    return Object.fromEntries(this.membership.rejected);
+  }
+
+  /** For the log. */
+  summary(): object {
+    const states = this.membership.members().map(({ member, state }) => [member, state]);
+    const unwell = Object.fromEntries(states.filter(([, state]) => state !== MemberState.Alive)) as object;
+    return { controllers: unwell, takeover: this.coordinator.stage(CLUSTER).kind };
+  }
+}
+
+function memberLine(view: MemberView, leader: { member: string; epoch: number } | null): MemberLine {
+  const { member, state, forMs, connection, load, ready, evidence } = view;
+  const owns = leader?.member === member ? [`cluster (epoch ${leader.epoch})`] : [];
+  const lines = evidence.map(describeEvidence);
+  return { member, state, forMs: Math.max(0, forMs), connection, load, ready, evidence: lines, owns };
+}
--- a/src/cluster/heartbeat-router.ts
+++ b/src/cluster/heartbeat-router.ts
@@ -13,6 +13,9 @@
 
 const RELAY_MS = 2500;
 
+const OK_STATUS = 200;
+const MALFORMED_STATUS = 400;
+
 /** The answer to a worker's report. */
 export interface HeartbeatAnswer {
   readonly status: number;
@@ -21,6 +24,16 @@
 
 const REFUSED: HeartbeatAnswer = { status: 503, body: null };
 
+function malformed(error: string): { status: number; body: Buffer } {
+  return { status: MALFORMED_STATUS, body: Buffer.from(JSON.stringify({ error })) };
+}
+
+/** What the leader answered, if it is an answer for the worker: its orders, or that the report makes no sense. */
+function passedBack(answer: AnswerFrame | null): HeartbeatAnswer | null {
+  if (answer?.status !== OK_STATUS && answer?.status !== MALFORMED_STATUS) return null;
+  return { status: answer.status, body: Buffer.from(answer.body) };
+}
+
 /** A reporter that is not the controller that the worker is with. */
 const passedOnBy = (member: MemberId): MemberId => `${member} and another` as MemberId;
 
@@ -47,7 +60,7 @@
     if (this.leadership.leader) {
       if (!(await this.itsTurn())) return REFUSED;
       const parsed = parseReport(parseJson(body));
-      if (!parsed.ok) return { status: 400, body: Buffer.from(JSON.stringify({ error: parsed.error })) };
+      if (!parsed.ok) return malformed(parsed.error);
       const elsewhere = this.elsewhere(parsed.value.host);
       if (elsewhere) return { status: 421, body: encodeRedirect(elsewhere) };
       const orders = await this.lead(parsed.value, this.member);
@@ -68,7 +81,7 @@
     }
     if (!(await this.itsTurn())) return null;
     const parsed = parseReport(parseJson(payload));
-    if (!parsed.ok) return null;
+    if (!parsed.ok) return malformed(parsed.error);
     // Which controller the worker is with, the one before the last does not tell.
     const orders = await this.lead(parsed.value, kind === Kind.Heartbeat ? from : passedOnBy(from));
     return orders ? { status: 200, body: orders } : null;
@@ -98,14 +111,13 @@
   private async relay(body: Buffer): Promise<HeartbeatAnswer | null> {
     const link = this.peers.leader();
     if (link) {
-      const answer = await link.ask(Kind.Heartbeat, body, RELAY_MS);
-      return answer?.status === 200 ? { status: 200, body: Buffer.from(answer.body) } : null;
+      return passedBack(await link.ask(Kind.Heartbeat, body, RELAY_MS));
     }
     // The leader's zone may be cut off from ours, but not from a third one.
     if (this.leadership.leader || !this.leadership.election.leader) return null;
     for (const other of this.peers.alive) {
-      const answer = await other.ask(Kind.PassOn, body, RELAY_MS / 2);
-      if (answer?.status === 200) return { status: 200, body: Buffer.from(answer.body) };
+      const answer = passedBack(await other.ask(Kind.PassOn, body, RELAY_MS / 2));
+      if (answer) return answer;
     }
     return null;
   }
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -3,7 +3,7 @@
 import { FleetManager } from '../fleet/manager.js';
 import { Lifetimes } from '../forecast/lifetimes.js';
 import { reason } from '../log/logger.js';
-import type { Epoch, HostId, JobId, MemberId, Revision } from '../model/ids.js';
+import type { Epoch, HostId, JobId, MemberId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
 import { type Cancel, type Steady, since } from '../model/time.js';
 import { Budget } from '../net/budget.js';
@@ -24,6 +24,7 @@
 import type { LeaderContext, NodeContext } from './context.js';
 import { DecisionLoop } from './decision-loop.js';
 import { DependencyTracker } from './dependency-tracker.js';
+import type { Won } from './election.js';
 import { FleetRecord } from './fleet-record.js';
 import { HostDrainer } from './host-drainer.js';
 import { JobCanceller } from './job-canceller.js';
@@ -72,16 +73,15 @@
 
   constructor(
     node: NodeContext,
-    epoch: Epoch,
-    epochRevision: Revision,
+    won: Won,
     grant: Grant,
     private readonly onOver: (why: string) => void,
   ) {
     const { clock, settings } = node;
-    this.ctx = this.contextOf(node, epoch, epochRevision, grant);
+    this.ctx = this.contextOf(node, won, grant);
     const { ctx, lock } = this;
     this.answering = new Answering(node, grant, (newer) => {
-      if (newer > epoch) this.end('another node leads a newer epoch');
+      if (newer > won.epoch) this.end('another node leads a newer epoch');
     });
     const lifetimes = new Lifetimes();
     const slackFactors = new SlackFactors();
@@ -102,7 +102,7 @@
     this.dispatcher = new Dispatcher(ctx, onReport, node.workerCalls);
     this.health = new Health(
       ctx,
-      aloneMs(node),
+      won.formerSure + aloneMs(node),
       onReport,
       (host, why) => this.fleet.remove(host, why),
       (host) => this.leaseOver(host),
@@ -133,11 +133,11 @@
     });
   }
 
-  private contextOf(node: NodeContext, epoch: Epoch, epochRevision: Revision, grant: Grant): LeaderContext {
+  private contextOf(node: NodeContext, won: Won, grant: Grant): LeaderContext {
     return {
       ...node,
-      epoch,
-      epochRevision,
+      epoch: won.epoch,
+      epochRevision: won.epochRevision,
       startedAt: node.clock.now(),
       jobs: this.jobs,
       hosts: this.hosts,
--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -36,7 +36,7 @@
   }
 
   private lead(won: Won): void {
-    const leader = new Leader(this.ctx, won.epoch, won.epochRevision, this.election, (why) => {
+    const leader = new Leader(this.ctx, won, this.election, (why) => {
       if (this.leader === leader) this.leader = null;
       void this.election.resign(why === 'no worker is heard' ? DEAF_PAUSE_MS : 0);
     });
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -3,6 +3,7 @@
 import { requestListener } from '../api/http-router.js';
 import { UserService } from '../api/users.js';
 import { CloudClient } from '../cloud/client.js';
+import type { Features } from '../config/features.js';
 import type { Operators } from '../config/operators.js';
 import { type Log, reason } from '../log/logger.js';
 import type { MemberId } from '../model/ids.js';
@@ -26,12 +27,15 @@
 import { StateClient } from '../store/client.js';
 import { limitProbe } from '../store/limit-probe.js';
 import { StateLimits } from '../store/limits.js';
+import { encodeMembersReport, type MembersReport } from '../wire/members.js';
 import type { Settings } from '../wire/settings.js';
 import { readCommandReply } from '../wire/workers.js';
 import { WorkerTargets } from '../workers/caller.js';
 import { Cancellations } from './cancellations.js';
 import { ConnectivityMonitor } from './connectivity.js';
 import type { NodeContext } from './context.js';
+import type { Failover } from './failover/failover.js';
+import { DETECTION_OFF_STATUS } from './failover/detection-status.js';
 import { HeartbeatRouter } from './heartbeat-router.js';
 import { Leadership } from './leadership.js';
 import { LoadMonitor } from './load-monitor.js';
@@ -69,9 +73,13 @@
   private readonly machineTypes: MachineTypeCatalogue;
   private readonly connectivity: ConnectivityMonitor;
 
+  /** Null: failure detection is off. */
+  private failover: Failover | null = null;
+
   constructor(
     private readonly settings: Settings,
     ops: Operators,
+    private readonly features: Features,
     private readonly log: Log,
     random: () => number,
   ) {
@@ -106,6 +114,7 @@
       cancellations,
       allSpeak: (version) => this.peers.allSpeak(version),
       siblings: this.peers,
+      readAhead: (prefix) => this.failover?.readAhead(prefix) ?? Promise.resolve(null),
     };
     this.machineTypes = new MachineTypeCatalogue(this.ctx);
     this.users = new UserService(
@@ -132,6 +141,7 @@
     ]);
     this.log.info({ front: this.settings.front, answerAloneMs: this.leadership.answerAloneMs }, 'listening');
     this.peers.start();
+    await this.startFailover();
     this.leadership.run();
     void this.users.watch();
     this.machineTypes.run();
@@ -139,6 +149,25 @@
     this.summarise();
   }
 
+  /** Its code is loaded only where it is switched on. */
+  private async startFailover(): Promise<void> {
+    const feature = this.features.failover;
+    if (feature === null) return;
+    const [{ Failover }, { PeerTransport }] = await Promise.all([
+      import('./failover/failover.js'),
+      import('./failover/peer-transport.js'),
+    ]);
+    this.failover = new Failover({
+      context: this.ctx,
+      feature,
+      transport: new PeerTransport(this.peers.links, this.ctx.clock),
+      allHaveSpoken: (version) => this.peers.allHaveSpoken(version),
+      leadership: this.leadership,
+      stateOk: () => this.connectivity.stateOk,
+    });
+    this.failover.start();
+  }
+
   private stateClient(shares: SocketShares): StateClient {
     const { stateAddress } = this.settings;
     return new StateClient(
@@ -206,6 +235,10 @@
           return { status: 200, body: encodeCancellations(this.peers.word()) };
         case Kind.Call:
           return await this.callForPeer(payload);
+        case Kind.Membership:
+          return await this.answerFailureDetector(payload);
+        case Kind.Members:
+          return { status: 200, body: encodeMembersReport(this.membersReport()) };
         default:
           return (await this.heartbeats.takeFromPeer(kind, payload, from)) ?? nothing;
       }
@@ -215,6 +248,23 @@
     }
   }
 
+  private async answerFailureDetector(payload: Buffer): Promise<AnswerFrame> {
+    if (!this.failover) return { status: DETECTION_OFF_STATUS, body: Buffer.alloc(0) };
+    const answer = await this.failover.handle(payload);
+    return answer ? { status: 200, body: Buffer.from(answer) } : { status: 503, body: Buffer.alloc(0) };
+  }
+
+  /** All controllers as an operator sees them. */
+  private membersReport(): MembersReport {
+    return {
+      observer: this.ctx.member,
+      version: PROTOCOL_VERSION,
+      failureDetection: this.failover !== null,
+      members: this.failover?.lines() ?? this.peers.lines(this.ctx.member),
+      dropped: this.failover?.dropped() ?? {},
+    };
+  }
+
   private async answerPeersUser(payload: Buffer): Promise<AnswerFrame> {
     const { verb, body } = decodeUser(payload);
     const answer = await this.userRouter.take(verb, Buffer.from(body), false);
@@ -250,6 +300,7 @@
       this.log.info(
         {
           ...this.leadership.leader?.summary(),
+          ...this.failover?.summary(),
           leads: this.leadership.leader?.epoch ?? null,
           stateOk: this.connectivity.stateOk,
           peers: this.peers.alive.length,
--- a/src/cluster/peer-group.ts
+++ b/src/cluster/peer-group.ts
@@ -1,6 +1,7 @@
 /** The links to all other controllers, and what is said and asked over them. */
 import { type Log, reason } from '../log/logger.js';
 import type { Epoch, JobId } from '../model/ids.js';
+import { UNVERSIONED } from '../model/protocol.js';
 import type { Clock } from '../model/time.js';
 import {
   type CancellationsWord,
@@ -11,10 +12,15 @@
 } from '../peer/frames.js';
 import { PeerLink } from '../peer/link.js';
 import type { LeaderRecord } from '../store/leader-record.js';
+import type { MemberLine } from '../wire/members.js';
 import type { Sibling } from '../wire/settings.js';
 import type { Cancellations } from './cancellations.js';
 import type { Siblings } from './context.js';
 
+/** States for operators where no failure detection runs: whether there is a link. */
+const LINKED = 'linked';
+const NOT_LINKED = 'no link';
+
 /** What this node says of itself. */
 export interface OwnState {
   ping(): Ping;
@@ -36,6 +42,8 @@
 export class PeerGroup implements Siblings {
   readonly links: readonly PeerLink[];
   private readonly upgraded = new Set<string>();
+  /** The highest protocol version that each controller has shown since this process began. */
+  private readonly shown = new Map<string, number>();
 
   constructor(
     siblings: readonly Sibling[],
@@ -78,6 +86,11 @@
     return this.alive.every((link) => link.speaks(version));
   }
 
+  /** Whether every other controller has shown this version, be it heard now or not: none comes back with an earlier one. */
+  allHaveSpoken(version: number): boolean {
+    return this.links.every(({ member }) => (this.shown.get(member) ?? UNVERSIONED) >= version);
+  }
+
   /** The node that leads, by its own word or by the last record that we saw. */
   leader(): PeerLink | undefined {
     const leading = this.alive.filter((link) => link.ping?.leading != null);
@@ -94,6 +107,25 @@
     };
   }
 
+  /** All controllers for an operator, where nobody watches them but by their links. */
+  lines(self: string): MemberLine[] {
+    const leader = this.own.leaderRecord();
+    const line = (member: string, state: string, load: number | null): MemberLine => ({
+      member,
+      state,
+      forMs: 0,
+      connection: 'unknown',
+      load,
+      ready: state === LINKED,
+      evidence: [],
+      owns: leader?.member === member ? [`cluster (epoch ${leader.epoch})`] : [],
+    });
+    const others = this.links.map((link) =>
+      line(link.member, link.alive ? LINKED : NOT_LINKED, link.ping?.load ?? null),
+    );
+    return [line(self, LINKED, this.own.ping().load), ...others];
+  }
+
   /** Asks each of the others what it knows; null for one that doesn't answer or can't say. */
   cancellations(deadlineMs: number): Promise<(CancellationsWord | null)[]> {
     const payload = encodeCancellations(this.word());
@@ -116,6 +148,7 @@
   }
 
   private versionTold(link: PeerLink): void {
+    this.shown.set(link.member, link.ping?.version ?? UNVERSIONED);
     if (!link.takesCancellations) {
       this.warnOfDowngrade(link);
       return;
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -9,6 +9,7 @@
 import { CHUNK_TASKS, keys, parseOpenKey } from '../store/keys.js';
 import type { Condition, Row } from '../wire/state.js';
 import type { LeaderContext } from './context.js';
+import { readRecords, type Records } from './failover/record-prefetch.js';
 import type { StoredMachine } from './fleet-record.js';
 
 /** Asked too often is no reason to begin the whole takeover again: this one request waits a moment. */
@@ -23,19 +24,9 @@
   }
 }
 
-async function readAll(ctx: LeaderContext, prefix: string): Promise<{ rows: Row[]; revision: Revision }> {
-  const rows: Row[] = [];
-  let revision: Revision | null = null;
-  let after: string | undefined;
-  for (;;) {
-    const page = await patiently(ctx, () => ctx.store.range(prefix, after));
-    // Changes that come between two pages are seen again by a watch from the first page on.
-    revision ??= page.revision;
-    rows.push(...page.rows);
-    const last = page.rows[page.rows.length - 1];
-    if (!page.more || !last) return { rows, revision };
-    after = last.key;
-  }
+async function readAll(ctx: LeaderContext, prefix: string): Promise<Records> {
+  const ahead = await patiently(ctx, () => ctx.readAhead(prefix));
+  return ahead ?? readRecords(ctx.store, prefix, (ask) => patiently(ctx, ask));
 }
 
 /** A job that is not over, as the limits of the state service want its progress kept. */
--- a/src/config/operators.ts
+++ b/src/config/operators.ts
@@ -55,7 +55,8 @@
   return read.data;
 }
 
-function readToml<T>(path: string, read: (raw: unknown) => T): T {
+/** Reads a TOML file. Throws `BadSettings` naming the path and what is wrong. */
+export function readToml<T>(path: string, read: (raw: unknown) => T): T {
   let text: string;
   try {
     text = readFileSync(path, 'utf8');
--- a/src/model/protocol.ts
+++ b/src/model/protocol.ts
@@ -9,5 +9,7 @@
 export const DEPENDENCIES_VERSION = 1;
 /** Descriptions whose names stand in further records. */
 export const SPLIT_DESCRIPTIONS_VERSION = 2;
+/** Messages of the failure detector, and questions for the list of controllers. */
+export const MEMBERSHIP_VERSION = 3;
 /** What this program is. */
-export const PROTOCOL_VERSION = 2;
+export const PROTOCOL_VERSION = 3;
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -18,6 +18,10 @@
   Passed = 8,
   /** Confirmed cancellations; sent only to a peer that has shown that it knows this kind (`Ping.version`). */
   Cancelled = 9,
+  /** A message of the failure detector; like `Members` only for a peer whose version has it. */
+  Membership = 10,
+  /** An operator's question for the list of controllers. */
+  Members = 11,
 }
 
 /** One message between two controllers. */
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -168,9 +168,13 @@
   }
 }
 
-const ASKED = new Set([Kind.Heartbeat, Kind.PassOn, Kind.Passed, Kind.User, Kind.Call, Kind.Cancelled]);
 /** Kinds that are answered. */
-export type Asked = Kind.Heartbeat | Kind.PassOn | Kind.Passed | Kind.User | Kind.Call | Kind.Cancelled;
+export type Asked = Exclude<Kind, Kind.Ping | Kind.Answer | Kind.Progress>;
+const UNASKED: ReadonlySet<Kind> = new Set([Kind.Ping, Kind.Answer, Kind.Progress]);
+
+function isAsked(kind: Kind): kind is Asked {
+  return !UNASKED.has(kind);
+}
 
 /** What other controllers are answered by. */
 export interface PeerHandler {
@@ -206,8 +210,8 @@
       peer.member = decodePing(frame.payload).member as MemberId;
       writeFrame(socket, encodeFrame(Kind.Ping, 0, encodePing(this.handler.ping())));
     } else if (kind === Kind.Progress) this.handler.progress(frame.payload);
-    else if (ASKED.has(kind)) {
-      void this.handler.ask(kind as Asked, frame.payload, peer.member).then((answer) => {
+    else if (isAsked(kind)) {
+      void this.handler.ask(kind, frame.payload, peer.member).then((answer) => {
         // What is only told (request 0) needs no answer.
         if (request === 0 || !socket.writable) return;
         writeFrame(socket, encodeFrame(Kind.Answer, request, encodeAnswer(answer.status, answer.body)));
--- /dev/null
+++ b/src/wire/members.ts
@@ -0,0 +1,39 @@
+/** The list of controllers as one of them sees it, in the words that operators' tools read. */
+import * as z from 'zod/mini';
+import { amount, count, word } from './common.js';
+
+const memberSchema = z.object({
+  member: word,
+  state: word,
+  forMs: amount,
+  connection: word,
+  load: z.nullable(amount),
+  ready: z.boolean(),
+  evidence: z.array(z.string()),
+  /** What the member owns, as far as is known here: `cluster (epoch 7)`. */
+  owns: z.array(z.string()),
+});
+const reportSchema = z.object({
+  /** Who says so. */
+  observer: word,
+  version: count,
+  failureDetection: z.boolean(),
+  members: z.array(memberSchema),
+  /** Messages that were dropped, by reason. */
+  dropped: z.record(z.string(), count),
+});
+
+/** One controller in the list. */
+export type MemberLine = z.infer<typeof memberSchema>;
+/** The list of controllers. */
+export type MembersReport = z.infer<typeof reportSchema>;
+
+/** The report as it is sent. */
+export function encodeMembersReport(report: MembersReport): Buffer {
+  return Buffer.from(JSON.stringify(report));
+}
+
+/** Throws on anything else. */
+export function readMembersReport(body: unknown): MembersReport {
+  return reportSchema.parse(body);
+}
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -26,6 +26,8 @@
   readonly key: string;
   readonly value: unknown;
   readonly revision: Revision;
+  /** The grant that the key is bound to. Told where a single key is read, not in lists. */
+  readonly grant?: GrantId;
 }
 
 /** Rows in the order of their keys, as of one revision. */
@@ -52,7 +54,10 @@
 export type Write =
   { readonly set: string; readonly value: unknown; readonly grant?: GrantId } | { readonly drop: string };
 
-const toRow = (r: z.infer<typeof row>): Row => ({ key: r.key, value: r.data, revision: r.stamp as Revision });
+function toRow({ key, data, stamp, tether }: z.infer<typeof row>): Row {
+  const plain = { key, value: data, revision: stamp as Revision };
+  return tether == null ? plain : { ...plain, grant: tether as GrantId };
+}
 
 export const readRow = (body: unknown): Row => toRow(row.parse(body));
 
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -228,7 +228,7 @@
 
   /**
    * The worker's lease has surely run out: its tasks were killed. An earlier leader may have gone
-   * on answering for `answerAlone` after our takeover.
+   * on answering for `answerAlone` after our takeover, or after its grant was sure for the last time.
    */
   private leasePassed(host: Host, now: Steady): boolean {
     if (host.empty) return false;
--- a/test/standins/clock.ts
+++ b/test/standins/clock.ts
@@ -1,114 +1,25 @@
+/** The simulation's clocks with the service's own types of time. */
+import { ProcessClock as SimulatedProcessClock, VirtualClock as SimulatedTime } from '@plumyoke/standins';
 import type { Clock, Steady, WallTime } from '../../src/model/time.js';
 
-interface Timer {
-  readonly at: number;
-  readonly order: number;
-  run: (() => void) | null;
-}
-
-/** Timers of one moment run in the order they were set. */
-const sooner = (a: Timer, b: Timer): boolean => a.at < b.at || (a.at === b.at && a.order < b.order);
-
 /** Time that moves only when a test moves it. */
-export class VirtualClock implements Clock {
-  private time = 0;
-  private order = 0;
-  /** A binary heap, the soonest first: sites at size have tens of thousands of timers. */
-  private readonly timers: Timer[] = [];
-
-  now(): Steady {
-    return this.time as Steady;
-  }
-
-  wall(): WallTime {
-    return (1_790_000_000_000 + this.time) as WallTime;
+export class VirtualClock extends SimulatedTime implements Clock {
+  override now(): Steady {
+    return super.now() as Steady;
   }
 
-  after(d: number, run: () => void): () => void {
-    const timer: Timer = { at: this.time + Math.max(0, d), order: this.order++, run };
-    const { timers } = this;
-    let i = timers.push(timer) - 1;
-    while (i > 0) {
-      const parent = (i - 1) >>> 1;
-      if (!sooner(timer, timers[parent] as Timer)) break;
-      timers[i] = timers[parent] as Timer;
-      i = parent;
-    }
-    timers[i] = timer;
-    return () => {
-      timer.run = null;
-    };
+  override wall(): WallTime {
+    return super.wall() as WallTime;
   }
-
-  private takeFirst(): void {
-    const { timers } = this;
-    const last = timers.pop();
-    if (!last || timers.length === 0) return;
-    let i = 0;
-    for (;;) {
-      let child = 2 * i + 1;
-      if (child >= timers.length) break;
-      if (child + 1 < timers.length && sooner(timers[child + 1] as Timer, timers[child] as Timer)) child++;
-      if (!sooner(timers[child] as Timer, last)) break;
-      timers[i] = timers[child] as Timer;
-      i = child;
-    }
-    timers[i] = last;
-  }
-
-  async advance(ms: number): Promise<void> {
-    const until = this.time + ms;
-    for (;;) {
-      await settle();
-      const next = this.timers[0];
-      if (!next || next.at > until) break;
-      this.takeFirst();
-      this.time = next.at;
-      next.run?.();
-    }
-    this.time = until;
-  }
-}
-
-/** Lets every promise that can go on do so: all microtasks run before the next immediate. */
-function settle(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
 }
 
 /** The clock of one process: nothing of it runs after the process was killed. */
-export class ProcessClock implements Clock {
-  alive = true;
-  private still = false;
-  private readonly due: (() => void)[] = [];
-
-  constructor(private readonly base: Clock) {}
-
-  now(): Steady {
-    return this.base.now();
-  }
-
-  wall(): WallTime {
-    return this.base.wall();
-  }
-
-  after(d: number, run: () => void): () => void {
-    return this.base.after(d, () => this.whenRunning(run));
-  }
-
-  /** Runs now, or when the process that stands still goes on; never once it was killed. */
-  whenRunning(run: () => void): void {
-    if (this.still) this.due.push(run);
-    else if (this.alive) run();
-  }
-
-  /** The process stands still while its clock runs on. */
-  stop(): void {
-    this.still = true;
+export class ProcessClock extends SimulatedProcessClock implements Clock {
+  override now(): Steady {
+    return super.now() as Steady;
   }
 
-  /** All that fell due meanwhile runs at once. */
-  goOn(): void {
-    this.still = false;
-    for (const run of this.due.splice(0)) this.whenRunning(run);
+  override wall(): WallTime {
+    return super.wall() as WallTime;
   }
 }
--- a/test/standins/site.ts
+++ b/test/standins/site.ts
@@ -1,9 +1,13 @@
+import { PeerSupport } from '@plumyoke/membership';
+import { SimulatedNetwork } from '@plumyoke/standins';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { UserService } from '../../src/api/users.js';
 import { Cancellations } from '../../src/cluster/cancellations.js';
 import type { NodeContext, Siblings, WorkerCaller } from '../../src/cluster/context.js';
+import { Failover } from '../../src/cluster/failover/failover.js';
 import { Leadership } from '../../src/cluster/leadership.js';
+import type { FailoverFeature } from '../../src/config/features.js';
 import { defaultOperators } from '../../src/config/operators.js';
 import { silentLog } from '../../src/log/logger.js';
 import type {
@@ -28,6 +32,8 @@
 import { NoAnswer } from '../../src/net/http-client.js';
 import { limitProbe } from '../../src/store/limit-probe.js';
 import { StateLimits } from '../../src/store/limits.js';
+import type { MemberLine } from '../../src/wire/members.js';
+import type { Settings } from '../../src/wire/settings.js';
 import type { Row } from '../../src/wire/state.js';
 import { ProcessClock, VirtualClock } from './clock.js';
 import { StandInCloud } from './cloud.js';
@@ -40,6 +46,8 @@
 const PEER_MS = 3;
 
 interface Running {
+  /** Null: the site runs without failure detection. */
+  readonly failover: Failover | null;
   readonly clock: ProcessClock;
   readonly leadership: Leadership;
   readonly users: UserService;
@@ -76,6 +84,9 @@
   readonly old = new Set<string>();
   /** The protocol version that all controllers have that are not `old`. */
   version = PROTOCOL_VERSION;
+  /** Failure detection, where a test switches it on; nodes that start from then on have it. */
+  failover: FailoverFeature | null = null;
+  readonly peerNetwork: SimulatedNetwork;
   private repeating: number | null = null;
   private readonly heldOrders: { pair: string; run: () => void }[] = [];
 
@@ -91,6 +102,7 @@
     const generator = xoroshiro128plus(7);
     this.random = () => uniformFloat64(generator);
     this.state.random = this.random;
+    this.peerNetwork = new SimulatedNetwork(this.clock, this.random);
     this.cloud = new StandInCloud(
       this.clock,
       TYPES,
@@ -146,7 +158,7 @@
 
   start(name: string): void {
     const clock = new ProcessClock(this.clock);
-    const settings = settingsOf(name, this.size);
+    const settings = this.failover ? this.settingsWithSiblings(name) : settingsOf(name, this.size);
     const store = this.state.for(name, clock);
     const limits = new StateLimits(settings, clock, limitProbe(store, settings));
     if (this.old.size === 0) limits.allowSplitProgress();
@@ -168,9 +180,12 @@
       cancellations,
       allSpeak: (version) => version <= this.version && !this.nodes.some((other) => this.old.has(other)),
       siblings: this.siblingsOf(name, clock),
+      readAhead: (prefix) => this.running.get(name)?.failover?.readAhead(prefix) ?? Promise.resolve(null),
     };
     const leadership = new Leadership(ctx, () => Promise.resolve());
+    const failover = this.failoverOf(name, ctx, leadership, clock);
     this.running.set(name, {
+      failover,
       clock,
       leadership,
       cancellations,
@@ -192,9 +207,50 @@
       }
     });
     this.trace(`${name}     starts`);
+    failover?.start();
     leadership.run();
   }
 
+  private settingsWithSiblings(name: string): Settings {
+    const others = this.nodes.filter((other) => other !== name);
+    const siblings = others.map((member) => ({ member: member as MemberId, address: '127.0.0.1:2' }));
+    return { ...settingsOf(name, this.size), siblings };
+  }
+
+  private failoverOf(
+    name: string,
+    context: NodeContext,
+    leadership: Leadership,
+    clock: ProcessClock,
+  ): Failover | null {
+    if (this.failover === null) return null;
+    const failover = new Failover({
+      context,
+      feature: this.failover,
+      leadership,
+      stateOk: () => !this.state.outage && !this.state.refused.has(name),
+      allHaveSpoken: () => this.old.size === 0,
+      transport: {
+        support: (peer) => (this.old.has(peer) ? PeerSupport.Unsupported : PeerSupport.Supported),
+        request: (to, payload, deadlineMs) =>
+          this.peerNetwork.request(
+            name,
+            this.alone.has(name) || this.alone.has(to) ? '' : to,
+            payload,
+            deadlineMs,
+            clock,
+          ),
+      },
+    });
+    this.peerNetwork.attach(name, { clock, handler: (payload) => failover.handle(Buffer.from(payload)) });
+    return failover;
+  }
+
+  /** What a node's operator is shown. */
+  members(name: string): MemberLine[] {
+    return this.running.get(name)?.failover?.lines() ?? [];
+  }
+
   /** Whether cancellations pass between two controllers: both know of them and nothing cuts them off. */
   private hears(a: string, b: string): boolean {
     return ![a, b].some((name) => this.alone.has(name) || this.old.has(name) || !this.running.has(name));
@@ -232,6 +288,7 @@
     if (!node) return;
     node.clock.alive = false;
     this.running.delete(name);
+    this.peerNetwork.detach(name);
     this.trace(`${name}     crashes`);
   }
 
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -153,7 +153,9 @@
       get: (key) =>
         ask((): Row | null => {
           const e = this.keys.get(key);
-          return e ? { key, value: e.value, revision: e.revision } : null;
+          if (!e) return null;
+          const row = { key, value: e.value, revision: e.revision };
+          return e.grant === null ? row : { ...row, grant: e.grant };
         }),
       range: (prefix, after) =>
         ask((): Page => {
--- /dev/null
+++ b/test/traces/failover.test.ts
@@ -0,0 +1,153 @@
+import { describe, expect, it } from 'vitest';
+import type { FailoverFeature } from '../../src/config/features.js';
+import { Day } from '../standins/day.js';
+import { Site } from '../standins/site.js';
+import { CANCEL_S } from '../standins/site-setup.js';
+import { TROUBLES } from '../standins/troubles.js';
+
+/** Whole sites with failure detection between their controllers, and leaders replaced before their grants end. */
+const FEATURE: FailoverFeature = {
+  enabled: true,
+  early_takeover: true,
+  probe_interval_s: 0.5,
+  probe_timeout_s: 0.3,
+  suspicion_s: 1,
+  pause_s: 0.4,
+  max_messages_per_s: 100,
+};
+/** A grant's life: without failure detection nobody replaces a leader sooner. */
+const GRANT_S = 2.5;
+const STEP_S = 0.05;
+
+async function site(feature: FailoverFeature | null = FEATURE): Promise<Site> {
+  const started = new Site();
+  started.failover = feature;
+  started.startAll();
+  await started.run(5);
+  for (const ref of ['j-000001', 'j-000002', 'j-000003']) {
+    await started.submit({ ref, tasks: 3, runS: 30 });
+  }
+  await started.run(40);
+  expect(started.leader).toBeDefined();
+  return started;
+}
+
+/** Seconds until another node leads. */
+async function replacedAfter(site: Site, former: string, withinS = 20): Promise<number> {
+  for (let s = 0; s < withinS; s += STEP_S) {
+    await site.run(STEP_S);
+    if (site.nodes.some((name) => name !== former && site.leads(name))) return s;
+  }
+  return Infinity;
+}
+
+async function finishes(site: Site): Promise<void> {
+  await site.run(120);
+  expect(site.rules.broken).toEqual([]);
+  expect(site.state.malformed).toEqual([]);
+  for (const ref of ['j-000001', 'j-000002', 'j-000003']) {
+    expect(await site.query(ref, site.leader), ref).toBe('done');
+  }
+}
+
+describe('a leader that is found failed by a majority', () => {
+  it('is replaced before its grant has ended, and its work goes on', async () => {
+    const running = await site();
+    const former = running.leader as string;
+    running.crash(former);
+    expect(await replacedAfter(running, former)).toBeLessThan(GRANT_S);
+    await finishes(running);
+  });
+
+  it('is replaced when its grant has ended where early takeover is off', async () => {
+    const running = await site({ ...FEATURE, early_takeover: false });
+    const former = running.leader as string;
+    running.crash(former);
+    const s = await replacedAfter(running, former);
+    expect(s).toBeGreaterThan(GRANT_S * 0.7);
+    expect(s).toBeLessThan(GRANT_S + 1);
+    await finishes(running);
+  });
+
+  // Its peers take it for dead; it lives, answers workers, rents and deletes machines. It must not be deposed.
+  it('keeps leading where only its peers are cut off and it reaches the state service', async () => {
+    const running = await site();
+    const leader = running.leader as string;
+    running.alone.add(leader);
+    expect(await replacedAfter(running, leader, 30)).toBe(Infinity);
+    running.alone.clear();
+    await running.run(5);
+    for (const name of running.nodes) {
+      expect(running.members(name).map(({ state }) => state)).toEqual(['alive', 'alive', 'alive']);
+    }
+    await finishes(running);
+  });
+
+  // By its own clock its grant still lives when it wakes: only the pause itself tells it to ask first.
+  it('ends as soon as it wakes, before it rents, deletes or starts anything', async () => {
+    const quick = { ...FEATURE, probe_interval_s: 0.2, probe_timeout_s: 0.1, suspicion_s: 0.4, pause_s: 0.2 };
+    const running = await site(quick);
+    const former = running.leader as string;
+    const stillS = 1.7;
+    running.standStill(former, stillS);
+    const replacedS = await replacedAfter(running, former, stillS - STEP_S);
+    expect(replacedS).toBeLessThan(stillS);
+    const lines = running.text.split('\n').length;
+    await running.run(stillS - replacedS + 0.2);
+    expect(running.leads(former)).toBe(false);
+    const acts = running.text
+      .split('\n')
+      .slice(lines - 1)
+      .filter((line) => line.includes(former));
+    expect(acts.map((line) => line.trim().replace(/^\S+\s+\S+\s+/, ''))).toEqual(['goes on']);
+    await finishes(running);
+  });
+
+  it('is not replaced early while a controller runs an earlier version', async () => {
+    const running = await site();
+    const former = running.leader as string;
+    const other = running.nodes.find((name) => name !== former) as string;
+    running.old.add(other);
+    running.crash(former);
+    expect(await replacedAfter(running, former)).toBeGreaterThan(GRANT_S * 0.7);
+    await running.run(30);
+    expect(running.rules.broken).toEqual([]);
+  });
+});
+
+describe('a leader that was replaced while it lives, and still answers workers', () => {
+  // It may be sure of its grant for 2.5 s after the takeover and answers for some time more: the successor must reckon
+  // with leases that it renewed until then, and a cancellation through the successor must hold all the same.
+  it('renews no lease beyond what its successor reckons with', async () => {
+    const running = await site();
+    await running.submit({ ref: 'j-000009', kind: 'service', tasks: 2 });
+    await running.run(30);
+    const former = running.leader as string;
+    running.alone.add(former);
+    running.state.refused.add(former);
+    expect(await replacedAfter(running, former)).toBeLessThan(GRANT_S);
+    await running.run(3);
+    await running.cancel('j-000009');
+    await running.run(CANCEL_S + 10);
+    expect(running.rules.broken).toEqual([]);
+    running.alone.clear();
+    running.state.refused.clear();
+    await finishes(running);
+  });
+});
+
+describe('the meetings of troubles, with failure detection on', () => {
+  it.each(TROUBLES.map((trouble, n) => [trouble.name, trouble, n] as const))(
+    '%s',
+    async (_, trouble, n) => {
+      const other = TROUBLES[(n + 5) % TROUBLES.length] as (typeof TROUBLES)[number];
+      const day = new Day(900 + n);
+      day.site.failover = FEATURE;
+      await day.play([trouble, other]);
+      expect(day.site.rules.broken, `${trouble.name}; ${other.name}`).toEqual([]);
+      expect(day.site.state.malformed).toEqual([]);
+      expect(day.accepted).toBeGreaterThan(day.submitted / 2);
+    },
+    60_000,
+  );
+});
--- /dev/null
+++ b/test/unit/failover.test.ts
@@ -0,0 +1,271 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { PeerSupport, type MemberId } from '@plumyoke/membership';
+import { afterEach, describe, expect, it } from 'vitest';
+import { adviceFor, renderMembers } from '../../src/cli/members.js';
+import { main } from '../../src/cli/program.js';
+import { DETECTION_OFF_STATUS } from '../../src/cluster/failover/detection-status.js';
+import { PeerTransport } from '../../src/cluster/failover/peer-transport.js';
+import { RecordPrefetch, readRecords } from '../../src/cluster/failover/record-prefetch.js';
+import { checkFailover } from '../../src/cluster/failover/failover-settings.js';
+import { loadFeatures } from '../../src/config/features.js';
+import { BadSettings } from '../../src/config/operators.js';
+import { silentLog } from '../../src/log/logger.js';
+import type { MemberId as MemberIdOfNode } from '../../src/model/ids.js';
+import { MEMBERSHIP_VERSION } from '../../src/model/protocol.js';
+import type { AnswerFrame } from '../../src/peer/frames.js';
+import type { PeerLink } from '../../src/peer/link.js';
+import { epochRecord, encodeEpoch, encodeLeader, leaderRecord } from '../../src/store/leader-record.js';
+import type { MembersReport } from '../../src/wire/members.js';
+import { VirtualClock } from '../standins/clock.js';
+import { settingsOf, SMALL } from '../standins/site-setup.js';
+import { StandInState } from '../standins/state.js';
+
+const folders: string[] = [];
+afterEach(() => folders.splice(0).forEach((folder) => rmSync(folder, { recursive: true })));
+
+function folderWith(text: string | null): string {
+  const folder = mkdtempSync(join(tmpdir(), 'plumyoke-'));
+  folders.push(folder);
+  if (text !== null) writeFileSync(join(folder, 'membership.toml'), text);
+  return folder;
+}
+
+describe('the feature file of failure detection', () => {
+  it('is off without a file, without a folder, and where it says so', () => {
+    expect(loadFeatures(undefined).failover).toBeNull();
+    expect(loadFeatures(folderWith(null)).failover).toBeNull();
+    expect(loadFeatures(folderWith('enabled = false')).failover).toBeNull();
+    expect(loadFeatures(folderWith('enabled = true')).failover).toMatchObject({ early_takeover: false });
+  });
+
+  it.each([
+    ['enabled: missing, or no boolean', ''],
+    ['enabled: missing, or no boolean', 'enabled = 1'],
+    ['suspicion_s: below 0', 'enabled = true\nsuspicion_s = -1'],
+    ['unknown field suspicion', 'enabled = true\nsuspicion = 2'],
+    ['probe_timeout_s: above probe_interval_s', 'enabled = true\nprobe_timeout_s = 2'],
+    ['suspicion_s: above 600', 'enabled = true\nsuspicion_s = 6000'],
+    ['max_messages_per_s: below 2', 'enabled = true\nmax_messages_per_s = 1'],
+  ])('names the field: %s', (message, text) => {
+    const folder = folderWith(text);
+    expect(() => loadFeatures(folder)).toThrow(`${join(folder, 'membership.toml')}: ${message}`);
+  });
+});
+
+describe('check-config', () => {
+  it('refuses failure detection with a controller that is named twice, with exit code 2', async () => {
+    const settings = settingsOf('a', SMALL);
+    const sibling = { member: 'b' as MemberIdOfNode, address: '127.0.0.1:2' };
+    const feature = loadFeatures(folderWith('enabled = true')).failover;
+    if (feature === null) throw new Error('off');
+    expect(() => checkFailover({ ...settings, siblings: [sibling, sibling] }, feature)).toThrow(BadSettings);
+    expect(() => checkFailover({ ...settings, siblings: [sibling, sibling] }, feature)).toThrow(
+      'membership.toml: members: b is named twice',
+    );
+    const path = join(folderWith('enabled = 7'), 'membership.toml');
+    await main(['check-config', '--config', path, '--features', path.replace('/membership.toml', '')]);
+    expect(process.exitCode).toBe(2);
+    process.exitCode = 0;
+  });
+});
+
+describe('plumyoke members', () => {
+  const report: MembersReport = {
+    observer: 'a',
+    version: MEMBERSHIP_VERSION,
+    failureDetection: true,
+    members: [
+      {
+        member: 'a',
+        state: 'alive',
+        forMs: 0,
+        connection: 'connected',
+        load: 0.1,
+        ready: true,
+        evidence: [],
+        owns: [],
+      },
+      {
+        member: 'b',
+        state: 'failed',
+        forMs: 200_000,
+        connection: 'isolated',
+        load: null,
+        ready: false,
+        evidence: ['a has neither heard b nor had an answer for 203.1 s (seen 0.0 s ago)'],
+        owns: ['cluster (epoch 7)'],
+      },
+    ],
+    dropped: { malformed: 3 },
+  };
+
+  it('prints a table, the evidence where something is wrong, and what to do', () => {
+    expect(renderMembers(report)).toBe(
+      [
+        'Controllers as a sees them:',
+        '',
+        'CONTROLLER  STATE   SINCE  LOAD  OWNS               WHAT TO DO',
+        'a           alive   0 s    10%   -                  nothing',
+        'b           failed  3 min  -     cluster (epoch 7)  its work is with another controller; see whether its process runs, and start it',
+        '',
+        'Evidence:',
+        '  a has neither heard b nor had an answer for 203.1 s (seen 0.0 s ago)',
+        '',
+        'Messages dropped since its start:',
+        '  3 malformed',
+        '',
+      ].join('\n'),
+    );
+  });
+
+  it('says so where failure detection is off', () => {
+    const off = { ...report, failureDetection: false };
+    expect(renderMembers(off)).toContain(
+      'Failure detection is off on this controller (deploy/membership.toml)',
+    );
+  });
+
+  it('tells a partly cut member and a deaf one what to do', () => {
+    const [line] = report.members as [MembersReport['members'][number]];
+    expect(adviceFor({ ...line, connection: 'partly-cut' })).toContain('look at the network');
+    expect(adviceFor({ ...line, state: 'suspect', connection: 'deaf' })).toContain('hears nobody');
+  });
+
+  it('tells of an unreachable controller in one line, with a non-zero exit code', async () => {
+    const lines: string[] = [];
+    const write = process.stderr.write.bind(process.stderr);
+    const exit = process.exit.bind(process);
+    const codes: unknown[] = [];
+    process.stderr.write = (text) => lines.push(String(text)) > 0;
+    process.exit = (code) => codes.push(code) as never;
+    try {
+      await main(['members', '--address', '127.0.0.1:1']);
+    } finally {
+      process.stderr.write = write;
+      process.exit = exit;
+      process.exitCode = 0;
+    }
+    expect(lines).toHaveLength(1);
+    expect(lines[0]).toMatch(
+      /^plumyoke: the controller at 127\.0\.0\.1:1 cannot be asked: ECONNREFUSED; see whether/,
+    );
+    expect(codes).toEqual([1]);
+  });
+});
+
+function link(changes: Partial<PeerLink>): { link: PeerLink; asked: number[] } {
+  const asked: number[] = [];
+  const whole = {
+    member: 'b',
+    alive: true,
+    speaks: () => true,
+    ask: (kind: number) => {
+      asked.push(kind);
+      return Promise.resolve({ status: 200, body: Buffer.from('answer') } satisfies AnswerFrame);
+    },
+    ...changes,
+  };
+  return { link: whole as unknown as PeerLink, asked };
+}
+
+describe('membership messages on the peer links', () => {
+  const B = 'b' as MemberId;
+  const nothing = new Uint8Array();
+
+  // An earlier version closes the connection on a kind that it does not know, and with it everything else that is said there.
+  it('never go to a peer of an earlier version', async () => {
+    const { link: old, asked } = link({ speaks: () => false });
+    const transport = new PeerTransport([old], new VirtualClock());
+    expect(transport.support(B)).toBe(PeerSupport.Unsupported);
+    expect(await transport.request(B, nothing, 100)).toBeNull();
+    expect(asked).toEqual([]);
+  });
+
+  it('tell a peer without failure detection from one that is silent', async () => {
+    const clock = new VirtualClock();
+    const off = { status: DETECTION_OFF_STATUS, body: Buffer.alloc(0) };
+    const { link: switchedOff } = link({ ask: () => Promise.resolve(off) });
+    const transport = new PeerTransport([switchedOff], clock);
+    expect(transport.support(B)).toBe(PeerSupport.Supported);
+    expect(await transport.request(B, nothing, 100)).toBeNull();
+    expect(transport.support(B)).toBe(PeerSupport.Unsupported);
+    await clock.advance(6000);
+    expect(transport.support(B)).toBe(PeerSupport.Supported);
+    const { link: silent } = link({ ask: () => Promise.resolve(null) });
+    const other = new PeerTransport([silent], clock);
+    expect(await other.request(B, nothing, 100)).toBeNull();
+    expect(other.support(B)).toBe(PeerSupport.Supported);
+  });
+});
+
+describe('records read ahead', () => {
+  const set = (key: string, value: unknown) => ({ set: key, value });
+
+  async function filled(): Promise<{ clock: VirtualClock; state: StandInState; prefetch: RecordPrefetch }> {
+    const clock = new VirtualClock();
+    const state = new StandInState(clock);
+    const store = state.for('a', clock);
+    for (let n = 0; n < 8; n++) {
+      void store.commit(
+        [],
+        [1, 2, 3].map((part) => set(`open/j-${n}/${part}`, { n })),
+      );
+    }
+    void store.commit([], [set('fleet/0000', { m: [] })]);
+    await clock.advance(1000);
+    return { clock, state, prefetch: new RecordPrefetch(store, clock, silentLog) };
+  }
+
+  it('are what a reading would bring at the moment at which they are taken', async () => {
+    const { clock, state, prefetch } = await filled();
+    void prefetch.begin();
+    await clock.advance(100);
+    const store = state.for('a', clock);
+    void store.commit(
+      [],
+      [{ drop: 'open/j-3/1' }, set('open/j-3/2', { n: 33 }), set('open/j-9/1', { n: 9 })],
+    );
+    await clock.advance(100);
+    const taken = prefetch.take('open/');
+    const read = readRecords(store, 'open/', (ask) => ask());
+    await clock.advance(100);
+    expect(await taken).toEqual(await read);
+    // Each is handed out once: what is asked for later has to be read.
+    expect(await prefetch.take('open/')).toBeNull();
+  });
+
+  it('are dropped when the suspicion is refuted, and after a while', async () => {
+    const { clock, prefetch } = await filled();
+    void prefetch.begin();
+    await clock.advance(100);
+    prefetch.discard();
+    expect(await prefetch.take('open/')).toBeNull();
+    void prefetch.begin();
+    await clock.advance(61_000);
+    expect(await prefetch.take('fleet/')).toBeNull();
+  });
+
+  it('are missing, not wrong, where the state service was out', async () => {
+    const { clock, state, prefetch } = await filled();
+    state.outage = true;
+    void prefetch.begin();
+    await clock.advance(1000);
+    state.outage = false;
+    expect(await prefetch.take('open/')).toBeNull();
+  });
+});
+
+describe('the records of leadership', () => {
+  it('are read by and from versions without failure detection', () => {
+    const leader = { member: 'a' as never, epoch: 4 as never, version: 3 };
+    expect(leaderRecord(encodeLeader(leader))).toEqual(leader);
+    expect(leaderRecord(encodeLeader({ ...leader, process: 'p' }, 7))).toEqual({ ...leader, process: 'p' });
+    expect(leaderRecord({ member: 'a', epoch: 4 })).toEqual({ ...leader, version: 0 });
+    expect(encodeEpoch({ epoch: 4 as never, early: false })).toEqual({ n: 4 });
+    expect(epochRecord({ n: 4 })).toEqual({ epoch: 4, early: false });
+    expect(epochRecord(encodeEpoch({ epoch: 4 as never, early: true }))).toEqual({ epoch: 4, early: true });
+    expect(epochRecord(undefined)).toEqual({ epoch: 0, early: false });
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,5 +1,5 @@
 import { defineConfig } from 'vitest/config';
 
 export default defineConfig({
-  test: { include: ['test/**/*.test.ts'], testTimeout: 60_000 },
+  test: { include: ['test/**/*.test.ts', 'packages/*/test/**/*.test.ts'], testTimeout: 60_000 },
 });
