--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -43,13 +43,15 @@
   private readonly responder: Responder;
   private readonly pauses: PauseDetector;
   private readonly toldOfLeaving = new Set<MemberId>();
-  private withMajority = false;
+  private withMajority: boolean;
   private onToldOfLeaving: () => void = () => {};
 
   /** Throws `MembershipSettingsError`. */
   constructor(settings: MembershipSettings, environment: MembershipEnvironment) {
     checkSettings(settings);
     const { clock, random, log, selfReport } = environment;
+    // A single controller is its own majority.
+    this.withMajority = settings.majority <= 1;
     this.context = new MemberContext(
       settings,
       environment,
@@ -105,6 +107,18 @@
     });
   }
 
+  /** Looks at the clock now: whether this process stood still. */
+  checkPause(): void {
+    this.pauses.check();
+  }
+
+  /** Calls back for every pause of this process that is noticed. */
+  onPause(paused: (pausedMs: number) => void): void {
+    this.listen((event) => {
+      if (event.kind === 'self-paused') paused(event.pausedMs);
+    });
+  }
+
   get identity(): Identity {
     return this.context.local.identity;
   }
--- a/packages/standins/src/loopback/controller-main.ts
+++ b/packages/standins/src/loopback/controller-main.ts
@@ -20,8 +20,15 @@
   type UnitId,
 } from '@plumyoke/takeover';
 import { Channel } from './channel.js';
-import { type ControllerOptions, type EffectRequest, FailoverMode, LabRequest, VACANT } from './protocol.js';
-import { dial } from './relay.js';
+import {
+  type ControllerOptions,
+  type EffectRequest,
+  FailoverMode,
+  type HelloRequest,
+  LabRequest,
+  VACANT,
+} from './protocol.js';
+import { dial, listen } from './relay.js';
 
 const ACT_EVERY_MS = 20;
 const STORE_MS = 1000;
@@ -88,7 +95,7 @@
   permit(unit: UnitId): Ownership | null;
 }
 
-function startMembership(options: ControllerOptions, lab: Channel): Failover {
+async function startMembership(options: ControllerOptions, lab: Channel): Promise<Failover> {
   const peers = new Map(
     Object.entries(options.peers).map(([member, port]) => [member, new PeerChannel(port)]),
   );
@@ -117,7 +124,8 @@
       return answer === null ? undefined : Buffer.from(answer).toString('base64');
     });
   });
-  server.listen(options.port, '127.0.0.1');
+  const port = await listen(server);
+  lab.tell(LabRequest.Hello, { member: options.member, port } satisfies HelloRequest);
   const coordinator = new TakeoverCoordinator<null>(
     options.units as UnitId[],
     {
@@ -231,11 +239,11 @@
       if (ask === VACANT) void election?.standFor(body as UnitId);
       return Promise.resolve(undefined);
     });
-    lab.tell(LabRequest.Hello, options.member);
     if (options.mode === FailoverMode.GrantOnly) {
+      lab.tell(LabRequest.Hello, { member: options.member, port: 0 } satisfies HelloRequest);
       election = new GrantElection(options, lab);
       act(options, election, lab);
-    } else act(options, startMembership(options, lab), lab);
+    } else void startMembership(options, lab).then((failover) => act(options, failover, lab));
   });
 }
 
--- a/packages/standins/src/loopback/laboratory.ts
+++ b/packages/standins/src/loopback/laboratory.ts
@@ -1,7 +1,7 @@
 /** Runs stand-in controllers as processes of this machine, makes them fail, and records what they do. */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { createServer, type Server, type Socket } from 'node:net';
-import { DEFAULT_TUNING, type MemberId, type ProcessId } from '@plumyoke/membership';
+import { DEFAULT_TUNING, type MemberId, type MembershipTuning, type ProcessId } from '@plumyoke/membership';
 import type { FencingEpoch, UnitId } from '@plumyoke/takeover';
 import { EffectHistory } from '../history.js';
 import { SharedStore } from '../shared-store.js';
@@ -12,6 +12,7 @@
   type EffectRequest,
   type EventReport,
   type FailoverMode,
+  type HelloRequest,
   LabRequest,
   VACANT,
 } from './protocol.js';
@@ -49,6 +50,7 @@
   readonly mode: FailoverMode;
   /** The built program of a stand-in controller. */
   readonly program: string;
+  readonly tuning?: MembershipTuning;
 }
 
 interface Running {
@@ -96,11 +98,6 @@
   async start(): Promise<void> {
     this.server = createServer((socket) => this.accept(socket));
     this.labPort = await listen(this.server);
-    for (const member of this.members) {
-      const probe = createServer();
-      this.ports.set(member, await listen(probe));
-      await new Promise((resolve) => probe.close(resolve));
-    }
     for (const from of this.members) {
       for (const to of this.members) {
         if (from === to) continue;
@@ -114,7 +111,9 @@
     let member = '';
     const channel: Channel = new Channel(socket, (ask, body) => {
       if (ask === (LabRequest.Hello as string)) {
-        member = String(body);
+        const hello = body as HelloRequest;
+        member = hello.member;
+        this.ports.set(member, hello.port);
         this.channels.set(member, channel);
         return Promise.resolve(undefined);
       }
@@ -208,8 +207,7 @@
       member,
       mode: this.options.mode,
       units: this.units,
-      tuning: DEFAULT_TUNING,
-      port: this.ports.get(member) ?? 0,
+      tuning: this.options.tuning ?? DEFAULT_TUNING,
       peers,
       labPort: this.labPort,
     };
--- a/packages/standins/src/loopback/protocol.ts
+++ b/packages/standins/src/loopback/protocol.ts
@@ -16,8 +16,6 @@
   readonly mode: FailoverMode;
   readonly units: readonly string[];
   readonly tuning: MembershipTuning;
-  /** The port that this controller listens on for its peers. */
-  readonly port: number;
   /** The ports on which it reaches its peers, by member. */
   readonly peers: Readonly<Record<string, number>>;
   /** The laboratory's port: store, resources, log. */
@@ -38,6 +36,12 @@
 /** What the laboratory tells controllers in grant-only mode: a holder's grant has ended. */
 export const VACANT = 'vacant';
 
+/** A controller's first words: where its peers reach it. */
+export interface HelloRequest {
+  readonly member: string;
+  readonly port: number;
+}
+
 /** A transaction; `grant` binds the holder's key to it. */
 export interface CommitRequest {
   readonly conditions: readonly StoreCondition[];
--- a/packages/standins/src/measure/takeover-main.ts
+++ b/packages/standins/src/measure/takeover-main.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { build as buildHistogram, type Histogram } from 'hdr-histogram-js';
+import { DEFAULT_TUNING, type MembershipTuning } from '@plumyoke/membership';
 import { buildController } from '../loopback/build-controller.js';
 import { FailoverMode } from '../loopback/protocol.js';
 import { BoxLoad } from './box-load.js';
@@ -45,6 +46,8 @@
   readonly loads: readonly number[];
   readonly quietMs: number;
   readonly folder: string;
+  readonly modes: readonly FailoverMode[];
+  readonly tuning: MembershipTuning;
 }
 
 function readOptions(): Options {
@@ -56,6 +59,10 @@
       loads: { type: 'string', default: '0,16' },
       'quiet-s': { type: 'string', default: '60' },
       out: { type: 'string', default: 'target' },
+      modes: { type: 'string', default: Object.values(FailoverMode).join(',') },
+      'probe-ms': { type: 'string', default: String(DEFAULT_TUNING.probeIntervalMs) },
+      'timeout-ms': { type: 'string', default: String(DEFAULT_TUNING.probeTimeoutMs) },
+      'suspicion-ms': { type: 'string', default: String(DEFAULT_TUNING.suspicionMs) },
     },
   });
   const numbers = (text: string): number[] => text.split(',').map(Number);
@@ -66,25 +73,35 @@
     loads: numbers(values.loads),
     quietMs: Number(values['quiet-s']) * 1000,
     folder: values.out,
+    modes: values.modes.split(',') as FailoverMode[],
+    tuning: {
+      ...DEFAULT_TUNING,
+      probeIntervalMs: Number(values['probe-ms']),
+      probeTimeoutMs: Number(values['timeout-ms']),
+      suspicionMs: Number(values['suspicion-ms']),
+    },
   };
 }
 
-function setups({ sizes, loads }: Options): Setup[] {
+function setups({ sizes, loads, modes }: Options): Setup[] {
   const found: Setup[] = [];
   for (const load of loads)
     for (const controllers of sizes)
       for (const kind of FAILURE_KINDS)
-        for (const mode of [FailoverMode.Membership, FailoverMode.GrantOnly])
-          found.push({ mode, controllers, kind, load });
+        for (const mode of modes) found.push({ mode, controllers, kind, load });
   return found;
 }
 
-async function measure(setup: Setup, { failures, parallel }: Options, program: string): Promise<Result> {
+async function measure(
+  setup: Setup,
+  { failures, parallel, tuning }: Options,
+  program: string,
+): Promise<Result> {
   const each = Math.ceil(failures / parallel);
   const load = new BoxLoad(setup.load);
   try {
     const trials = Array.from({ length: parallel }, () =>
-      new Trial({ ...setup, failures: each, program }).run(),
+      new Trial({ ...setup, failures: each, program, tuning }).run(),
     );
     return collect(setup, (await Promise.all(trials)).flat());
   } finally {
@@ -115,7 +132,14 @@
     for (const controllers of options.sizes) {
       const box = new BoxLoad(load);
       const kind = FAILURE_KINDS[0] as FailureKind;
-      const setup = { mode: FailoverMode.Membership, controllers, kind, failures: 0, program };
+      const setup = {
+        mode: FailoverMode.Membership,
+        controllers,
+        kind,
+        failures: 0,
+        program,
+        tuning: options.tuning,
+      };
       const trials = Array.from({ length: options.parallel }, () =>
         new Trial(setup).quietSuspicions(options.quietMs),
       );
@@ -206,7 +230,7 @@
   ]);
   const page = htmlPage(
     'Takeovers by stand-in controllers',
-    `Milliseconds from the failure. All processes ran on this one machine (${cpus().length} cores) over loopback, ${options.parallel} clusters at once; "load" is the number of busy processes beside them. Times on separate machines will differ.`,
+    `Milliseconds from the failure. All processes ran on this one machine (${cpus().length} cores) over loopback, ${options.parallel} clusters at once; "load" is the number of busy processes beside them; probes every ${options.tuning.probeIntervalMs} ms, suspicion ${options.tuning.suspicionMs} ms. Times on separate machines will differ.`,
     [
       htmlTable(header, rows),
       htmlTable(['quiet clusters', 'suspicions', 'hours', 'an hour'], quiet),
--- a/packages/standins/src/measure/trial.ts
+++ b/packages/standins/src/measure/trial.ts
@@ -1,4 +1,5 @@
 /** One laboratory in which owners fail again and again, and the times that each takeover took. */
+import type { MembershipTuning } from '@plumyoke/membership';
 import type { UnitId } from '@plumyoke/takeover';
 import { type LabEvent, Laboratory } from '../loopback/laboratory.js';
 import type { FailoverMode } from '../loopback/protocol.js';
@@ -24,6 +25,7 @@
   readonly kind: FailureKind;
   readonly failures: number;
   readonly program: string;
+  readonly tuning: MembershipTuning;
 }
 
 const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
@@ -43,8 +45,8 @@
   private readonly unit: UnitId;
 
   constructor(private readonly options: TrialOptions) {
-    const { controllers, mode, program } = options;
-    this.laboratory = new Laboratory({ controllers, units: 1, mode, program });
+    const { controllers, mode, program, tuning } = options;
+    this.laboratory = new Laboratory({ controllers, units: 1, mode, program, tuning });
     this.unit = this.laboratory.units[0] as UnitId;
   }
 
--- a/packages/takeover/src/effect-gate.ts
+++ b/packages/takeover/src/effect-gate.ts
@@ -2,33 +2,29 @@
  * What an owner asks before every effect: whether it has run without a pause since its ownership was last confirmed.
  * A process that stood still may have been replaced meanwhile and finds out here, before it acts.
  */
-import { type Clock, PauseDetector } from '@plumyoke/membership';
+
+/** Notices pauses of this process. */
+export interface PauseSource {
+  /** Looks at the clock now: after a pause the first effect may come before any timer. */
+  checkPause(): void;
+  /** Calls back for every pause that is noticed. */
+  onPause(paused: (pausedMs: number) => void): void;
+}
 
 /** Closed from a pause of the process until the ownership is confirmed again. */
 export class EffectGate {
-  private readonly detector: PauseDetector;
   private closed = false;
   private pauses = 0;
 
   constructor(
-    clock: Clock,
-    thresholdMs: number,
+    private readonly source: PauseSource,
     private readonly onClosed: (pausedMs: number) => void,
   ) {
-    this.detector = new PauseDetector(clock, thresholdMs, (pausedMs) => this.close(pausedMs));
-  }
-
-  start(): void {
-    this.detector.start();
-  }
-
-  stop(): void {
-    this.detector.stop();
+    source.onPause((pausedMs) => this.close(pausedMs));
   }
 
-  /** Looks at the clock itself: after a pause the first effect may come before any timer. */
   get open(): boolean {
-    this.detector.check();
+    this.source.checkPause();
     return !this.closed;
   }
 
@@ -39,7 +35,7 @@
 
   /** The ownership was confirmed by a request that was sent in this generation. */
   reopen(generation: number): void {
-    this.detector.check();
+    this.source.checkPause();
     if (generation === this.pauses) this.closed = false;
   }
 
--- a/packages/takeover/src/index.ts
+++ b/packages/takeover/src/index.ts
@@ -1,5 +1,5 @@
 /** Ownership of units of work, and its takeover by one survivor when an owner fails. */
-export { EffectGate } from './effect-gate.js';
+export { EffectGate, type PauseSource } from './effect-gate.js';
 export { EpochFence } from './epoch-fence.js';
 export { describeDamage, describeReplaced } from './operator-messages.js';
 export {
--- a/packages/takeover/src/takeover-coordinator.ts
+++ b/packages/takeover/src/takeover-coordinator.ts
@@ -91,25 +91,23 @@
     private readonly environment: TakeoverEnvironment,
     private readonly handler: UnitHandler<P>,
   ) {
-    const { clock, settings } = environment;
+    const { membership, settings } = environment;
     checkTakeover(settings);
     this.units = new Map(units.map((unit) => [unit, newEntry<P>(unit)]));
-    this.gate = new EffectGate(clock, settings.pauseThresholdMs, (pausedMs) => {
+    this.gate = new EffectGate(membership, (pausedMs) => {
       this.pausedMs = pausedMs;
-      this.lookAtAll();
+      this.lookNow();
     });
   }
 
   start(): void {
-    this.gate.start();
     this.unlisten = this.environment.membership.listen((event) => {
-      if (event.kind === 'state-changed' || event.kind === 'restarted') this.lookAtAll();
+      if (event.kind === 'state-changed' || event.kind === 'restarted') this.lookNow();
     });
     this.schedule();
   }
 
   stop(): void {
-    this.gate.stop();
     this.unlisten();
     this.timer?.();
     this.timer = null;
@@ -130,7 +128,7 @@
     const entry = this.units.get(unit);
     if (!entry) return;
     entry.readAt = -Infinity;
-    void this.look(entry);
+    this.lookNow();
   }
 
   /** The ownership was given up by another way, and nothing is left to be stopped. */
@@ -153,14 +151,27 @@
   }
 
   private schedule(): void {
-    this.timer = this.environment.clock.after(this.environment.settings.lookEveryMs, () => {
-      this.lookAtAll();
-      this.schedule();
+    const { clock, settings } = this.environment;
+    const delayMs = this.calm ? settings.calmLookEveryMs : settings.lookEveryMs;
+    this.timer = clock.after(delayMs, () => this.lookNow());
+  }
+
+  /** Every unit is served, here or elsewhere, by an owner that nobody suspects. */
+  private get calm(): boolean {
+    const { membership } = this.environment;
+    if (!membership.hasMajority) return false;
+    return [...this.units.values()].every(({ stage, reading }) => {
+      if (stage.kind === 'serving') return true;
+      return stage.kind === 'watching' && reading?.kind === 'owned';
     });
   }
 
-  private lookAtAll(): void {
+  private lookNow(): void {
+    // Not started, or stopped.
+    if (this.timer === null) return;
+    this.timer();
     for (const entry of this.units.values()) void this.look(entry);
+    this.schedule();
   }
 
   private get self(): Owner {
--- a/packages/takeover/src/takeover-settings.ts
+++ b/packages/takeover/src/takeover-settings.ts
@@ -2,8 +2,10 @@
 
 /** All in milliseconds but for the last. */
 export interface TakeoverSettings {
-  /** How often a member looks at its units beside the events of the membership. */
+  /** How often a member looks at its units beside the events of the membership, while something is amiss. */
   readonly lookEveryMs: number;
+  /** The same while every unit is served and no owner is suspected. */
+  readonly calmLookEveryMs: number;
   /** A record that was read longer ago is read again. */
   readonly readEveryMs: number;
   /** The second choice waits so much longer than the first before it claims, the third twice as long. */
@@ -14,20 +16,18 @@
   readonly signValidMs: number;
   /** An owner of which nothing was ever heard is gone after this. */
   readonly unknownOwnerMs: number;
-  /** A pause of this length closes the gate for effects until the ownership is confirmed. */
-  readonly pauseThresholdMs: number;
   /** Whether a failed verdict leads to a claim. If not, a member only prepares. */
   readonly claimOnFailure: boolean;
 }
 
 export const DEFAULT_TAKEOVER: TakeoverSettings = {
   lookEveryMs: 200,
+  calmLookEveryMs: 1000,
   readEveryMs: 3000,
   staggerMs: 300,
   signEveryMs: 400,
   signValidMs: 1200,
   unknownOwnerMs: 5000,
-  pauseThresholdMs: 400,
   claimOnFailure: true,
 };
 
--- a/packages/takeover/test/takeover.test.ts
+++ b/packages/takeover/test/takeover.test.ts
@@ -1,4 +1,11 @@
-import { type MemberId, type ProcessId, MemberState } from '@plumyoke/membership';
+import {
+  DEFAULT_TUNING,
+  type MemberId,
+  Membership,
+  MemberState,
+  PeerSupport,
+  type ProcessId,
+} from '@plumyoke/membership';
 import { SharedStore, SimulatedCluster, VirtualClock } from '@plumyoke/standins';
 import {
   checkTakeover,
@@ -137,15 +144,19 @@
   it('is closed by a pause at its first use, before any timer has run', async () => {
     const clock = new VirtualClock();
     let skippedMs = 0;
-    const skipping = {
-      ...clock,
-      now: () => clock.now() + skippedMs,
-      wall: () => 0,
-      after: clock.after.bind(clock),
-    };
+    const membership = new Membership(
+      { ...DEFAULT_TUNING, self: 'a' as MemberId, members: ['a'] as MemberId[], majority: 1 },
+      {
+        clock: { now: () => clock.now() + skippedMs, wall: () => 0, after: clock.after.bind(clock) },
+        random: () => 0.5,
+        log: { info: () => {}, warn: () => {} },
+        selfReport: () => ({ load: 0, ready: true }),
+        transport: { support: () => PeerSupport.Supported, request: () => Promise.resolve(null) },
+      },
+    );
     const pauses: number[] = [];
-    const gate = new EffectGate(skipping, 400, (pausedMs) => pauses.push(pausedMs));
-    gate.start();
+    const gate = new EffectGate(membership, (pausedMs) => pauses.push(pausedMs));
+    membership.start();
     await clock.advance(5000);
     expect(gate.open).toBe(true);
     const before = gate.generation;
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -77,7 +77,11 @@
   // One odd answer from outside must never end the process.
   process.on('unhandledRejection', (error) => log.error({ error: reason(error) }, 'unhandled rejection'));
   process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught exception'));
-  await new Node(settings, operators, features, log, random).run();
+  const node = new Node(settings, operators, features, log, random);
+  if (features.failover) {
+    process.once('SIGTERM', () => void node.leave().finally(() => process.exit(0)));
+  }
+  await node.run();
 }
 
 /** The features that are on, checked against the platform's settings. Their code is loaded only where it is used. */
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -71,6 +71,7 @@
   private notBefore: Steady | null = null;
   private aid: ElectionAid | null = null;
   private signs = 0;
+  private retired = false;
   private renewal: { readonly cancel: Cancel; readonly run: () => void } | null = null;
   leader: LeaderRecord | null = null;
 
@@ -127,14 +128,20 @@
     }
   }
 
+  /** This node never stands again: its process is about to end. */
+  retire(): void {
+    this.retired = true;
+  }
+
   private async standing(): Promise<void> {
     const { clock, store } = this.ctx;
-    for (;;) {
+    while (!this.retired) {
       try {
         const page = await store.range(keys.leader);
         const row = page.rows.find((r) => r.key === keys.leader);
         this.noteLeader(row ? leaderRecord(row.value) : null);
         const paused = this.notBefore !== null && clock.now() < this.notBefore;
+        if (this.retired) return;
         if (!this.leading && !paused && (!row || this.leader?.member === this.ctx.member)) {
           await this.takeOver(row?.revision ?? NO_REVISION);
           continue;
--- a/src/cluster/failover/failover.ts
+++ b/src/cluster/failover/failover.ts
@@ -60,8 +60,7 @@
       selfReport: () => ({ load: context.load(), ready: environment.stateOk() && context.types.size > 0 }),
     });
     this.prefetch = new RecordPrefetch(store, clock, log);
-    const pauseThresholdMs = feature.pause_s * 1000;
-    this.guard = new EffectGate(clock, pauseThresholdMs, (pausedMs) => this.woke(pausedMs));
+    this.guard = new EffectGate(this.membership, (pausedMs) => this.woke(pausedMs));
     const claims = new LeaderClaims({
       store,
       clock,
@@ -71,7 +70,6 @@
     const settings = {
       ...DEFAULT_TAKEOVER,
       readEveryMs: READ_EVERY_MS,
-      pauseThresholdMs,
       claimOnFailure: feature.early_takeover,
     };
     this.coordinator = new TakeoverCoordinator<void>(
@@ -91,10 +89,17 @@
   start(): void {
     this.environment.leadership.election.assist(this);
     this.membership.start();
-    this.guard.start();
     this.coordinator.start();
   }
 
+  /** Hands the leadership over and says goodbye, so that nobody has to suspect this controller. */
+  async leave(): Promise<void> {
+    this.environment.leadership.leave();
+    await this.membership.leave();
+    this.coordinator.stop();
+    this.membership.stop();
+  }
+
   /** A peer's message; null: dropped. */
   handle(payload: Buffer): Promise<Uint8Array | null> {
     return this.membership.handle(payload);
--- a/src/cluster/job-watcher.ts
+++ b/src/cluster/job-watcher.ts
@@ -25,8 +25,8 @@
   open(job: OpenJob): void;
   /** A job whose cancellation is confirmed, known or not. */
   cancel(id: JobId): void;
-  /** Everything that was unfinished when the records were read. */
-  load(jobs: LoadedJobs): void;
+  /** What the records still hold of jobs that are over, and jobs that were cancelled since they were accepted. */
+  dropOver(loaded: LoadedJobs): void;
 }
 
 /** Watches the jobs' records. */
@@ -66,7 +66,8 @@
   private async resync(): Promise<Revision> {
     const began = this.ctx.clock.now();
     const loaded = await loadOpenJobs(this.ctx);
-    this.intake.load(loaded);
+    for (const job of loaded.jobs) this.intake.open(job);
+    this.intake.dropOver(loaded);
     this.answering.knew(began);
     this.ctx.requestDecision();
     return loaded.revision;
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -238,9 +238,8 @@
     this.canceller.cancel(id);
   }
 
-  /** Everything that was unfinished when the records were read again. */
-  load({ jobs, orphans, cancelled }: LoadedJobs): void {
-    for (const job of jobs) this.open(job);
+  /** What the records still hold of jobs that are over, and jobs that were cancelled since they were accepted. */
+  dropOver({ orphans, cancelled }: LoadedJobs): void {
     this.committer.leave(orphans);
     for (const id of cancelled) this.canceller.cancel(id);
   }
--- a/src/cluster/leadership.ts
+++ b/src/cluster/leadership.ts
@@ -45,6 +45,12 @@
     void this.prepared().then(() => leader.start());
   }
 
+  /** Gives the leadership up for good: another node takes over at once. */
+  leave(): void {
+    this.election.retire();
+    this.leader?.end('this controller leaves');
+  }
+
   /** Another node says that it leads: the newer epoch is right. */
   heardOf(epoch: Epoch): void {
     if (this.leader && epoch > this.leader.epoch) this.leader.end('another node leads a newer epoch');
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -168,6 +168,11 @@
     this.failover.start();
   }
 
+  /** Hands over what this controller does and says goodbye; without failure detection there is nobody to say it to. */
+  async leave(): Promise<void> {
+    await this.failover?.leave();
+  }
+
   private stateClient(shares: SocketShares): StateClient {
     const { stateAddress } = this.settings;
     return new StateClient(
--- a/src/cluster/state-restorer.ts
+++ b/src/cluster/state-restorer.ts
@@ -64,8 +64,7 @@
       if (host && up) host.up = true;
     }
     this.attachHeld();
-    // Known jobs are not opened once more: this takes in the rest.
-    this.intake.load(loaded);
+    this.intake.dropOver(loaded);
   }
 
   /** Every task that may be on a machine holds its place there, known machine or not. */
--- a/src/cluster/worker-redirects.ts
+++ b/src/cluster/worker-redirects.ts
@@ -1,9 +1,8 @@
 /** Which of the workers that report to a busy leader should report through another controller. */
 import type { HostId, MemberId } from '../model/ids.js';
+import { HAND_ON_LOAD } from '../model/load.js';
 import { type Clock, type Steady, since } from '../model/time.js';
 
-/** From this load on a leader sends its own workers to the others: a report that a follower passes on costs less. */
-const BUSY_LOAD = 0.6;
 /**
  * A worker that is back so soon was not served there, and stays. Well over any lease: sent to and fro within one, a
  * worker would lose its tasks.
@@ -22,7 +21,7 @@
 
   /** The controller that the worker should report to; null: this one. */
   target(host: HostId, others: readonly MemberId[]): MemberId | null {
-    if (others.length === 0 || this.load() < BUSY_LOAD) return null;
+    if (others.length === 0 || this.load() < HAND_ON_LOAD) return null;
     const now = this.clock.now();
     this.forget(now);
     if (this.sentAway.has(host)) return null;
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { Log } from '../log/logger.js';
 import type { MemberId } from '../model/ids.js';
+import { NO_TIME_LOAD } from '../model/load.js';
 import { type Cancel, type Clock, type Steady, since } from '../model/time.js';
 import { DEPENDENCIES_VERSION, UNVERSIONED } from '../model/protocol.js';
 import { splitAddress } from '../net/server.js';
@@ -22,8 +23,6 @@
 const REDIAL_MS = 400;
 const DIAL_MS = 1500;
 const MOST_UNSENT = 4 << 20;
-/** From this load on a controller is handed no work of others. */
-const NO_TIME_LOAD = 0.7;
 
 /** Frames of one turn of the loop leave in one write: each write costs a system call. */
 function writeFrame(socket: Socket, frame: Buffer): void {
--- a/src/peer/routed-caller.ts
+++ b/src/peer/routed-caller.ts
@@ -1,6 +1,7 @@
 /** Calls to workers: directly, through another controller across a cut, or through an idler one while this one is busy. */
 import type { WorkerCaller } from '../cluster/context.js';
 import type { SessionNumber, Token } from '../model/ids.js';
+import { HAND_ON_LOAD } from '../model/load.js';
 import type { Order, Report } from '../model/report.js';
 import { type Clock, type Steady, plus } from '../model/time.js';
 import { NoAnswer, NoSocket } from '../net/http-client.js';
@@ -12,11 +13,6 @@
 const DETOUR_MS = 8000;
 /** What a controller that calls on our behalf is given beyond the call's own deadline. */
 const RELAY_MS = 300;
-/**
- * From this load on calls are handed to the other controllers: a frame costs less than a call does, and a leader
- * on a tenth of a core has its time used up while the others idle.
- */
-const BUSY_LOAD = 0.6;
 /** The answer of a controller that had no socket for the call: nothing was sent. */
 export const NO_SOCKET_STATUS = 429;
 
@@ -131,7 +127,7 @@
 
   /** The controller that makes this call for us; undefined: we make it. */
   private helperFor(address: string): PeerLink | undefined {
-    if (this.load() < BUSY_LOAD || this.notHelped.has(address)) return undefined;
+    if (this.load() < HAND_ON_LOAD || this.notHelped.has(address)) return undefined;
     return linkFor(
       address,
       this.links.filter((link) => link.hasTime),
--- a/test/traces/failover.test.ts
+++ b/test/traces/failover.test.ts
@@ -103,6 +103,18 @@
     await finishes(running);
   });
 
+  it('hands over at once when it leaves, and nobody suspects it', async () => {
+    const running = await site();
+    const former = running.leader as string;
+    running.leave(former);
+    expect(await replacedAfter(running, former)).toBeLessThan(0.5);
+    await running.run(2);
+    const other = running.nodes.find((name) => name !== former) as string;
+    const states = running.members(other).map(({ member, state }) => [member, state]);
+    expect(Object.fromEntries(states)).toMatchObject({ [former]: 'left' });
+    await finishes(running);
+  });
+
   it('is not replaced early while a controller runs an earlier version', async () => {
     const running = await site();
     const former = running.leader as string;
