--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -32,6 +32,8 @@
   readonly reachedBy: number;
 }
 
+/** States of members that have no links any more. */
+const GONE: ReadonlySet<MemberState> = new Set([MemberState.Failed, MemberState.Left, MemberState.Unknown]);
 /** How long a leaving member waits for its peers to notice, in probe intervals. */
 const LEAVE_INTERVALS = 3;
 
@@ -100,8 +102,10 @@
       const deadline = environment.clock.after(LEAVE_INTERVALS * settings.probeIntervalMs, resolve);
       this.onToldOfLeaving = () => {
         if (!this.peersAlive().every((member) => this.toldOfLeaving.has(member))) return;
+        this.onToldOfLeaving = () => {};
         deadline();
-        resolve();
+        // The last answer has yet to reach its peer.
+        environment.clock.after(settings.probeTimeoutMs, resolve);
       };
       this.onToldOfLeaving();
     });
@@ -143,6 +147,8 @@
     const rows = this.context.freshRows();
     const { members, self } = this.context.settings;
     const graph = new ReachabilityGraph(members, rows, this.context.rules.contactWindowMs);
+    // No link to a member that is gone is a cut.
+    const present = members.filter((member) => !GONE.has(this.state(member)));
     return members.map((member) => {
       const entry = this.roster.entry(member);
       const row = rows.find(({ row: { observer } }) => observer.member === member)?.row;
@@ -152,7 +158,7 @@
         forMs: entry ? this.context.now - entry.sinceMs : 0,
         identity: member === self ? this.identity : (entry?.identity ?? null),
         evidence: entry?.evidence ?? [],
-        connection: graph.connectionOf(member),
+        connection: graph.connectionOf(member, present),
         load: row?.load ?? null,
         ready: row?.ready ?? false,
         localHealth: row?.localHealth ?? null,
--- a/packages/membership/src/reachability.ts
+++ b/packages/membership/src/reachability.ts
@@ -73,27 +73,28 @@
   }
 
   /** Members that this one hears. */
-  heardBy(member: MemberId): MemberId[] {
+  private heardBy(member: MemberId): MemberId[] {
     return this.peersOf(member).filter((other) => this.edge(other, member) === EdgeState.Works);
   }
 
-  /** Members with which no message passes in at least one direction. */
-  cutFrom(member: MemberId): MemberId[] {
-    return this.peersOf(member).filter(
+  /** Members out of `among` with which no message passes in at least one direction. */
+  private cutFrom(member: MemberId, among: readonly MemberId[]): MemberId[] {
+    return among.filter(
       (other) =>
-        this.edge(member, other) === EdgeState.Broken || this.edge(other, member) === EdgeState.Broken,
+        other !== member &&
+        (this.edge(member, other) === EdgeState.Broken || this.edge(other, member) === EdgeState.Broken),
     );
   }
 
-  connectionOf(member: MemberId): Connection {
+  /** `present`: the members with which there should be links. */
+  connectionOf(member: MemberId, present: readonly MemberId[]): Connection {
     const hearers = this.hearersOf(member).length;
     const heard = this.heardBy(member).length;
     if (hearers === 0 && heard === 0) {
-      return this.cutFrom(member).length > 0 ? Connection.Isolated : Connection.Unknown;
+      return this.cutFrom(member, this.members).length > 0 ? Connection.Isolated : Connection.Unknown;
     }
     if (hearers === 0) return Connection.Mute;
-    const outOfReach = this.peersOf(member).every((other) => this.edge(other, member) !== EdgeState.Works);
-    if (outOfReach) return Connection.Deaf;
-    return this.cutFrom(member).length > 0 ? Connection.PartlyCut : Connection.Connected;
+    if (heard === 0) return Connection.Deaf;
+    return this.cutFrom(member, present).length > 0 ? Connection.PartlyCut : Connection.Connected;
   }
 }
--- a/packages/membership/test/input.test.ts
+++ b/packages/membership/test/input.test.ts
@@ -189,6 +189,23 @@
   });
 });
 
+describe('a member that leaves', () => {
+  // It ended as soon as its last answer was made: the process was gone before the answer had left, and was suspected.
+  it('waits until its last answer can have arrived', async () => {
+    const { membership, clock } = lone();
+    membership.start();
+    await membership.handle(probe('b'));
+    let left = false;
+    void membership.leave().then(() => {
+      left = true;
+    });
+    await clock.advance(SETTINGS.probeTimeoutMs - 10);
+    expect(left).toBe(false);
+    await clock.advance(3 * SETTINGS.probeIntervalMs);
+    expect(left).toBe(true);
+  });
+});
+
 describe('the traffic', () => {
   it('stays within the settings, with peers that answer nothing and helpers that are asked for each', async () => {
     const settings = { ...SETTINGS, maxMessagesPerSecond: 6 };
--- a/packages/membership/test/members.test.ts
+++ b/packages/membership/test/members.test.ts
@@ -65,6 +65,15 @@
       .find(({ member }) => member === C);
     expect(view?.evidence.map(({ observer }) => observer).sort()).toEqual([A, B]);
     expect(view?.evidence.every(({ condition }) => condition === LinkCondition.Silent)).toBe(true);
+    // A dead controller is no cut network: operators would look for a fault that is none.
+    const survivors = members
+      .membership(A)
+      .members()
+      .filter(({ member }) => member !== C);
+    expect(survivors.map(({ connection }) => connection)).toEqual([
+      Connection.Connected,
+      Connection.Connected,
+    ]);
   });
 
   it('is not failed by a single survivor of three: one is no majority', async () => {
