--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -12,7 +12,7 @@
 export { describeEvidence, type Evidence, LinkCondition } from './evidence.js';
 export type { MembershipEvent, MembershipListener } from './events.js';
 export type { Identity, Incarnation, MemberId, ProcessId } from './identity.js';
-export { cutsIn, Membership, type MemberView } from './membership.js';
+export { Membership, type MemberView } from './membership.js';
 export { Connection } from './reachability.js';
 export { RejectReason } from './rejects.js';
 export {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,6 +1,6 @@
 /** One member of a fixed set of controllers that watch each other. */
 import type { MembershipEnvironment } from './environment.js';
-import { LinkCondition, type Evidence } from './evidence.js';
+import type { Evidence } from './evidence.js';
 import type { MembershipListener } from './events.js';
 import type { Identity, MemberId } from './identity.js';
 import { HealthSign, LocalHealth } from './local-health.js';
@@ -215,8 +215,3 @@
     return reached >= settings.majority;
   }
 }
-
-/** Evidence of cuts only: what an operator has to look into. */
-export function cutsIn(evidence: readonly Evidence[]): Evidence[] {
-  return evidence.filter(({ condition }) => condition !== LinkCondition.Reached);
-}
--- a/packages/takeover/src/ownership-registry.ts
+++ b/packages/takeover/src/ownership-registry.ts
@@ -21,6 +21,7 @@
   type ConditionalStore,
   type StoreCondition,
   type StoredValue,
+  storeFailed,
   StoreUnavailable,
   StoreUncertain,
   type StoreWrite,
@@ -49,7 +50,7 @@
       return interpret(unit, await this.rows(unit));
     } catch (error) {
       if (error instanceof DamagedRecord) return { kind: 'damaged', key: error.key, problem: error.problem };
-      if (error instanceof StoreUnavailable || error instanceof StoreUncertain) return null;
+      if (storeFailed(error)) return null;
       throw error;
     }
   }
@@ -89,7 +90,7 @@
       const epoch = await this.store.get(epochKey(unit));
       return epoch?.revision === epochRevision ? Confirmation.Held : Confirmation.Superseded;
     } catch (error) {
-      if (error instanceof StoreUnavailable || error instanceof StoreUncertain) return Confirmation.Unknown;
+      if (storeFailed(error)) return Confirmation.Unknown;
       throw error;
     }
   }
@@ -112,7 +113,7 @@
     try {
       await this.commitAs(ownership, [], writes);
     } catch (error) {
-      if (!(error instanceof StoreUnavailable) && !(error instanceof StoreUncertain)) throw error;
+      if (!storeFailed(error)) throw error;
     }
   }
 
--- a/packages/takeover/src/stage.ts
+++ b/packages/takeover/src/stage.ts
@@ -20,21 +20,18 @@
 /** A claim is under way. */
 interface Claiming {
   readonly kind: 'claiming';
-  readonly sinceMs: number;
 }
 
 /** The unit is ours; its machines and jobs are being adopted. */
 export interface Adopting {
   readonly kind: 'adopting';
   readonly ownership: Ownership;
-  readonly sinceMs: number;
 }
 
 /** The unit is ours and served. */
 export interface Serving {
   readonly kind: 'serving';
   readonly ownership: Ownership;
-  readonly sinceMs: number;
 }
 
 /** The unit's record cannot be read: nobody acts. */
@@ -79,9 +76,9 @@
   return { ...stage, holderRevision: revisions.holder, lastSignMs: nowMs };
 }
 
-function beginClaiming(stage: Stage, nowMs: number): Stage {
+function beginClaiming(stage: Stage): Stage {
   if (owns(stage) || stage.kind === 'blocked') return stage;
-  return { kind: 'claiming', sinceMs: nowMs };
+  return { kind: 'claiming' };
 }
 
 /** Events that only end the stage that they belong to. */
@@ -99,13 +96,13 @@
     case 'owner-cleared':
       return ended(stage, 'suspecting');
     case 'claim-began':
-      return beginClaiming(stage, nowMs);
+      return beginClaiming(stage);
     case 'claim-won':
-      return { kind: 'adopting', ownership: event.ownership, sinceMs: nowMs };
+      return { kind: 'adopting', ownership: event.ownership };
     case 'claim-lost':
       return ended(stage, 'claiming');
     case 'adopted':
-      return stage.kind === 'adopting' ? { ...stage, kind: 'serving', sinceMs: nowMs } : stage;
+      return stage.kind === 'adopting' ? { ...stage, kind: 'serving' } : stage;
     case 'superseded':
       return owns(stage) ? WATCHING : stage;
     case 'damaged':
--- a/packages/takeover/src/store.ts
+++ b/packages/takeover/src/store.ts
@@ -28,6 +28,11 @@
 /** No answer came: the request may have been carried out, or may be later. */
 export class StoreUncertain extends Error {}
 
+/** Whether the error tells that the store could not be asked, and nothing else. */
+export function storeFailed(error: unknown): error is StoreUnavailable | StoreUncertain {
+  return error instanceof StoreUnavailable || error instanceof StoreUncertain;
+}
+
 /** Rejects with `StoreUnavailable` or `StoreUncertain`, each within a deadline of its own. */
 export interface ConditionalStore {
   get(key: string): Promise<StoredValue | null>;
--- a/src/cluster/peer-group.ts
+++ b/src/cluster/peer-group.ts
@@ -42,7 +42,7 @@
 export class PeerGroup implements Siblings {
   readonly links: readonly PeerLink[];
   private readonly upgraded = new Set<string>();
-  /** The highest protocol version that each controller has shown since this process began. */
+  /** The protocol version that each controller last showed; it stays while there is no link. */
   private readonly shown = new Map<string, number>();
 
   constructor(
@@ -86,7 +86,7 @@
     return this.alive.every((link) => link.speaks(version));
   }
 
-  /** Whether every other controller has shown this version, be it heard now or not: none comes back with an earlier one. */
+  /** Whether every other controller last showed at least this version, be it heard now or not. */
   allHaveSpoken(version: number): boolean {
     return this.links.every(({ member }) => (this.shown.get(member) ?? UNVERSIONED) >= version);
   }
