--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -23,6 +23,10 @@
   outage = false;
   /** Every rental and deletion comes once more, so many ms after it was carried out. */
   repeatAfter: number | null = null;
+  /** How long a boot takes; null: as long as the type's usually does. */
+  bootMs: number | null = null;
+  /** Machines appear in the list only so long after they were rented. */
+  listLagMs = 0;
   /** The next so many machines never come up. */
   deadBoots = 0;
   /** Machines left to give, by pool; a pool not named here has enough. */
@@ -44,7 +48,7 @@
       this.deadBoots--;
       return id;
     }
-    const boot = this.types.find((t) => t.id === type)?.boot ?? 0;
+    const boot = this.bootMs ?? this.types.find((t) => t.id === type)?.boot ?? 0;
     this.clock.after(boot, () => {
       if (!this.machines.has(id)) return;
       machine.up = true;
@@ -99,7 +103,9 @@
         }),
       list: (after) =>
         ask(() => {
-          const rest = [...this.machines.values()].filter((m) => m.id > after);
+          const rest = [...this.machines.values()].filter(
+            (m) => m.id > after && this.clock.now() - m.at >= this.listLagMs,
+          );
           const machines = rest.slice(0, PAGE).map((m): ListedMachine => ({
             ...m,
             address: address(m.id),
--- a/test/standins/day.ts
+++ b/test/standins/day.ts
@@ -1,7 +1,8 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { Site } from './site.js';
-import type { JobWish } from './site-setup.js';
+import { type JobWish, SMALL, type Size } from './site-setup.js';
+import { placementWish } from './placement-wish.js';
 import type { Trouble, Users } from './troubles.js';
 
 interface UserJob {
@@ -14,19 +15,31 @@
 const QUIET_S = 30;
 /** A job may wait 90 s once the troubles are over, and then it runs. */
 const AFTER_S = 170;
+const ARRIVAL_LEAST_MS = 1500;
+const ARRIVAL_SPREAD_MS = 5000;
+/** How much faster jobs of all placement kinds come. */
+const PLACEMENT_RUSH = 3;
+/** More than any machine has. */
+const TOO_MANY_CPUS = 1000;
 const POLL_MS = 5000;
 const AGAIN_MS = 2000;
 
 /** One day of users on the stand-ins: jobs of every shape, troubles that overlap, and what must hold in the end. */
 export class Day implements Users {
-  readonly site = new Site();
+  readonly site: Site;
   cancelAtEnd = false;
   odd = false;
   private readonly jobs: UserJob[] = [];
   private readonly random: () => number;
   private over = false;
 
-  constructor(seed: number) {
+  /** `placement`: jobs of all placement kinds, on a site with the types and zones that `size` names. */
+  constructor(
+    seed: number,
+    size: Size = SMALL,
+    private readonly placement = false,
+  ) {
+    this.site = new Site(size);
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
   }
@@ -63,25 +76,30 @@
 
   private arrivals(): void {
     if (this.over) return;
-    this.site.clock.after(1500 + 5000 * this.random(), () => {
+    const rush = this.placement ? PLACEMENT_RUSH : 1;
+    this.site.clock.after((ARRIVAL_LEAST_MS + ARRIVAL_SPREAD_MS * this.random()) / rush, () => {
       if (this.over) return;
-      const shape = Math.floor(this.random() * 5);
-      const tasks = 1 + Math.floor(this.random() * 4);
-      this.submit({
-        tasks,
-        team: this.random() < 0.5 ? 'red' : 'blue',
-        spot: this.random() < 0.6,
-        runS: 3 + 25 * this.random(),
-        samePlace: shape === 1,
-        apart: shape === 2,
-        ...(shape === 3 ? { zone: 'north' } : {}),
-        ...(shape === 4 ? { kind: 'service' as const, tasks: 1, spot: false } : {}),
-        ...(shape !== 4 && this.random() < 0.35 ? { awaits: this.someAccepted() } : {}),
-      });
+      this.submit(this.placement ? placementWish(this.random) : this.plainWish());
       this.arrivals();
     });
   }
 
+  private plainWish(): Omit<JobWish, 'ref'> {
+    const shape = Math.floor(this.random() * 5);
+    const tasks = 1 + Math.floor(this.random() * 4);
+    return {
+      tasks,
+      team: this.random() < 0.5 ? 'red' : 'blue',
+      spot: this.random() < 0.6,
+      runS: 3 + 25 * this.random(),
+      samePlace: shape === 1,
+      apart: shape === 2,
+      ...(shape === 3 ? { zone: 'north' } : {}),
+      ...(shape === 4 ? { kind: 'service' as const, tasks: 1, spot: false } : {}),
+      ...(shape !== 4 && this.random() < 0.35 ? { awaits: this.someAccepted() } : {}),
+    };
+  }
+
   /** Arrays that were accepted, the latest ones, whatever became of them. */
   private someAccepted(): string[] {
     const known = this.jobs.filter((j) => j.state !== 'new' && j.wish.kind !== 'service').slice(-4);
@@ -142,7 +160,10 @@
       void this.site.postCancel(ended.wish.ref, this.node());
       void this.site.post(ended.wish, this.node());
     }
-    void this.site.refused({ ...job.wish, ref: `j-8${job.wish.ref.slice(2)}`, cpus: 9 }, this.node());
+    void this.site.refused(
+      { ...job.wish, ref: `j-8${job.wish.ref.slice(2)}`, cpus: TOO_MANY_CPUS },
+      this.node(),
+    );
     void this.site.refused({ ...job.wish, ref: `j-9${job.wish.ref.slice(2)}` }, this.node(), 'memoryGb');
     void this.site.poll(`j-7${job.wish.ref.slice(2)}`, this.node());
   }
--- a/test/standins/rules.ts
+++ b/test/standins/rules.ts
@@ -5,6 +5,7 @@
   readonly owner: string;
   readonly cpus: number;
   readonly shards: number;
+  readonly flavours: readonly string[] | null;
   readonly hall: string | null;
   readonly samePlace: boolean;
   readonly apart: boolean;
@@ -73,6 +74,9 @@
     if (job.hall !== null && job.hall !== machine.zone) {
       this.breach(`wrong_place: ${task} in ${machine.zone}`);
     }
+    if (job.flavours !== null && !job.flavours.includes(machine.type)) {
+      this.breach(`wrong_place: ${task} on a machine of type ${machine.type}`);
+    }
     if (machine.spot && !job.reclaimable) this.breach(`wrong_place: ${task} on a spot machine`);
     if (!job.samePlace && !job.apart) return;
     const zones = [...this.on].filter(([other]) => splitTaskId(other)?.job === id).map(([, m]) => m.zone);
--- a/test/standins/site-machines.ts
+++ b/test/standins/site-machines.ts
@@ -45,7 +45,7 @@
     this.state.random = this.random;
     this.cloud = new StandInCloud(
       this.clock,
-      TYPES,
+      size.types ?? TYPES,
       (machine) => this.machineUp(machine),
       (id) => this.machineGone(id),
       (text) => this.trace(text),
--- a/test/standins/site-nodes.ts
+++ b/test/standins/site-nodes.ts
@@ -76,7 +76,7 @@
       cloud: this.cloud.for(clock),
       workers: this.callerFor(name, clock),
       random: this.random,
-      types: new Map(this.typesUnknown ? [] : TYPES.map((t) => [t.id, t])),
+      types: new Map(this.typesUnknown ? [] : (this.size.types ?? TYPES).map((t) => [t.id, t])),
       workerCalls: 64,
       load: () => this.load,
       limits,
--- a/test/standins/site-setup.ts
+++ b/test/standins/site-setup.ts
@@ -55,6 +55,22 @@
   },
 ];
 
+/** Three zones, two types: what a site needs where every part of a placement rule is to bind. */
+export const MIXED_ZONES = ['north', 'south', 'west'] as ZoneId[];
+export const MIXED_TYPES: MachineType[] = [
+  { ...(TYPES[0] as MachineType), boot: seconds(2), zones: MIXED_ZONES },
+  {
+    ...(TYPES[0] as MachineType),
+    id: 'large' as TypeId,
+    cpus: 16,
+    memoryGb: 64,
+    price: 0.9,
+    spotPrice: 0.25,
+    boot: seconds(2),
+    zones: MIXED_ZONES,
+  },
+];
+
 export const LEASE_S = 20;
 export const CANCEL_S = 40;
 /** How large a site is, and what its state service will take. */
@@ -63,6 +79,10 @@
   readonly limit: { red: number; blue: number };
   readonly reportS: number;
   readonly nodes: number;
+  /** The machine types that the cloud offers; one type in two zones where nothing is said. */
+  readonly types?: readonly MachineType[];
+  /** The zones of the controllers, in turn; all are in the north where nothing is said. */
+  readonly zones?: readonly ZoneId[];
   /** The state service's limits from some moment on, as the settings announce them. */
   readonly next?: object;
 }
@@ -70,11 +90,18 @@
 /** Two teams on a few machines. */
 export const SMALL: Size = { limit: { red: 24, blue: 40 }, reportS: 3, nodes: 3 };
 
+/** Room for many jobs of all placement kinds in three zones. */
+export const MIXED: Size = { ...SMALL, limit: { red: 96, blue: 96 }, types: MIXED_TYPES, zones: MIXED_ZONES };
+
+function zoneOf(member: string, zones: readonly ZoneId[] = ['north' as ZoneId]): ZoneId {
+  return zones[Number(member.slice('node-'.length)) % zones.length] ?? (zones[0] as ZoneId);
+}
+
 /** What the platform hands to one controller. */
 export function settingsOf(member: string, size: Size): Settings {
   return readSettings({
     member,
-    site: 'north',
+    site: zoneOf(member, size.zones),
     front: '127.0.0.1:1',
     cluster_listen: '127.0.0.1:2',
     endpoints: { cloud: '127.0.0.1:3', state: '127.0.0.1:4' },
--- /dev/null
+++ b/test/traces/placement.test.ts
@@ -0,0 +1,97 @@
+import { describe, expect, it } from 'vitest';
+import type { HostId } from '../../src/model/ids.js';
+import { MIXED } from '../standins/site-setup.js';
+import { Site } from '../standins/site.js';
+import { until } from './steps.js';
+
+/** Machines are up after a second and appear in the list long after that: reports and records alone tell of them. */
+async function siteWithLateList(): Promise<Site> {
+  const site = new Site(MIXED);
+  site.cloud.bootMs = 1000;
+  site.cloud.listLagMs = 60_000;
+  site.startAll();
+  await site.run(1);
+  return site;
+}
+
+/** The machine on which a running task is, which no controller hears from now on. */
+function silence(site: Site, task: string): HostId {
+  const host = site.hostOf(task);
+  site.trace(`network    takes ${host} to no controller any more`);
+  site.mute.add(host);
+  return host;
+}
+
+/** The leader ends before it has recorded the machine, as one that has no changes left for machines' records. */
+async function endBeforeRecorded(site: Site, host: HostId): Promise<void> {
+  site.crash(site.leader as string);
+  for (const [key, entry] of site.state.keys) {
+    if (!key.startsWith('fleet/')) continue;
+    const machines = (entry.value as { m: [HostId][] }).m;
+    entry.value = { m: machines.filter(([id]) => id !== host) };
+  }
+  await until(site, () => site.leader !== undefined, 10);
+}
+
+/** Only these pools have machines left to rent. */
+function offers(site: Site, pools: readonly string[], count = 20): void {
+  for (const type of MIXED.types ?? [])
+    for (const zone of type.zones)
+      for (const kind of ['spot', 'ordinary']) {
+        const pool = `${type.id}|${zone}|${kind}`;
+        site.cloud.room.set(pool, pools.includes(pool) ? count : 0);
+      }
+}
+
+const showDay = (site: Site): void => {
+  if (process.env['SHOW_DAY']) process.stderr.write(site.text);
+};
+
+// Guards against issue 30: what a new leader guesses of a machine that no record names must place nothing.
+describe('a machine that only its tasks’ records name', () => {
+  it('lends its guessed zone to no job: tasks that have to be together wait until it is known', async () => {
+    const site = await siteWithLateList();
+    offers(site, ['small|south|ordinary'], 1);
+    await site.submit({ ref: 'j-000002', kind: 'service', cpus: 4, zone: 'south' });
+    await until(site, () => site.tasksOn('j-000002') === 1);
+    offers(site, ['small|north|ordinary', 'small|west|ordinary'], 1);
+    await site.submit({ ref: 'j-000004', tasks: 4, zone: 'north', team: 'blue', runS: 5 });
+    await site.submit({ ref: 'j-000005', tasks: 4, zone: 'west', team: 'blue', runS: 5 });
+    await until(site, () => site.tasksOn('j-000004') + site.tasksOn('j-000005') === 8);
+    // There is room in the south alone, and for two of its tasks: the others wait.
+    await site.submit({ ref: 'j-000003', tasks: 4, samePlace: true, runS: 40 });
+    await until(site, () => site.tasksOn('j-000003') === 2);
+    const host = site.hostOf('j-000003/0');
+    expect(site.hostOf('j-000002/0')).toBe(host);
+    silence(site, 'j-000003/0');
+    await endBeforeRecorded(site, host);
+    await site.run(14);
+    site.mute.clear();
+    await site.run(120);
+    showDay(site);
+    expect(site.rules.broken).toEqual([]);
+    expect(await site.query('j-000003', site.leader as string)).toBe('done');
+  });
+
+  it('is not recorded as what was guessed of it: the leader after the next would take that for a fact', async () => {
+    const site = await siteWithLateList();
+    offers(site, ['large|south|ordinary']);
+    await site.submit({ ref: 'j-000003', kind: 'service' });
+    await until(site, () => site.tasksOn('j-000003') === 1);
+    const host = silence(site, 'j-000003/0');
+    await endBeforeRecorded(site, host);
+    // A rental makes the second leader write its machines.
+    offers(site, ['small|west|ordinary']);
+    await site.submit({ ref: 'j-000012', team: 'blue', types: ['small'], runS: 60 }, site.leader);
+    await until(site, () => site.tasksOn('j-000012') === 1);
+    site.crash(site.leader as string);
+    site.mute.clear();
+    await until(site, () => site.leader !== undefined, 10);
+    await site.run(4);
+    await site.submit({ ref: 'j-000020', tasks: 3, spot: true, types: ['small'], runS: 5 }, site.leader);
+    await site.run(40);
+    showDay(site);
+    expect(site.rules.broken).toEqual([]);
+    expect(await site.query('j-000020', site.leader as string)).toBe('done');
+  });
+});
