--- a/src/cluster/decision-loop.ts
+++ b/src/cluster/decision-loop.ts
@@ -123,7 +123,7 @@
     const machines: MachineView[] = [];
     for (const host of this.ctx.hosts.values()) {
       if (host.closed || !host.known || host.takenAt !== null || host.unreached) continue;
-      machines.push(machineView(host));
+      if (host.confirmed) machines.push(machineView(host, host.confirmed));
     }
     return machines;
   }
@@ -141,8 +141,8 @@
     for (const start of plan.starts) {
       const job = this.ctx.jobs.get(start.job);
       const host = this.ctx.hosts.get(start.host);
-      if (!job || !host) continue;
-      host.put(job.decide(host.id, host.machine.zone, now));
+      if (!job || !host?.confirmed) continue;
+      host.put(job.decide(host.id, host.confirmed.machine.zone, now));
       host.idleSince = null;
       // The stop and the start leave together, once the start is committed.
       makingRoom.delete(host);
--- a/src/cluster/fleet-record.ts
+++ b/src/cluster/fleet-record.ts
@@ -8,7 +8,10 @@
 import type { Host } from '../workers/host.js';
 import type { LeaderContext } from './context.js';
 
-/** One machine in a fleet record, by position. */
+/**
+ * One machine in a fleet record, by position. `confirmed` was added with issue 30: earlier versions also recorded what
+ * they had guessed, and leave the field out.
+ */
 export type StoredMachine = [
   id: string,
   type: string,
@@ -17,6 +20,7 @@
   address: string,
   rentedAt: number,
   up: 0 | 1,
+  confirmed?: 1,
 ];
 
 interface Changed {
@@ -159,24 +163,26 @@
       this.sizes[n] = (this.sizes[n] ?? 1) - 1;
     }
     this.thinOut();
-    for (const host of hosts.values()) if (!this.chunkOf.has(host.id)) this.assign(host);
+    // A machine of which only the name is known is recorded once somebody has told what it is.
+    const known = [...hosts.values()].filter((host) => host.presumed !== null);
+    for (const host of known) if (!this.chunkOf.has(host.id)) this.assign(host);
     const chunks: StoredMachine[][] = Array.from({ length: Math.max(1, this.sizes.length) }, () => []);
-    for (const host of hosts.values()) {
-      const { id, type, zone, spot } = host.machine;
-      const at = this.rentedAt.get(id) ?? 0;
-      chunks[this.chunkOf.get(id) ?? 0]?.push([
-        id,
-        type,
-        zone,
-        spot ? 1 : 0,
-        host.address,
-        at,
-        host.up ? 1 : 0,
-      ]);
+    for (const host of known) {
+      const entry = this.entryOf(host);
+      if (entry) chunks[this.chunkOf.get(host.id) ?? 0]?.push(entry);
     }
     return chunks;
   }
 
+  private entryOf(host: Host): StoredMachine | null {
+    if (!host.presumed) return null;
+    const { id, type, zone, spot } = host.presumed.machine;
+    const rentedAt = this.rentedAt.get(id) ?? 0;
+    const entry: StoredMachine = [id, type, zone, spot ? 1 : 0, host.address, rentedAt, host.up ? 1 : 0];
+    if (host.confirmed) entry.push(1);
+    return entry;
+  }
+
   /** Records that hold more machines than they may by now give the rest up to others. */
   private thinOut(): void {
     const most = this.ctx.limits.machinesPerRecord(PER_RECORD);
--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -2,6 +2,7 @@
 import { Mutex } from 'async-mutex';
 import { FleetManager } from '../fleet/manager.js';
 import { Lifetimes } from '../forecast/lifetimes.js';
+import { DecisionLog } from '../log/decision-log.js';
 import { reason } from '../log/logger.js';
 import type { Epoch, HostId, JobId, MemberId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
@@ -15,6 +16,7 @@
 import { Urgency } from '../scheduler/urgency.js';
 import { Committer } from '../store/committer.js';
 import { WriteCounts } from '../store/write-counts.js';
+import { OrderIssuer } from '../workers/order-issuer.js';
 import { Dispatcher } from '../workers/dispatcher.js';
 import { Health } from '../workers/health.js';
 import { type Host } from '../workers/host.js';
@@ -52,6 +54,8 @@
   private readonly writes = new WriteCounts();
   private readonly fleet: FleetManager;
   private readonly committer: Committer;
+  private readonly decisionLog: DecisionLog;
+  private readonly issuer: OrderIssuer;
   private readonly dispatcher: Dispatcher;
   private readonly health: Health;
   private readonly answering: Answering;
@@ -99,7 +103,9 @@
       (job) => this.closed(job),
     );
     const onReport = (host: Host, report: Report): void => void this.reports.takeDirect(host, report);
-    this.dispatcher = new Dispatcher(ctx, onReport, node.workerCalls);
+    this.decisionLog = new DecisionLog(ctx.log, clock);
+    this.issuer = new OrderIssuer(ctx, this.decisionLog);
+    this.dispatcher = new Dispatcher(ctx, this.issuer, onReport, node.workerCalls);
     this.health = new Health(
       ctx,
       won.formerSure + aloneMs(node),
@@ -107,13 +113,13 @@
       (host, why) => this.fleet.remove(host, why),
       (host) => this.leaseOver(host),
     );
-    const { fleet, committer, dispatcher, health, answering } = this;
+    const { fleet, committer, dispatcher, issuer, health, answering, decisionLog: decisions } = this;
     const judging = { lifetimes, urgency, slackFactors };
     this.decisions = new DecisionLoop(ctx, { fleet, committer, dispatcher, ...judging, lock });
     this.canceller = new JobCanceller(ctx, { graph, lifetimes, dispatcher, committer, fleet });
     this.dependencies = new DependencyTracker(ctx, graph, this.canceller, fleet, lock);
     this.drainer = new HostDrainer(ctx, dispatcher);
-    const reporting = { fleet, health, dispatcher, committer, lifetimes, answering, lock };
+    const reporting = { fleet, health, dispatcher, issuer, committer, lifetimes, answering, lock, decisions };
     this.reports = new ReportHandler(ctx, reporting);
     this.watcher = new JobWatcher(ctx, this, answering, lock);
     this.restorer = new StateRestorer(ctx, fleet, this.record, this, answering);
@@ -307,6 +313,12 @@
 
   /** For the log. */
   summary(): object {
-    return { ...summaryOf(this.jobs, this.hosts), writes: this.writes.take() };
+    return {
+      ...summaryOf(this.jobs, this.hosts),
+      writes: this.writes.take(),
+      decisions: this.decisionLog.take(),
+      withheld: this.issuer.withheld,
+      contradictions: this.fleet.contradictions,
+    };
   }
 }
--- a/src/cluster/placement-views.ts
+++ b/src/cluster/placement-views.ts
@@ -1,6 +1,8 @@
 import type { HostId } from '../model/ids.js';
 import type { Steady } from '../model/time.js';
 import type { OpenJob } from '../scheduler/open-job.js';
+import type { ConfirmedFacts } from '../model/machine-facts.js';
+import { bindsZones } from '../scheduler/placement-rule.js';
 import type { JobView, MachineView, Victim } from '../scheduler/snapshot.js';
 import type { Host } from '../workers/host.js';
 
@@ -14,21 +16,15 @@
   slackMs: number | null,
   starving: boolean,
 ): JobView {
-  const zones: JobView['zones'] = new Map();
-  // A task on a machine that only its record knows may be in any zone: the job waits.
-  let unknownZone = false;
-  if (job.spec.oneZone || job.spec.spread) {
-    for (const task of job.held()) {
-      if (task.zone === null) unknownZone = true;
-      else zones.set(task.zone, (zones.get(task.zone) ?? 0) + 1);
-    }
-  }
+  const binds = bindsZones(job.spec);
+  // A task on a machine that only its record names may be in any zone: the job waits.
+  const unknownZone = binds && job.zones.unknown > 0;
   return {
     spec: job.ranked,
     readyAt: job.readyAt,
     waitedMs,
     waiting: job.waiting,
-    zones,
+    zones: new Map(binds ? job.zones.counts : []),
     avoid: job.failedOn.size < 3 ? job.failedOn : NO_HOSTS,
     slackMs,
     starving,
@@ -50,14 +46,14 @@
   return list.sort((a, b) => a.priority - b.priority || a.lostMs - b.lostMs);
 }
 
-/** A machine as placement sees it: its room is a copy, to be handed out. */
-export function machineView(host: Host): MachineView {
+/** A machine as placement sees it, by what is confirmed of it: its room is a copy, to be handed out. */
+export function machineView(host: Host, { machine, type }: ConfirmedFacts): MachineView {
   return {
     id: host.id,
-    type: host.machine.type,
-    zone: host.machine.zone,
-    spot: host.machine.spot,
-    cpus: host.type.cpus,
+    type: machine.type,
+    zone: machine.zone,
+    spot: machine.spot,
+    cpus: type.cpus,
     free: { ...host.free },
     images: host.images,
     reachable: host.unreachable === 0,
--- a/src/cluster/report-handler.ts
+++ b/src/cluster/report-handler.ts
@@ -1,16 +1,19 @@
 /** Takes in workers' reports, however they come, and answers with orders. */
 import type { Mutex } from 'async-mutex';
 import type { FleetManager } from '../fleet/manager.js';
+import type { DecisionLog } from '../log/decision-log.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
 import { epochOfToken, type MemberId, type Round, type Token, tokenOf } from '../model/ids.js';
 import type { Machine } from '../model/machine.js';
+import { FactSource } from '../model/machine-facts.js';
 import type { Order, Report } from '../model/report.js';
 import { type Steady, plus } from '../model/time.js';
 import type { OpenJob } from '../scheduler/open-job.js';
 import type { Committer } from '../store/committer.js';
-import { type Dispatcher, markSent } from '../workers/dispatcher.js';
+import type { Dispatcher } from '../workers/dispatcher.js';
 import type { Health } from '../workers/health.js';
 import type { Host } from '../workers/host.js';
+import type { OrderIssuer } from '../workers/order-issuer.js';
 import { clearsFor, killsOf, mustForget, needsRaise, ordersFor } from '../workers/orders.js';
 import { applyReport, type Told } from '../workers/reports.js';
 import type { Answering } from './answering.js';
@@ -37,6 +40,8 @@
   readonly fleet: FleetManager;
   readonly health: Health;
   readonly dispatcher: Dispatcher;
+  readonly issuer: OrderIssuer;
+  readonly decisions: DecisionLog;
   readonly committer: Committer;
   readonly lifetimes: Lifetimes;
   readonly answering: Answering;
@@ -84,17 +89,33 @@
 
   private answer(report: Report, via: MemberId): ReportAnswer {
     const now = this.ctx.clock.now();
-    // Past the grant's sure life a leader only keeps leases alive, and only for a while.
-    if (this.ctx.ended() || !this.parts.answering.may(now)) return REFUSED;
-    if (this.deposedBy(report) || this.ctx.hosts.isGone(report.host)) return REFUSED;
+    const refusal = this.refusalOf(report, now);
+    if (refusal !== null) {
+      this.parts.decisions.tell(`answer refused, ${refusal}`, () => ({
+        host: report.host,
+        token: report.token,
+      }));
+      return REFUSED;
+    }
     // Of no use to anybody whoever leads, and safe to say without being sure: an attempt is never used again.
     const unwanted = killsOf(report, (id) => this.ctx.cancellations.has(id));
     const host = this.hostOf(report, now);
     if (!host) {
+      this.parts.decisions.count('answer to a stranger');
       return { kind: 'orders', token: tokenOf(this.ctx.epoch, 0 as Round), orders: unwanted };
     }
     const fresh = this.takeIn(host, report, via, now);
-    return this.ordersTo(host, fresh, unwanted, now);
+    return this.ordersTo(host, fresh, unwanted);
+  }
+
+  /** Why this report gets no answer of ours; null: it does. */
+  private refusalOf(report: Report, now: Steady): string | null {
+    // Past the grant's sure life a leader only keeps leases alive, and only for a while.
+    if (this.ctx.ended()) return 'not leading any more';
+    if (!this.parts.answering.may(now)) return 'grant not sure for too long';
+    if (this.deposedBy(report)) return 'the worker knows a newer epoch';
+    if (this.ctx.hosts.isGone(report.host)) return 'the machine is gone';
+    return null;
   }
 
   /** Null: answered as a stranger, and not learned from. */
@@ -110,7 +131,7 @@
     const ours = epochOfToken(report.token) === this.ctx.epoch;
     if (!this.ctx.hosts.has(report.host) && !ours) return null;
     const machine: Machine = { id: report.host, type: report.type, zone: report.zone, spot: report.spot };
-    const host = this.parts.fleet.adopt(machine, now);
+    const host = this.parts.fleet.adopt(machine, FactSource.Report, now);
     if (host && host.address === '') host.address = report.address;
     return host;
   }
@@ -133,15 +154,15 @@
     return false;
   }
 
-  private ordersTo(host: Host, fresh: boolean, unwanted: readonly Order[], now: Steady): ReportAnswer {
+  private ordersTo(host: Host, fresh: boolean, unwanted: readonly Order[]): ReportAnswer {
     const { epoch } = this.ctx;
     const ordering = fresh && this.ctx.sure();
     const raise = ordering ? needsRaise(host, host.token(epoch)) : mustForget(host, epoch);
     if (raise) host.raise();
     const token = host.token(epoch);
+    this.parts.decisions.count(ordering ? 'answer' : 'answer without orders');
     if (!ordering) return { kind: 'orders', token, orders: unwanted };
-    const orders = [...ordersFor(host, now, true), ...clearsFor(host, token)].slice(0, MOST_ORDERS);
-    markSent(host, orders, token);
+    const orders = this.parts.issuer.issue(host, true, clearsFor(host, token), MOST_ORDERS);
     return { kind: 'orders', token, orders };
   }
 
--- a/src/cluster/state-restorer.ts
+++ b/src/cluster/state-restorer.ts
@@ -1,11 +1,10 @@
 /** What a new leader makes of what the earlier one left: jobs, machines, and which task may be where. */
 import type { FleetManager } from '../fleet/manager.js';
 import { reason } from '../log/logger.js';
-import type { HostId, Revision } from '../model/ids.js';
+import type { Revision } from '../model/ids.js';
 import { Priority } from '../model/job.js';
-import type { Machine } from '../model/machine.js';
-import { sleep } from '../model/time.js';
-import type { Task } from '../scheduler/task.js';
+import { FactSource } from '../model/machine-facts.js';
+import { type Steady, since, sleep } from '../model/time.js';
 import type { Host } from '../workers/host.js';
 import type { Answering } from './answering.js';
 import type { LeaderContext } from './context.js';
@@ -34,6 +33,7 @@
         const jobs = await loadOpenJobs(this.ctx);
         this.restore(jobs, await restoreFleet(this.ctx, this.fleet));
         this.answering.knew(began);
+        this.tell(jobs, began);
         return jobs.revision;
       } catch (error) {
         this.ctx.log.info({ error: reason(error) }, 'takeover waits for the state service');
@@ -43,6 +43,15 @@
     return null;
   }
 
+  /** What was read, at which revision, and of how many machines placement knows nothing yet. */
+  private tell({ jobs, revision }: LoadedJobs, began: Steady): void {
+    const { clock, epoch, hosts, log } = this.ctx;
+    const machines = { confirmed: 0, unconfirmed: 0, unknown: 0 };
+    for (const { facts } of hosts.values()) machines[facts.state]++;
+    const readMs = Math.round(since(clock.now(), began));
+    log.info({ epoch, revision, readMs, jobs: jobs.length, machines }, 'records read');
+  }
+
   /** Whom a new leader meets first: machines with production work, then those with room. */
   inOrderOfNeed(): Host[] {
     const need = (host: Host): number => {
@@ -59,33 +68,27 @@
   private restore(loaded: LoadedJobs, fleet: RestoredFleet): void {
     for (const job of loaded.jobs) this.intake.open(job);
     this.record.found(fleet.records);
-    for (const { machine, address, at, up } of fleet.machines) {
-      const host = this.fleet.adopt(machine, at, address);
+    for (const { machine, confirmed, address, at, up } of fleet.machines) {
+      const host = confirmed
+        ? this.fleet.adopt(machine, FactSource.Record, at, address)
+        : this.fleet.adoptUnconfirmed(machine, at, address);
       if (host && up) host.up = true;
     }
     this.attachHeld();
     this.intake.dropOver(loaded);
   }
 
-  /** Every task that may be on a machine holds its place there, known machine or not. */
+  /**
+   * Every task that may be on a machine holds its place there. One that no record tells of is fenced like a silent one
+   * unless it is heard; until somebody tells what it is, nothing is assumed of it.
+   */
   private attachHeld(): void {
     for (const job of this.ctx.jobs.values()) {
       for (const task of job.held()) {
-        const host = task.host === null ? undefined : this.ctx.hosts.get(task.host);
-        if (host) {
-          task.zone = host.machine.zone;
-          host.put(task);
-        } else if (task.host !== null) this.adoptUnknown(task, task.host);
+        if (task.host === null) continue;
+        const host = this.ctx.hosts.get(task.host) ?? this.fleet.adoptUnknown(task.host, this.ctx.startedAt);
+        host?.put(task);
       }
     }
   }
-
-  /** A task's host is in no list yet: it is fenced like a silent one unless it is heard. */
-  private adoptUnknown(task: Task, id: HostId): void {
-    const type = this.ctx.types.values().next().value;
-    if (!type) return;
-    const machine: Machine = { id, type: type.id, zone: this.ctx.settings.zone, spot: true };
-    const host = this.fleet.adopt(machine, this.ctx.startedAt, '', true);
-    host?.put(task);
-  }
 }
--- a/src/cluster/summary.ts
+++ b/src/cluster/summary.ts
@@ -12,6 +12,7 @@
   let cpus = 0;
   let usedCpus = 0;
   let runningCpus = 0;
+  let unconfirmed = 0;
   for (const job of jobs.values()) {
     if (job.blocked) blocked += job.waiting;
     else waiting += job.waiting;
@@ -20,11 +21,13 @@
   }
   const pools: Record<string, Record<string, number>> = {};
   for (const host of hosts.values()) {
-    if (!host.up) continue;
+    if (host.facts.state !== 'confirmed') unconfirmed++;
+    if (!host.up || !host.presumed) continue;
+    const { machine, type } = host.presumed;
     up++;
-    cpus += host.type.cpus;
-    usedCpus += host.type.cpus - host.free.cpus;
-    const pool = (pools[seriesKey(host.machine.type, host.machine.spot)] ??= {
+    cpus += type.cpus;
+    usedCpus += type.cpus - host.free.cpus;
+    const pool = (pools[seriesKey(machine.type, machine.spot)] ??= {
       up: 0,
       empty: 0,
       free: 0,
@@ -42,6 +45,7 @@
     held,
     hosts: hosts.size,
     up,
+    unconfirmed,
     cpus,
     usedCpus: Math.round(usedCpus),
     runningCpus: Math.round(runningCpus),
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -116,6 +116,8 @@
 /** A machine of an earlier leader's record. */
 interface RestoredMachine {
   readonly machine: Machine;
+  /** Recorded by a version that records nothing else. */
+  readonly confirmed: boolean;
   readonly address: string;
   readonly at: Steady;
   /** It was up when the record was written. */
@@ -133,10 +135,12 @@
   const known: RestoredMachine[] = [];
   const { rows } = await readAll(ctx, keys.fleet);
   for (const row of rows) {
-    for (const [id, type, zone, spot, address, rentedAt, up] of (row.value as { m: StoredMachine[] }).m) {
+    for (const stored of (row.value as { m: StoredMachine[] }).m) {
+      const [id, type, zone, spot, address, rentedAt, up, confirmed] = stored;
       const age = Math.max(0, ctx.clock.wall() - rentedAt);
       known.push({
         machine: { id: id as HostId, type: type as TypeId, zone: zone as ZoneId, spot: spot === 1 },
+        confirmed: confirmed === 1,
         address,
         at: (ctx.clock.now() - age) as Steady,
         up: up === 1,
--- a/src/fleet/capacity-projection.ts
+++ b/src/fleet/capacity-projection.ts
@@ -49,9 +49,11 @@
   let spotCpus = 0;
   let ownFrees = 0;
   for (const host of fleet.hosts) {
-    const key = seriesKey(host.machine.type, host.machine.spot);
+    if (!host.presumed) continue;
+    const { machine, type } = host.presumed;
+    const key = seriesKey(machine.type, machine.spot);
     // Work for spot machines makes room on an ordinary one when it is needed: the machine counts as idle.
-    let idle = host.type.cpus;
+    let idle = type.cpus;
     for (const task of host.tasks) {
       const { spec } = task.job;
       const age = task.runningAt === null ? 0 : since(now, task.runningAt);
@@ -60,13 +62,13 @@
         spotFrees += ends * spec.cpus;
         spotCpus += spec.cpus;
         ownFrees += lifetimes.endsWithin(spec.jobClass, 0, slot / 2, spec.estimateS * 1000) * spec.cpus;
-      } else bump(frees, key, ends / Math.max(1, perMachine(spec, host.type)));
-      if (host.machine.spot || !spec.spot) idle -= spec.cpus;
+      } else bump(frees, key, ends / Math.max(1, perMachine(spec, type)));
+      if (machine.spot || !spec.spot) idle -= spec.cpus;
     }
-    if (host.hasReplicas) replicasOn.add(host.machine.type);
+    if (host.hasReplicas) replicasOn.add(machine.type);
     if (host.closed) continue;
     spotIdle += Math.max(0, host.free.cpus);
-    bump(reserves, key, Math.max(0, idle) / host.type.cpus);
+    bump(reserves, key, Math.max(0, idle) / type.cpus);
   }
   for (const { pool, count } of fleet.pending) {
     spotIdle += count * pool.type.cpus;
--- a/src/fleet/consolidator.ts
+++ b/src/fleet/consolidator.ts
@@ -1,6 +1,7 @@
 /** Empties machines that are mostly idle, where their work fits elsewhere. */
 import type { LeaderContext } from '../cluster/context.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
+import type { ConfirmedFacts } from '../model/machine-facts.js';
 import { type Steady, since } from '../model/time.js';
 import type { Task } from '../scheduler/task.js';
 import type { Urgency } from '../scheduler/urgency.js';
@@ -33,7 +34,7 @@
     this.lastAt = now;
     const machines: PartlyUsed[] = [];
     for (const host of this.ctx.hosts.values()) {
-      if (this.mayEmpty(host, now)) machines.push(this.viewOf(host, now));
+      if (host.confirmed && this.mayEmpty(host, now)) machines.push(this.viewOf(host, host.confirmed, now));
     }
     const chosen = machinesToEmpty(machines, surplus, this.cheapestCpu());
     if (chosen.length > 0) this.ctx.log.info({ machines: chosen.length, surplus }, 'emptying machines');
@@ -45,13 +46,13 @@
     return since(now, host.since) >= PAID_MS;
   }
 
-  private viewOf(host: Host, now: Steady): PartlyUsed {
+  private viewOf(host: Host, { machine, type }: ConfirmedFacts, now: Steady): PartlyUsed {
     return {
       id: host.id,
-      cpus: host.type.cpus,
+      cpus: type.cpus,
       freeCpus: Math.max(0, host.free.cpus),
       freeMemoryGb: Math.max(0, host.free.memoryGb),
-      price: price({ type: host.type, spot: host.machine.spot }),
+      price: price({ type, spot: machine.spot }),
       tasks: [...host.tasks].map((task) => this.movable(task, now)),
     };
   }
--- a/src/fleet/inventory.ts
+++ b/src/fleet/inventory.ts
@@ -1,7 +1,9 @@
 /** Which machines exist: as rented, listed by the cloud, reported, or named by a predecessor's records. */
 import type { LeaderContext } from '../cluster/context.js';
 import { reason } from '../log/logger.js';
-import type { ListedMachine, Machine } from '../model/machine.js';
+import type { HostId } from '../model/ids.js';
+import type { ListedMachine, Machine, MachineType } from '../model/machine.js';
+import { type ConfirmedFacts, FactSource, sameMachine, UNKNOWN_FACTS } from '../model/machine-facts.js';
 import { type Steady, plus, since } from '../model/time.js';
 import { Host } from '../workers/host.js';
 import type { CloudTurns } from './cloud-turns.js';
@@ -14,10 +16,27 @@
 /** By then a machine that is up has been heard by a new leader. */
 const HEARING_MS = 15_000;
 
+function addressed(host: Host, address: string): Host {
+  if (host.address === '') host.address = address;
+  return host;
+}
+
+function factsOf({ id, type, zone, spot }: ListedMachine): Machine {
+  return { id, type, zone, spot };
+}
+
+/** The longest usual boot of any type. */
+export function slowestBoot(types: Iterable<MachineType>): number {
+  let boot = 0;
+  for (const type of types) boot = Math.max(boot, type.boot);
+  return boot;
+}
+
 /** Keeps the host registry in step with the cloud. */
 export class MachineInventory {
   private listing = false;
   private lastList: Steady | null = null;
+  private contradicted = 0;
 
   constructor(
     private readonly ctx: LeaderContext,
@@ -35,26 +54,60 @@
     }
   }
 
-  /** `placeholder`: known only by a predecessor's task, until a list or a report tells the rest. */
-  adopt(machine: Machine, since: Steady, address = '', placeholder = false): Host | null {
-    if (this.ctx.hosts.isGone(machine.id)) return null;
+  /** Somebody told what a machine is. Null: it is gone, or of a type that the cloud does not offer. */
+  adopt(machine: Machine, source: FactSource, since: Steady, address = ''): Host | null {
     const known = this.ctx.hosts.get(machine.id);
-    let host = known;
-    if (!host || (host.placeholder && !placeholder)) {
-      const type = this.ctx.types.get(machine.type);
-      if (!type) return null;
-      host = new Host(machine, type, since);
-      host.placeholder = placeholder;
-      if (known) host.inherit(known);
-      this.ctx.hosts.add(host);
-    }
-    if (address !== '' && host.address === '') host.address = address;
-    return host;
+    if (known?.confirmed && sameMachine(known.confirmed.machine, machine)) return addressed(known, address);
+    const type = this.ctx.types.get(machine.type);
+    if (!type || this.ctx.hosts.isGone(machine.id)) return null;
+    const learnedAt = this.ctx.clock.now();
+    const facts: ConfirmedFacts = { state: 'confirmed', machine, type, source, learnedAt };
+    if (!known) return this.add(new Host(machine.id, facts, since), address);
+    this.tellOfChange(known, facts);
+    known.learn(facts);
+    return addressed(known, address);
+  }
+
+  /** A record of a version that also recorded guesses tells of a machine. */
+  adoptUnconfirmed(machine: Machine, since: Steady, address: string): Host | null {
+    const known = this.ctx.hosts.get(machine.id);
+    if (known) return known;
+    const type = this.ctx.types.get(machine.type);
+    if (!type) return null;
+    return this.add(new Host(machine.id, { state: 'unconfirmed', machine, type }, since), address);
+  }
+
+  /** A predecessor placed a task on a machine of which nothing else is known. */
+  adoptUnknown(id: HostId, since: Steady): Host | null {
+    this.ctx.log.info({ host: id }, 'machine known by a task alone');
+    return this.add(new Host(id, UNKNOWN_FACTS, since), '');
+  }
+
+  private add(host: Host, address: string): Host | null {
+    if (this.ctx.hosts.isGone(host.id)) return null;
+    this.ctx.hosts.add(host);
+    return addressed(host, address);
+  }
+
+  private tellOfChange(host: Host, { machine, source, learnedAt }: ConfirmedFacts): void {
+    const { facts } = host;
+    const presumed = host.presumed?.machine;
+    const fields = { host: host.id, was: facts.state, source, afterMs: since(learnedAt, this.ctx.startedAt) };
+    if (presumed && !sameMachine(presumed, machine)) {
+      this.contradicted++;
+      this.ctx.log.warn({ ...fields, recorded: presumed, told: machine }, 'machine is not what was recorded');
+    } else if (facts.state === 'unknown') this.ctx.log.info(fields, 'machine became known');
+  }
+
+  /** Machines so far that turned out to be another type, zone or kind than was recorded. */
+  get contradictions(): number {
+    return this.contradicted;
   }
 
   private bootLimit(host: Host): Steady {
     // A new leader first gives every machine time to be heard: it does not know which ones are up.
-    const booted = plus(host.since, host.type.boot * this.ctx.ops.fleet.boot_patience + BOOT_MARGIN_MS);
+    const boot = host.type?.boot ?? slowestBoot(this.ctx.types.values());
+    const booted = plus(host.since, boot * this.ctx.ops.fleet.boot_patience + BOOT_MARGIN_MS);
     const heard = plus(this.ctx.startedAt, HEARING_MS);
     return booted > heard ? booted : heard;
   }
@@ -87,7 +140,12 @@
   private listed(machine: ListedMachine, now: Steady): void {
     const { id, type, status } = machine;
     const known = this.ctx.hosts.has(id);
-    const host = this.adopt(machine, (now - machine.age) as Steady, machine.address);
+    const host = this.adopt(
+      factsOf(machine),
+      FactSource.List,
+      (now - machine.age) as Steady,
+      machine.address,
+    );
     if (!host) return;
     host.listed = status === 'running';
     if (!known) this.ctx.log.info({ host: id, type, status }, 'machine found in the list');
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -1,7 +1,9 @@
 /** Rents, keeps and returns machines: the paper's forecast, reserves and on-the-fly misses. */
 import type { LeaderContext } from '../cluster/context.js';
 import type { Lifetimes } from '../forecast/lifetimes.js';
+import type { HostId } from '../model/ids.js';
 import type { Machine } from '../model/machine.js';
+import type { FactSource } from '../model/machine-facts.js';
 import { type Steady, plus, since } from '../model/time.js';
 import type { Budget } from '../net/budget.js';
 import type { OpenJob } from '../scheduler/open-job.js';
@@ -13,7 +15,7 @@
 import { CloudTurns } from './cloud-turns.js';
 import { Consolidator, PAID_MS } from './consolidator.js';
 import { DemandForecast, ROUND_DOWN } from './demand-forecast.js';
-import { MachineInventory } from './inventory.js';
+import { MachineInventory, slowestBoot } from './inventory.js';
 import { type Coming, type Need, readSeriesKey, rentFor, seriesKey, type Wish } from './plan.js';
 import { MachineRemover } from './remover.js';
 import { Renter } from './renter.js';
@@ -105,9 +107,24 @@
     this.rentUnmet();
   }
 
-  /** `placeholder`: known only by a predecessor's task, until a list or a report tells the rest. */
-  adopt(machine: Machine, since: Steady, address = '', placeholder = false): Host | null {
-    return this.inventory.adopt(machine, since, address, placeholder);
+  /** Somebody told what a machine is. */
+  adopt(machine: Machine, source: FactSource, since: Steady, address = ''): Host | null {
+    return this.inventory.adopt(machine, source, since, address);
+  }
+
+  /** A record that may hold a guess tells of a machine. */
+  adoptUnconfirmed(machine: Machine, since: Steady, address: string): Host | null {
+    return this.inventory.adoptUnconfirmed(machine, since, address);
+  }
+
+  /** Only the name of a machine is known, from a task that a predecessor placed on it. */
+  adoptUnknown(id: HostId, since: Steady): Host | null {
+    return this.inventory.adoptUnknown(id, since);
+  }
+
+  /** Machines so far that turned out to be something else than was recorded. */
+  get contradictions(): number {
+    return this.inventory.contradictions;
   }
 
   /** Deletes the machine; `unsureToo`: even while it is not sure that we lead. */
@@ -124,9 +141,7 @@
 
   /** The longest usual boot of any type, in ms. */
   slowestBoot(): number {
-    let boot = 0;
-    for (const type of this.ctx.types.values()) boot = Math.max(boot, type.boot);
-    return boot;
+    return slowestBoot(this.ctx.types.values());
   }
 
   tick(): void {
@@ -192,7 +207,7 @@
     let cpus = coming.reduce((sum, machine) => sum + machine.free.cpus, 0);
     for (const host of this.ctx.hosts.values()) {
       if (!host.up || host.closed) continue;
-      cpus += host.type.cpus;
+      cpus += host.type?.cpus ?? 0;
       for (const task of host.tasks) if (!task.job.spec.spot) cpus -= task.job.spec.cpus;
     }
     return cpus;
@@ -290,9 +305,11 @@
         this.remove(host, host.closed);
         continue;
       }
-      const waitS = host.machine.spot ? spotS : ordinaryS;
+      if (!host.presumed) continue;
+      const { type, spot } = host.presumed.machine;
+      const waitS = spot ? spotS : ordinaryS;
       if (since(now, host.idleSince) < waitS * 1000 || since(now, host.since) < PAID_MS) continue;
-      const series = seriesKey(host.machine.type, host.machine.spot);
+      const series = seriesKey(type, spot);
       const alike = idle.get(series);
       if (alike) alike.push(host);
       else idle.set(series, [host]);
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,7 +1,7 @@
 import type { TypeId, ZoneId } from '../model/ids.js';
 import { fits, type JobSpec, type Resources, type Room, take } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
-import { allowed } from '../scheduler/queue.js';
+import { machineRefusal } from '../scheduler/placement-rule.js';
 
 /** One kind of machine that can be asked for: a type in a zone, spot or ordinary. */
 export interface Pool {
@@ -73,7 +73,7 @@
   let best: Pool | null = null;
   let bestCost = Infinity;
   for (const pool of pools) {
-    if (!allowed(spec, { type: pool.type.id, zone: pool.zone, spot: pool.spot })) continue;
+    if (machineRefusal(spec, { type: pool.type.id, zone: pool.zone, spot: pool.spot }) !== null) continue;
     const n = Math.min(tasks, perMachine(spec, pool.type));
     if (n === 0) continue;
     const cost = price(pool) / n;
@@ -98,7 +98,7 @@
   for (const { spec, tasks } of needs) {
     let left = tasks;
     const fill = (bin: Coming): void => {
-      if (!allowed(spec, bin)) return;
+      if (machineRefusal(spec, bin) !== null) return;
       while (left > 0 && fits(spec, bin.free)) {
         take(bin.free, spec);
         left--;
--- a/src/fleet/renter.ts
+++ b/src/fleet/renter.ts
@@ -3,6 +3,7 @@
 import { CloudRefused, type Rented } from '../cloud/client.js';
 import { reason } from '../log/logger.js';
 import type { RentalName, TypeId, ZoneId } from '../model/ids.js';
+import { FactSource } from '../model/machine-facts.js';
 import { type Steady, plus, since, sleep } from '../model/time.js';
 import type { Rental } from '../wire/cloud.js';
 import type { CloudTurns } from './cloud-turns.js';
@@ -84,8 +85,10 @@
     const list: Coming[] = [];
     for (const host of this.ctx.hosts.values()) {
       if (host.up || host.closed) continue;
-      if (since(now, host.since) > host.type.boot * SLOW_BOOT + SLOW_BOOT_MS) continue;
-      list.push({ ...host.machine, free: host.free });
+      if (!host.presumed) continue;
+      const { machine, type } = host.presumed;
+      if (since(now, host.since) > type.boot * SLOW_BOOT + SLOW_BOOT_MS) continue;
+      list.push({ ...machine, free: host.free });
     }
     for (const { pool, count } of this.underWay.values()) {
       const { id, cpus, gpus, memoryGb } = pool.type;
@@ -147,7 +150,7 @@
     const got = result === 'no capacity' ? [] : result.hosts;
     this.ctx.log.info({ name, pool: poolKey(rental), asked: count, got: got.length, why }, 'rented');
     const now = this.ctx.clock.now();
-    for (const id of got) this.inventory.adopt({ id, type, zone, spot }, now);
+    for (const id of got) this.inventory.adopt({ id, type, zone, spot }, FactSource.Rental, now);
     const missing = count - got.length;
     const series = seriesKey(type, spot);
     if (missing > 0) {
--- /dev/null
+++ b/src/log/decision-log.ts
@@ -0,0 +1,42 @@
+/** Log lines of single decisions at a bounded rate, and the numbers of all of them. */
+import type { Clock } from '../model/time.js';
+import { Budget } from '../net/budget.js';
+import type { Log } from './logger.js';
+
+const LINES_PER_S = 5;
+const MOST_LINES_AT_ONCE = 40;
+
+/** Counts decisions by kind; the first ones of every moment are told in full. */
+export class DecisionLog {
+  private readonly budget: Budget;
+  private counts = new Map<string, number>();
+  private untold = 0;
+
+  constructor(
+    private readonly log: Log,
+    clock: Clock,
+  ) {
+    this.budget = new Budget(clock, LINES_PER_S, MOST_LINES_AT_ONCE);
+  }
+
+  /** `fields` is only asked for where a line is written. */
+  tell(kind: string, fields: () => object): void {
+    this.count(kind);
+    if (!this.log.tellsInfo) return;
+    if (this.budget.take()) this.log.info(fields(), kind);
+    else this.untold++;
+  }
+
+  /** Of what is too ordinary for a line. */
+  count(kind: string): void {
+    this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
+  }
+
+  /** The numbers since the last call, for the summary. */
+  take(): Record<string, number> {
+    const numbers = { ...Object.fromEntries(this.counts), untold: this.untold };
+    this.counts = new Map();
+    this.untold = 0;
+    return numbers;
+  }
+}
--- a/src/log/logger.ts
+++ b/src/log/logger.ts
@@ -2,6 +2,8 @@
 
 /** What the library needs of a logger. */
 export interface Log {
+  /** Whether lines of `info` are written at all. */
+  readonly tellsInfo: boolean;
   debug(fields: object, text: string): void;
   info(fields: object, text: string): void;
   warn(fields: object, text: string): void;
@@ -36,10 +38,17 @@
     return (fields, text) =>
       write(`${JSON.stringify({ level: number, time: Date.now(), member, ...fields, msg: text })}\n`);
   };
-  return { debug: at('debug'), info: at('info'), warn: at('warn'), error: at('error') };
+  return {
+    tellsInfo: LEVELS.info >= least,
+    debug: at('debug'),
+    info: at('info'),
+    warn: at('warn'),
+    error: at('error'),
+  };
 }
 
 export const silentLog: Log = {
+  tellsInfo: false,
   debug() {},
   info() {},
   warn() {},
--- a/src/scheduler/open-job.ts
+++ b/src/scheduler/open-job.ts
@@ -7,6 +7,7 @@
 import { Chunk } from './chunk.js';
 import type { JobStore } from './job-store.js';
 import { Task } from './task.js';
+import { ZoneTally } from './zone-tally.js';
 
 /** Tasks that were never begun exist as a number only: a hundred thousand of them cost nothing. */
 export class OpenJob {
@@ -19,6 +20,8 @@
   cancelled = false;
   done = 0;
   heldCount = 0;
+  /** Where the tasks are that may be on machines. */
+  readonly zones = new ZoneTally();
   /** Tasks that were last shown running. */
   running = 0;
   /** When one of its tasks was last given a machine. */
@@ -134,6 +137,7 @@
     task.tryNo = (task.tryNo + 1) as TryNo;
     task.host = host;
     task.zone = zone;
+    this.zones.add(zone);
     task.placedAt = now;
     this.resetAttempt(task);
     this.heldCount++;
@@ -153,6 +157,14 @@
     task.kill = null;
   }
 
+  /** What is known now of the zone of a task's machine; null: nothing. */
+  locate(task: Task, zone: ZoneId | null): void {
+    if (!task.held || task.zone === zone) return;
+    this.zones.remove(task.zone);
+    this.zones.add(zone);
+    task.zone = zone;
+  }
+
   /** The start is durable: run orders may leave. */
   placed(task: Task): void {
     task.phase = 'placed';
@@ -166,6 +178,7 @@
     chunk.deciding.delete(task);
     task.phase = 'waiting';
     task.host = null;
+    this.zones.remove(task.zone);
     task.zone = null;
     this.resetAttempt(task);
     this.heldCount--;
@@ -176,7 +189,10 @@
   }
 
   finish(task: Task, now: Steady): void {
-    if (task.held) this.heldCount--;
+    if (task.held) {
+      this.heldCount--;
+      this.zones.remove(task.zone);
+    }
     const chunk = this.chunkOf(task.index);
     chunk.deciding.delete(task);
     task.phase = 'done';
@@ -220,6 +236,7 @@
         task.host = placed.host;
         task.inherited = true;
         this.heldCount++;
+        this.zones.add(null);
       } else if (tryNo !== undefined) task.tryNo = tryNo;
     }
     let top = 0;
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -3,7 +3,8 @@
 import { fits, give, Priority, type Resources, take } from '../model/job.js';
 import type { TeamUse } from './job-store.js';
 import { mayStop, type Offer, offerOf } from './preemption.js';
-import { allowed, queueOrder, teamRoom, zoneAllows } from './queue.js';
+import { machineRefusal, zoneRefusal } from './placement-rule.js';
+import { queueOrder, teamRoom } from './queue.js';
 import { Shelf } from './shelf.js';
 import type { JobView, MachineView, Plan, Snapshot, Victim } from './snapshot.js';
 
@@ -62,8 +63,8 @@
     if (open <= 0) return open;
     const { spec } = job;
     for (const m of this.shelves[spec.spot ? 'spot' : 'firm'].inOrder(spec.image)) {
-      if (!which(m) || !allowed(spec, m) || job.avoid.has(m.id)) continue;
-      while (open > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) {
+      if (!which(m) || machineRefusal(spec, m) !== null || job.avoid.has(m.id)) continue;
+      while (open > 0 && fits(spec, m.free) && zoneRefusal(spec, job.zones, m.zone) === null) {
         this.start(job, mine, m);
         open--;
       }
@@ -87,14 +88,14 @@
     if (!may) return open;
     const offers: Offer[] = [];
     for (const { m, victims } of this.candidates()) {
-      if (!which(m) || !allowed(job.spec, m) || job.avoid.has(m.id)) continue;
+      if (!which(m) || machineRefusal(job.spec, m) !== null || job.avoid.has(m.id)) continue;
       const offer = offerOf(job.spec, m, victims, may);
       if (offer) offers.push(offer);
     }
     while (open > 0) {
       let best = -1;
       offers.forEach((o, i) => {
-        if (!zoneAllows(job, o.m.zone)) return;
+        if (zoneRefusal(job.spec, job.zones, o.m.zone) !== null) return;
         const before = offers[best];
         if (!before || o.lost < before.lost) best = i;
       });
--- a/src/scheduler/queue.ts
+++ b/src/scheduler/queue.ts
@@ -1,5 +1,5 @@
-/** Who is served first, and what a job is allowed: guarantees, limits, types and zones. */
-import type { JobId, TeamId, TypeId, ZoneId } from '../model/ids.js';
+/** Who is served first, and how much: ranks, guarantees and limits. */
+import type { JobId, TeamId } from '../model/ids.js';
 import { type JobSpec, Priority } from '../model/job.js';
 import type { Team } from '../model/team.js';
 import type { WallTime } from '../model/time.js';
@@ -44,21 +44,6 @@
     .map((x) => x.j);
 }
 
-/** Whether the job may run on such a machine. */
-export function allowed(spec: JobSpec, m: { type: TypeId; zone: ZoneId; spot: boolean }): boolean {
-  if (m.spot && !spec.spot) return false;
-  if (spec.zone !== null && spec.zone !== m.zone) return false;
-  return spec.types === null || spec.types.includes(m.type);
-}
-
-/** Whether one more task of the job may go to the zone, given its tasks that may be on machines. */
-export function zoneAllows(job: Pick<JobView, 'spec' | 'zones'>, zone: ZoneId): boolean {
-  const { spec, zones } = job;
-  if (spec.oneZone) for (const [z, n] of zones) if (n > 0 && z !== zone) return false;
-  if (spec.spread && (zones.get(zone) ?? 0) + 1 > Math.ceil(spec.tasks / 2)) return false;
-  return true;
-}
-
 /** How many more tasks of the job its team's limit allows. */
 export function teamRoom(team: Team, use: TeamUse, spec: JobSpec): number {
   const eps = 1e-9;
--- a/src/scheduler/task.ts
+++ b/src/scheduler/task.ts
@@ -22,7 +22,8 @@
 /** An attempt that is to be stopped. */
 export interface Kill {
   readonly graceS: number;
-  readonly why: 'cancelled' | 'room' | 'drain';
+  /** `misplaced`: its run order was withheld, see `OrderIssuer`. */
+  readonly why: 'cancelled' | 'room' | 'drain' | 'misplaced';
   readonly at: Steady;
 }
 
@@ -31,6 +32,7 @@
   phase: TaskPhase = 'waiting';
   tryNo = 0 as TryNo;
   host: HostId | null = null;
+  /** The confirmed zone of its machine; null: not known, or on none. Changed by its job alone. */
   zone: ZoneId | null = null;
   private lastShown: AttemptState | null = null;
   runningAt: Steady | null = null;
--- a/src/workers/dispatcher.ts
+++ b/src/workers/dispatcher.ts
@@ -1,11 +1,10 @@
 import type { LeaderContext } from '../cluster/context.js';
 import { reason } from '../log/logger.js';
-import type { Token } from '../model/ids.js';
 import { NoSocket } from '../net/http-client.js';
 import type { Order, Report } from '../model/report.js';
 import { type Steady, since } from '../model/time.js';
 import type { Host } from './host.js';
-import { ordersFor } from './orders.js';
+import type { OrderIssuer } from './order-issuer.js';
 
 const COMMAND_MS = 1500;
 /** After calls that brought no answer, orders wait for the host's reports this long. */
@@ -27,6 +26,7 @@
 
   constructor(
     private readonly ctx: LeaderContext,
+    private readonly issuer: OrderIssuer,
     private readonly onReport: (host: Host, report: Report) => void,
     private readonly most: number,
   ) {}
@@ -55,7 +55,7 @@
       this.waiting.add(host);
       return;
     }
-    const orders = ordersFor(host, this.ctx.clock.now(), this.ctx.sure()).slice(0, MOST_ORDERS);
+    const orders = this.issuer.issue(host, this.ctx.sure(), [], MOST_ORDERS);
     if (orders.length > 0) void this.send(host, orders);
   }
 
@@ -86,7 +86,6 @@
 
   private async send(host: Host, orders: Order[]): Promise<void> {
     const token = host.token(this.ctx.epoch);
-    markSent(host, orders, token);
     host.commandInFlight = true;
     host.commandWanted = false;
     this.inFlight++;
@@ -119,15 +118,3 @@
     }
   }
 }
-
-/** Remembers which run orders leave, in which session and with which token. */
-export function markSent(host: Host, orders: readonly Order[], token: Token): void {
-  const runs = new Set<string>();
-  for (const order of orders) if (order.verb === 'run') runs.add(order.task);
-  if (runs.size === 0) return;
-  for (const task of host.tasks) {
-    if (!runs.has(task.id)) continue;
-    task.sentSession ??= host.session;
-    task.sentToken = token;
-  }
-}
--- a/src/workers/health.ts
+++ b/src/workers/health.ts
@@ -62,6 +62,12 @@
   readonly zones: Map<ZoneId, ZoneSurvey>;
 }
 
+/** What was found of the host's zone; undefined: the zone is not known. */
+function zoneOf(host: Host, zones: ReadonlyMap<ZoneId, ZoneSurvey>): ZoneSurvey | undefined {
+  const id = host.presumed?.machine.zone;
+  return id === undefined ? undefined : zones.get(id);
+}
+
 /**
  * Many at once: more likely a part of the network, or our own. Their reports may come another way.
  * All at once, however few: a deaf leader would fence healthy machines before it gives way.
@@ -69,7 +75,7 @@
 function isCut(host: Host, { up, lost, zones }: Survey): boolean {
   const all = up >= 2 && lost.length === up;
   if (all || lost.length > Math.max(FEW_LOST, up * MANY)) return true;
-  const zone = zones.get(host.machine.zone);
+  const zone = zoneOf(host, zones);
   return zone !== undefined && zone.lost > Math.max(FEW_LOST, zone.up * MOST_OF_A_ZONE);
 }
 
@@ -176,8 +182,8 @@
     for (const host of this.ctx.hosts.values()) {
       if (!host.up && host.empty) continue;
       survey.up++;
-      const zone = survey.zones.get(host.machine.zone) ?? { up: 0, lost: 0, asked: 0, mute: 0 };
-      survey.zones.set(host.machine.zone, zone);
+      const zone = zoneOf(host, survey.zones) ?? { up: 0, lost: 0, asked: 0, mute: 0 };
+      if (host.presumed) survey.zones.set(host.presumed.machine.zone, zone);
       zone.up++;
       if (late) host.probes = 0;
       else this.look(host, zone, survey, now);
@@ -202,7 +208,7 @@
 
   /** Several at once are judged by their reports: it may be a cut. */
   private fenceMute(host: Host, survey: Survey): void {
-    const zone = survey.zones.get(host.machine.zone);
+    const zone = zoneOf(host, survey.zones);
     if (!zone || zone.mute > Math.max(FEW_MUTE, zone.asked * MANY_MUTE)) return;
     host.closed ??= 'silent';
     this.fence(host, 'does not answer');
--- a/src/workers/host.ts
+++ b/src/workers/host.ts
@@ -13,13 +13,16 @@
   tokenOf,
   type TryNo,
 } from '../model/ids.js';
-import { type Room, take } from '../model/job.js';
-import type { Machine, MachineType } from '../model/machine.js';
+import { type Resources, type Room, take } from '../model/job.js';
+import type { MachineType } from '../model/machine.js';
+import type { ConfirmedFacts, MachineFacts, UnconfirmedFacts } from '../model/machine-facts.js';
 import type { Attempt, Report } from '../model/report.js';
 import { type Steady, plus } from '../model/time.js';
 import type { Chunk } from '../scheduler/chunk.js';
 import type { Task } from '../scheduler/task.js';
 
+const NO_RESOURCES: Resources = { cpus: 0, gpus: 0, memoryGb: 0 };
+
 /** An attempt that has ended and that the host still shows. */
 export interface EndedAttempt {
   readonly task: TaskId;
@@ -70,8 +73,6 @@
   probes = 0;
   probing = false;
   removing = false;
-  /** Known only by a task that a predecessor placed here; type and zone are guesses. */
-  placeholder = false;
   /** The cloud's list shows it as running. */
   listed = false;
   /** Raised when run orders have to lose their force; see `clearsFor`. */
@@ -86,13 +87,34 @@
   failedAt: Steady | null = null;
 
   constructor(
-    readonly machine: Machine,
-    readonly type: MachineType,
+    readonly id: HostId,
+    private knownFacts: MachineFacts,
     readonly since: Steady,
   ) {}
 
-  get id(): HostId {
-    return this.machine.id;
+  get facts(): MachineFacts {
+    return this.knownFacts;
+  }
+
+  /** What placement may rest on; null: nothing yet. */
+  get confirmed(): ConfirmedFacts | null {
+    return this.knownFacts.state === 'confirmed' ? this.knownFacts : null;
+  }
+
+  /** What planning may rest on, confirmed or not. */
+  get presumed(): ConfirmedFacts | UnconfirmedFacts | null {
+    return this.knownFacts.state === 'unknown' ? null : this.knownFacts;
+  }
+
+  get type(): MachineType | null {
+    return this.presumed?.type ?? null;
+  }
+
+  /** Somebody who knows has told what the machine is. */
+  learn(facts: ConfirmedFacts): void {
+    this.knownFacts = facts;
+    this.room = null;
+    for (const task of this.held) task.job.locate(task, facts.machine.zone);
   }
 
   /** Tasks that may be on the machine. */
@@ -102,6 +124,7 @@
 
   put(task: Task): void {
     this.held.add(task);
+    task.job.locate(task, this.confirmed?.machine.zone ?? null);
     this.room = null;
   }
 
@@ -112,7 +135,8 @@
 
   get free(): Readonly<Room> {
     if (this.room) return this.room;
-    const free = { cpus: this.type.cpus, gpus: this.type.gpus, memoryGb: this.type.memoryGb };
+    const { cpus, gpus, memoryGb } = this.type ?? NO_RESOURCES;
+    const free = { cpus, gpus, memoryGb };
     for (const task of this.held) take(free, task.job.spec);
     this.room = free;
     return free;
@@ -131,17 +155,6 @@
     return true;
   }
 
-  /** Takes over from the placeholder of the same machine. */
-  inherit(old: Host): void {
-    this.closed = old.closed;
-    this.removing = old.removing;
-    this.round = old.round;
-    for (const task of old.tasks) {
-      task.zone = this.machine.zone;
-      this.put(task);
-    }
-  }
-
   /**
    * A report that proves nothing yet, being of an earlier epoch, still tells the session to address.
    * True: it is another one than we thought.
@@ -184,7 +197,7 @@
     let total = 0;
     for (const size of this.images.values()) total += size;
     for (const [old, size] of this.images) {
-      if (total <= this.type.cacheGb || old === image) break;
+      if (total <= (this.type?.cacheGb ?? 0) || old === image) break;
       this.images.delete(old);
       total -= size;
     }
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -92,3 +92,15 @@
   if (host.commandInFlight) return false;
   return host.doubted || settled(host).some(({ sentToken }) => sentToken !== null && sentToken >= token);
 }
+
+/** Remembers which run orders leave, in which session and with which token. */
+export function markSent(host: Host, orders: readonly Order[], token: Token): void {
+  const runs = new Set<string>();
+  for (const order of orders) if (order.verb === 'run') runs.add(order.task);
+  if (runs.size === 0) return;
+  for (const task of host.tasks) {
+    if (!runs.has(task.id)) continue;
+    task.sentSession ??= host.session;
+    task.sentToken = token;
+  }
+}
--- a/test/standins/site-nodes.ts
+++ b/test/standins/site-nodes.ts
@@ -8,7 +8,7 @@
 import { Leadership } from '../../src/cluster/leadership.js';
 import type { FailoverFeature } from '../../src/config/features.js';
 import { defaultOperators } from '../../src/config/operators.js';
-import { silentLog } from '../../src/log/logger.js';
+import { type Log, silentLog } from '../../src/log/logger.js';
 import type { HostId, MemberId, Token } from '../../src/model/ids.js';
 import type { Report } from '../../src/model/report.js';
 import { PROTOCOL_VERSION } from '../../src/model/protocol.js';
@@ -16,6 +16,7 @@
 import type { CancellationsWord } from '../../src/peer/frames.js';
 import { limitProbe } from '../../src/store/limit-probe.js';
 import { StateLimits } from '../../src/store/limits.js';
+import { ORDER_WITHHELD } from '../../src/workers/order-issuer.js';
 import type { MemberLine } from '../../src/wire/members.js';
 import type { Settings } from '../../src/wire/settings.js';
 import { ProcessClock } from './clock.js';
@@ -54,6 +55,14 @@
   /** The share of its processor time that each node uses. */
   load = 0;
 
+  /** A controller that had to withhold an order would have broken a rule without that check: no test may pass. */
+  private readonly log: Log = {
+    ...silentLog,
+    error: (fields, text) => {
+      if (text === ORDER_WITHHELD) this.rules.breach(`withheld: ${JSON.stringify(fields)}`);
+    },
+  };
+
   constructor(size = SMALL) {
     super(size);
     this.peerNetwork = new SimulatedNetwork(this.clock, this.random);
@@ -69,7 +78,7 @@
     const ctx: NodeContext = {
       member: name as MemberId,
       clock,
-      log: silentLog,
+      log: this.log,
       settings,
       ops: defaultOperators(),
       store,
--- /dev/null
+++ b/test/traces/placement-guard.test.ts
@@ -0,0 +1,63 @@
+import { beforeEach, describe, expect, it, vi } from 'vitest';
+import type * as views from '../../src/cluster/placement-views.js';
+import type * as rule from '../../src/scheduler/placement-rule.js';
+import { Day } from '../standins/day.js';
+import { MIXED } from '../standins/site-setup.js';
+
+type Views = typeof views;
+type Rule = typeof rule;
+
+/** Each part of the rule, and a description that lacks it. */
+const PARTS = {
+  type: (spec: rule.PlacementSpec) => ({ ...spec, types: null }),
+  zone: (spec: rule.PlacementSpec) => ({ ...spec, zone: null }),
+  spot: (spec: rule.PlacementSpec) => ({ ...spec, spot: true }),
+  oneZone: (spec: rule.PlacementSpec) => ({ ...spec, oneZone: false }),
+  spread: (spec: rule.PlacementSpec) => ({ ...spec, spread: false }),
+};
+type Part = keyof typeof PARTS;
+
+const fault = vi.hoisted(() => ({ part: null as string | null, guarded: true }));
+
+/** A scheduler that leaves one part of the rule out where it chooses machines. */
+vi.mock('../../src/cluster/placement-views.js', async (importOriginal) => {
+  const original = await importOriginal<Views>();
+  const jobView: Views['jobView'] = (...given) => {
+    const view = original.jobView(...given);
+    if (fault.part === null) return view;
+    return { ...view, spec: { ...view.spec, ...PARTS[fault.part as Part](view.spec) } };
+  };
+  return { ...original, jobView };
+});
+
+/** The check of orders that leave asks for the whole rule at once: it can be left out alone. */
+vi.mock('../../src/scheduler/placement-rule.js', async (importOriginal) => {
+  const original = await importOriginal<Rule>();
+  const placementRefusal: Rule['placementRefusal'] = (...given) =>
+    fault.guarded ? original.placementRefusal(...given) : null;
+  return { ...original, placementRefusal };
+});
+
+async function brokenOn(part: Part, guarded: boolean): Promise<readonly string[]> {
+  Object.assign(fault, { part, guarded });
+  const day = new Day(5, MIXED, true);
+  day.site.cloud.bootMs = 1200;
+  await day.play([]);
+  return day.site.rules.broken;
+}
+
+beforeEach(() => Object.assign(fault, { part: null, guarded: true }));
+
+describe.each(Object.keys(PARTS) as Part[])('a scheduler that forgets the part "%s"', (part) => {
+  it('is caught by the stand-ins’ checker', async () => {
+    const broken = await brokenOn(part, false);
+    expect(broken.some((text) => text.startsWith('wrong_place'))).toBe(true);
+  });
+
+  it('starts nothing where it is forbidden: the orders are withheld, and no other rule breaks', async () => {
+    const broken = await brokenOn(part, true);
+    expect(broken.some((text) => text.startsWith('withheld'))).toBe(true);
+    // Jobs that it never places anywhere else wait; none is forgotten, stopped or run twice.
+    expect(broken.filter((text) => !/^(withheld|waits)/.test(text))).toEqual([]);
+  });
+});
--- a/test/unit/health.test.ts
+++ b/test/unit/health.test.ts
@@ -5,10 +5,10 @@
 import { seconds } from '../../src/model/time.js';
 import { NoAnswer } from '../../src/net/http-client.js';
 import { Health } from '../../src/workers/health.js';
-import { Host } from '../../src/workers/host.js';
+import { type Host } from '../../src/workers/host.js';
 import { HostRegistry } from '../../src/workers/host-registry.js';
 import { VirtualClock } from '../standins/clock.js';
-import { TYPES } from '../standins/site-setup.js';
+import { hostOf } from '../standins/host.js';
 
 /** Three machines, one of them silent; whether it is fenced when a probe fails after `failsMs`. */
 async function fenced(failsMs: number): Promise<boolean> {
@@ -16,7 +16,7 @@
   const hosts = new HostRegistry();
   for (const name of ['a', 'b', 'c']) {
     const machine = { id: name as HostId, type: 'small' as TypeId, zone: 'north' as ZoneId, spot: false };
-    const host = new Host(machine, TYPES[0] as (typeof TYPES)[0], clock.now());
+    const host = hostOf(machine, clock.now());
     host.up = true;
     host.known = true;
     host.address = `${name}:1`;
--- a/test/unit/lease.test.ts
+++ b/test/unit/lease.test.ts
@@ -10,8 +10,9 @@
 import type { Report } from '../../src/model/report.js';
 import type { Steady } from '../../src/model/time.js';
 import { JobStore } from '../../src/scheduler/job-store.js';
-import { Host } from '../../src/workers/host.js';
+import type { Host } from '../../src/workers/host.js';
 import { applyReport } from '../../src/workers/reports.js';
+import { hostOf } from '../standins/host.js';
 import { TYPES } from '../standins/site-setup.js';
 
 const EPOCH = 3 as Epoch;
@@ -22,7 +23,7 @@
 function host(): Host {
   if (!type) throw new Error('no type');
   const machine = { id: 'host-000001' as HostId, type: type.id, zone: 'north' as never, spot: false };
-  return new Host(machine, type, at(0));
+  return hostOf(machine, at(0), type);
 }
 
 const report = (session: number, counter: number): Report => ({
--- a/test/unit/load.test.ts
+++ b/test/unit/load.test.ts
@@ -23,10 +23,10 @@
 import { NO_SOCKET_STATUS, RoutedCaller } from '../../src/peer/routed-caller.js';
 import type { Task } from '../../src/scheduler/task.js';
 import { Health } from '../../src/workers/health.js';
-import { Host } from '../../src/workers/host.js';
+import type { Host } from '../../src/workers/host.js';
 import { HostRegistry } from '../../src/workers/host-registry.js';
 import { VirtualClock } from '../standins/clock.js';
-import { TYPES } from '../standins/site-setup.js';
+import { hostOf } from '../standins/host.js';
 
 describe('the load monitor', () => {
   it('tells a process that has used up its share from one that waits', async () => {
@@ -104,9 +104,10 @@
       zone: 'north' as ZoneId,
       spot: false,
     };
-    const host = new Host(machine, TYPES[0] as (typeof TYPES)[0], clock.now());
+    const host = hostOf(machine, clock.now());
     Object.assign(host, { up: true, known: true, address: `${machine.id}:1` });
-    host.put({ id: `j-${n}/0` as TaskId, job: { spec: { id: `j-${n}` as JobId, kind: 'service' } } } as Task);
+    const job = { spec: { id: `j-${n}` as JobId, kind: 'service' }, locate: ignore };
+    host.put({ id: `j-${n}/0` as TaskId, job } as unknown as Task);
     host.heardAt = (clock.now() - 2000 - n) as Host['heardAt'];
     hosts.add(host);
   }
--- a/test/unit/plain-place.ts
+++ b/test/unit/plain-place.ts
@@ -1,5 +1,6 @@
 import { fits, give, type JobSpec, Priority, take } from '../../src/model/job.js';
-import { allowed, queueOrder, teamRoom, zoneAllows } from '../../src/scheduler/queue.js';
+import { machineRefusal, zoneRefusal } from '../../src/scheduler/placement-rule.js';
+import { queueOrder, teamRoom } from '../../src/scheduler/queue.js';
 import type { MachineView, Plan, Snapshot, Victim } from '../../src/scheduler/snapshot.js';
 
 /** A copy that can be decided on without touching the original. */
@@ -19,7 +20,7 @@
       ? [m.reachable ? 0 : 1, m.spot ? 0 : 1, m.free.cpus, image(m), m.id]
       : [m.reachable ? 0 : 1, image(m), m.cpus, m.free.cpus, m.id];
   return machines
-    .filter((m) => allowed(spec, m))
+    .filter((m) => machineRefusal(spec, m) === null)
     .map((m) => ({ m, key: key(m) }))
     .sort((a, b) => {
       for (let i = 0; i < a.key.length; i++) {
@@ -83,7 +84,7 @@
     const firstFit = (which: (m: MachineView) => boolean): void => {
       for (const m of machineOrder(spec, now.machines)) {
         if (!which(m) || job.avoid.has(m.id)) continue;
-        while (left > 0 && fits(spec, m.free) && zoneAllows(job, m.zone)) start(m);
+        while (left > 0 && fits(spec, m.free) && zoneRefusal(spec, job.zones, m.zone) === null) start(m);
       }
     };
     const production = spec.priority === Priority.Production;
@@ -92,7 +93,10 @@
       (production && v.priority < spec.priority) ||
       (within && v.team !== spec.team && v.priority < Priority.Production && !now.guaranteed.has(v.job));
     const mayUse = (m: MachineView): boolean =>
-      m.reachable && allowed(spec, m) && !job.avoid.has(m.id) && zoneAllows(job, m.zone);
+      m.reachable &&
+      machineRefusal(spec, m) === null &&
+      !job.avoid.has(m.id) &&
+      zoneRefusal(spec, job.zones, m.zone) === null;
     const cheapest = (which: (m: MachineView) => boolean): Offer | null => {
       let best: Offer | null = null;
       for (const m of now.machines) {
