--- a/test/traces/placement.test.ts
+++ b/test/traces/placement.test.ts
@@ -95,3 +95,27 @@
     expect(await site.query('j-000020', site.leader as string)).toBe('done');
   });
 });
+
+// Guards against renting that asks for fewer parts of a job's rule than placement does (found with issue 30).
+describe('tasks that must not all be in one zone', () => {
+  it('get machines in another zone, not one after the other in the zone that takes no more of them', async () => {
+    const site = await siteWithLateList();
+    await site.submit({ ref: 'j-000001', kind: 'service', tasks: 6, cpus: 6, apart: true, spot: true });
+    await until(site, () => site.tasksOn('j-000001') >= 3);
+    await site.run(30);
+    showDay(site);
+    expect(site.tasksOn('j-000001')).toBe(6);
+    expect(site.cloud.machines.size).toBeLessThan(8);
+  });
+
+  it('that have to be together get machines where the first ones are', async () => {
+    const site = await siteWithLateList();
+    await site.submit({ ref: 'j-000002', cpus: 6, zone: 'west', spot: true, runS: 200 });
+    await until(site, () => site.tasksOn('j-000002') === 1);
+    await site.submit({ ref: 'j-000001', tasks: 6, cpus: 2, samePlace: true, spot: true, runS: 200 });
+    await site.run(30);
+    showDay(site);
+    expect(site.tasksOn('j-000001')).toBe(6);
+    expect(site.cloud.machines.size).toBeLessThan(8);
+  });
+});
