Renting asks the zones of a job's other tasks, as placement does

Cause: rentFor and cheapestPool asked for type, zone and kind only; for a spread or one-zone job they rented the cheapest pool without end in a zone that takes no more of its tasks, and the job waited for ever. Both now use placement-rule.

--- a/src/cluster/decision-loop.ts
+++ b/src/cluster/decision-loop.ts
@@ -204,7 +204,7 @@
 
   private queued(job: JobView, tasks: number): QueuedWork {
     const runMs = this.parts.lifetimes.expectedRun(job.spec);
-    return { spec: job.spec, tasks, runMs, ...this.waitAfterBoot(job, runMs) };
+    return { spec: job.spec, tasks, zones: job.zones, runMs, ...this.waitAfterBoot(job, runMs) };
   }
 
   /** What a machine rented now can still save: the job's next target that its boot leaves reachable. */
--- a/src/fleet/backlog.ts
+++ b/src/fleet/backlog.ts
@@ -1,11 +1,8 @@
-import type { JobSpec } from '../model/job.js';
 import { type Steady, since } from '../model/time.js';
 import type { Need } from './plan.js';
 
 /** Waiting tasks of one job that found no room. */
-export interface QueuedWork {
-  readonly spec: JobSpec;
-  readonly tasks: number;
+export interface QueuedWork extends Need {
   readonly runMs: number;
   /** How long its last task may still wait after a boot; null: no target is left then. */
   readonly slackMs: number | null;
@@ -62,7 +59,7 @@
     const deficit = ahead / slackFactor - rate;
     if (deficit <= 0) continue;
     const tasks = Math.min(job.tasks, Math.ceil(deficit / size));
-    needs.push({ spec: job.spec, tasks });
+    needs.push({ spec: job.spec, tasks, zones: job.zones });
     rate += tasks * size;
   }
   return needs;
--- a/src/fleet/capacity-projection.ts
+++ b/src/fleet/capacity-projection.ts
@@ -76,9 +76,10 @@
   }
   const pools = allPools(fleet.types);
   // What is queued already has its place on the machines that are coming.
-  for (const { spec, tasks } of fleet.queue) {
+  for (const work of fleet.queue) {
+    const { spec, tasks } = work;
     spotIdle -= tasks * spec.cpus;
-    const pool = spec.spot ? null : cheapestPool(spec, tasks, pools);
+    const pool = spec.spot ? null : cheapestPool(work, pools);
     if (pool) bump(reserves, seriesKey(pool.type.id, false), -tasks / perMachine(spec, pool.type));
   }
   return {
--- a/src/fleet/demand-forecast.ts
+++ b/src/fleet/demand-forecast.ts
@@ -4,6 +4,7 @@
 import { Ensemble, type PredictionCost } from '../forecast/ensemble.js';
 import { autoregression, highQuantile, movingAverage } from '../forecast/predictors.js';
 import { type Millis, seconds } from '../model/time.js';
+import { NO_TASKS } from '../scheduler/placement-rule.js';
 import type { OpenJob } from '../scheduler/open-job.js';
 import type { CapacityProjection } from './capacity-projection.js';
 import { allPools, cheapestPool, perMachine, readSeriesKey, seriesKey } from './plan.js';
@@ -52,7 +53,10 @@
 
   /** New demand: counted once for the type that would serve it best, refused or not. */
   demanded({ spec }: OpenJob): void {
-    const pool = cheapestPool(spec, spec.tasks, allPools(this.ctx.types.values()));
+    const pool = cheapestPool(
+      { spec, tasks: spec.tasks, zones: NO_TASKS },
+      allPools(this.ctx.types.values()),
+    );
     if (!pool) return;
     const team = this.ctx.settings.teams.find((one) => one.id === spec.team);
     const limit = team?.cpusMax != null && spec.cpus > 0 ? Math.floor(team.cpusMax / spec.cpus) : Infinity;
--- a/src/fleet/manager.ts
+++ b/src/fleet/manager.ts
@@ -16,7 +16,7 @@
 import { Consolidator, PAID_MS } from './consolidator.js';
 import { DemandForecast, ROUND_DOWN } from './demand-forecast.js';
 import { MachineInventory, slowestBoot } from './inventory.js';
-import { type Coming, type Need, readSeriesKey, rentFor, seriesKey, type Wish } from './plan.js';
+import { type Coming, readSeriesKey, rentFor, seriesKey, type Wish } from './plan.js';
 import { MachineRemover } from './remover.js';
 import { Renter } from './renter.js';
 
@@ -187,12 +187,11 @@
   private wishes(most: number): Wish[] {
     const coming = this.renter.coming();
     const open = this.renter.openPools();
-    const needs = (jobs: readonly QueuedWork[]): Need[] => jobs.map(({ spec, tasks }) => ({ spec, tasks }));
     const spotWork = this.queue.filter((job) => job.spec.spot);
     const firm = this.queue.filter((job) => !job.spec.spot);
     const spotPools = open.filter((pool) => pool.spot);
-    const cheap = rentFor(needs(spotWork), coming, spotPools, most);
-    const must = rentFor(needs(firm), coming, open, most);
+    const cheap = rentFor(spotWork, coming, spotPools, most);
+    const must = rentFor(firm, coming, open, most);
     if (cheap.length > 0) return [...must, ...cheap];
     const cpus = this.workingCpus(coming);
     const busy = this.busyCpuMs();
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,7 +1,7 @@
 import type { TypeId, ZoneId } from '../model/ids.js';
 import { fits, type JobSpec, type Resources, type Room, take } from '../model/job.js';
 import type { MachineType } from '../model/machine.js';
-import { machineRefusal } from '../scheduler/placement-rule.js';
+import { machineRefusal, roomInZone, type ZoneCounts, zoneRefusal } from '../scheduler/placement-rule.js';
 
 /** One kind of machine that can be asked for: a type in a zone, spot or ordinary. */
 export interface Pool {
@@ -36,6 +36,8 @@
 export interface Need {
   readonly spec: JobSpec;
   readonly tasks: number;
+  /** Where its other tasks may be: a machine in a zone that takes no more of them is of no use. */
+  readonly zones: ZoneCounts;
 }
 
 /** Machines to be rented from one pool. */
@@ -69,12 +71,12 @@
 }
 
 /** The pool where these tasks cost least: the machine's price shared by as many of them as it takes. */
-export function cheapestPool(spec: JobSpec, tasks: number, pools: readonly Pool[]): Pool | null {
+export function cheapestPool({ spec, tasks, zones }: Need, pools: readonly Pool[]): Pool | null {
   let best: Pool | null = null;
   let bestCost = Infinity;
   for (const pool of pools) {
     if (machineRefusal(spec, { type: pool.type.id, zone: pool.zone, spot: pool.spot }) !== null) continue;
-    const n = Math.min(tasks, perMachine(spec, pool.type));
+    const n = Math.min(tasks, perMachine(spec, pool.type), roomInZone(spec, zones, pool.zone));
     if (n === 0) continue;
     const cost = price(pool) / n;
     if (cost < bestCost - 1e-12) {
@@ -85,6 +87,32 @@
   return best;
 }
 
+/** One job's tasks as they find room, by the same rule as placement will use. */
+class Filling {
+  private readonly zones: Map<ZoneId, number>;
+  left: number;
+
+  constructor(private readonly need: Need) {
+    this.zones = new Map(need.zones);
+    this.left = need.tasks;
+  }
+
+  /** What still wants room, and where the others are. */
+  get rest(): Need {
+    return { spec: this.need.spec, tasks: this.left, zones: this.zones };
+  }
+
+  fill(bin: Coming): void {
+    const { spec } = this.need;
+    if (machineRefusal(spec, bin) !== null) return;
+    while (this.left > 0 && fits(spec, bin.free) && zoneRefusal(spec, this.zones, bin.zone) === null) {
+      take(bin.free, spec);
+      this.zones.set(bin.zone, (this.zones.get(bin.zone) ?? 0) + 1);
+      this.left--;
+    }
+  }
+}
+
 /** What to rent at once for queued tasks that neither free nor coming machines will take. */
 export function rentFor(
   needs: readonly Need[],
@@ -95,18 +123,11 @@
   const bins: Coming[] = coming.map((c) => ({ ...c, free: { ...c.free } }));
   const wishes = new Map<string, Wish>();
   let room = most;
-  for (const { spec, tasks } of needs) {
-    let left = tasks;
-    const fill = (bin: Coming): void => {
-      if (machineRefusal(spec, bin) !== null) return;
-      while (left > 0 && fits(spec, bin.free)) {
-        take(bin.free, spec);
-        left--;
-      }
-    };
-    for (const bin of bins) fill(bin);
-    while (left > 0 && room > 0) {
-      const pool = cheapestPool(spec, left, pools);
+  for (const need of needs) {
+    const filling = new Filling(need);
+    for (const bin of bins) filling.fill(bin);
+    while (filling.left > 0 && room > 0) {
+      const pool = cheapestPool(filling.rest, pools);
       if (!pool) break;
       const { cpus, gpus, memoryGb } = pool.type;
       const bin: Coming = {
@@ -116,7 +137,7 @@
         free: { cpus, gpus, memoryGb },
       };
       bins.push(bin);
-      fill(bin);
+      filling.fill(bin);
       room--;
       const key = poolKey(bin);
       const wish = wishes.get(key);
--- a/src/scheduler/placement-rule.ts
+++ b/src/scheduler/placement-rule.ts
@@ -37,20 +37,31 @@
   return null;
 }
 
+/** No task of the job is on a machine. */
+export const NO_TASKS: ZoneCounts = new Map();
+
 /** How many tasks of a job that is to be spread may be in one zone. */
 function mostInZone(spec: PlacementSpec): number {
   return Math.ceil(spec.tasks / 2);
 }
 
+function isInOtherZone(others: ZoneCounts, zone: ZoneId): boolean {
+  for (const [other, count] of others) if (count > 0 && other !== zone) return true;
+  return false;
+}
+
+/** How many more tasks of the job the zone may take, given those that are on machines. */
+export function roomInZone(spec: PlacementSpec, others: ZoneCounts, zone: ZoneId): number {
+  if (spec.oneZone && isInOtherZone(others, zone)) return 0;
+  return spec.spread ? Math.max(0, mostInZone(spec) - (others.get(zone) ?? 0)) : Infinity;
+}
+
 /** Whether one more task may go to the zone, given the others; null: it may. */
 export function zoneRefusal(spec: PlacementSpec, others: ZoneCounts, zone: ZoneId): PlacementRefusal | null {
-  if (spec.oneZone) {
-    for (const [other, count] of others) {
-      if (count > 0 && other !== zone) return PlacementRefusal.OtherZone;
-    }
-  }
-  if (spec.spread && (others.get(zone) ?? 0) + 1 > mostInZone(spec)) return PlacementRefusal.HalfInZone;
-  return null;
+  if (roomInZone(spec, others, zone) > 0) return null;
+  return spec.oneZone && isInOtherZone(others, zone)
+    ? PlacementRefusal.OtherZone
+    : PlacementRefusal.HalfInZone;
 }
 
 /** Whether the zones of a job's other tasks matter for the next one. */
--- a/test/standins/day.ts
+++ b/test/standins/day.ts
@@ -10,6 +10,8 @@
   state: 'new' | 'accepted' | 'done' | 'cancelled';
   cancelling: boolean;
   readonly at: number;
+  /** When its user was told that it is done. */
+  doneAt: number | null;
 }
 
 const QUIET_S = 30;
@@ -70,6 +72,7 @@
     await site.run(15);
     this.over = true;
     await site.run(AFTER_S);
+    while (this.mayStillBeServed()) await site.run(POLL_MS / 1000);
     this.checkServed();
     await site.finish();
   }
@@ -119,6 +122,7 @@
       state: 'new',
       cancelling: false,
       at: this.site.clock.now(),
+      doneAt: null,
     };
     this.jobs.push(job);
     void this.keepSubmitting(job);
@@ -143,6 +147,7 @@
       if (job.state !== 'accepted') return;
       void this.site.poll(job.wish.ref, this.node()).then((state) => {
         if (state === 'done' || state === 'cancelled') job.state = state;
+        if (state === 'done') job.doneAt ??= this.site.clock.now();
       });
       this.keepAsking(job);
       const lasted = this.site.clock.now() - job.at;
@@ -183,6 +188,28 @@
     for (const job of running.slice(-count)) void this.cancel(job);
   }
 
+  /** From when all that it waited for was done; null: something is not. */
+  private readyAt({ at, wish }: UserJob): number | null {
+    let ready = at;
+    for (const ref of wish.awaits ?? []) {
+      const doneAt = this.jobs.find((job) => job.wish.ref === ref)?.doneAt ?? null;
+      if (doneAt === null) return null;
+      ready = Math.max(ready, doneAt);
+    }
+    return ready;
+  }
+
+  /**
+   * The last jobs of a chain may become ready long after the troubles: each has the same time from then on. None may
+   * be late itself.
+   */
+  private mayStillBeServed(): boolean {
+    const now = this.site.clock.now();
+    const waiting = this.jobs.filter(({ state, wish }) => state === 'accepted' && wish.kind !== 'service');
+    const limits = waiting.map((job) => (this.readyAt(job) ?? Infinity) + AFTER_S * 1000);
+    return limits.length > 0 && limits.every((limit) => now < limit) && limits.some(Number.isFinite);
+  }
+
   /** Long after the troubles nothing waits: arrays are done, replicas run, cancelled jobs have no task. */
   private checkServed(): void {
     const { site } = this;
