--- a/src/cluster/failover/failover.ts
+++ b/src/cluster/failover/failover.ts
@@ -20,7 +20,8 @@
 import type { Leadership } from '../leadership.js';
 import { membershipSettings } from './failover-settings.js';
 import { CLUSTER, LeaderClaims } from './leader-claims.js';
-import { RecordPrefetch, type Records } from './record-prefetch.js';
+import type { Records } from '../../store/records.js';
+import { RecordPrefetch } from './record-prefetch.js';
 
 /** The leader's record is read this often where nothing tells of a change. */
 const READ_EVERY_MS = 10_000;
--- a/src/cluster/failover/record-prefetch.ts
+++ b/src/cluster/failover/record-prefetch.ts
@@ -1,16 +1,9 @@
 /** Reads a leader's records ahead of a takeover, and brings them up to date when it has come. */
 import { type Log, reason } from '../../log/logger.js';
-import type { Revision } from '../../model/ids.js';
-import { type Cancel, type Clock, sleep } from '../../model/time.js';
-import { StateRefused, type StateStore } from '../../store/client.js';
+import type { Cancel, Clock } from '../../model/time.js';
+import type { StateStore } from '../../store/client.js';
 import { keys } from '../../store/keys.js';
-import type { Row } from '../../wire/state.js';
-
-/** All rows under a prefix, as of one revision or later: changes after it may or may not be in them. */
-export interface Records {
-  readonly rows: Row[];
-  readonly revision: Revision;
-}
+import { type Records, readRecords, retryTooMany } from '../../store/records.js';
 
 /** The records that a takeover reads. */
 const PREFIXES = [keys.open, keys.fleet, keys.forecast];
@@ -18,26 +11,6 @@
 const KEPT_MS = 60_000;
 const REFUSED_PAUSE_MS = 50;
 
-/** Reads all pages under a prefix. `ended`: nobody wants them any more. */
-export async function readRecords(
-  store: StateStore,
-  prefix: string,
-  askPage: <T>(ask: () => Promise<T>) => Promise<T>,
-): Promise<Records> {
-  const rows: Row[] = [];
-  let revision: Revision | null = null;
-  let after: string | undefined;
-  for (;;) {
-    const page = await askPage(() => store.range(prefix, after));
-    // Changes that come between two pages are seen again by a watch from the first page on.
-    revision ??= page.revision;
-    rows.push(...page.rows);
-    const last = page.rows[page.rows.length - 1];
-    if (!page.more || !last) return { rows, revision };
-    after = last.key;
-  }
-}
-
 /** The records of one suspected leader. */
 export class RecordPrefetch {
   private readonly records = new Map<string, Promise<Records | null>>();
@@ -68,16 +41,11 @@
   }
 
   private async read(prefix: string, generation: number): Promise<Records | null> {
-    const askPage = async <T>(ask: () => Promise<T>): Promise<T> => {
-      for (;;) {
-        if (generation !== this.generation) throw new Error('not wanted any more');
-        try {
-          return await ask();
-        } catch (error) {
-          if (!(error instanceof StateRefused && error.tooMany)) throw error;
-          await sleep(this.clock, REFUSED_PAUSE_MS);
-        }
-      }
+    const wanted = (): boolean => generation === this.generation;
+    const policy = { clock: this.clock, pauseMs: () => REFUSED_PAUSE_MS, wanted };
+    const askPage = <T>(ask: () => Promise<T>): Promise<T> => {
+      if (!wanted()) throw new Error('not wanted any more');
+      return retryTooMany(policy, ask);
     };
     try {
       return await readRecords(this.store, prefix, askPage);
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -2,26 +2,23 @@
 import type { HostId, JobId, Revision, TypeId, ZoneId } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
 import type { Machine } from '../model/machine.js';
-import { type Steady, sleep } from '../model/time.js';
+import type { Steady } from '../model/time.js';
 import { OpenJob } from '../scheduler/open-job.js';
-import { StateRefused } from '../store/client.js';
 import { decodeJob, withDescription } from '../store/job-record.js';
 import { CHUNK_TASKS, keys, parseOpenKey } from '../store/keys.js';
+import { type Records, readRecords, retryTooMany } from '../store/records.js';
 import type { Condition, Row } from '../wire/state.js';
 import type { LeaderContext } from './context.js';
-import { readRecords, type Records } from './failover/record-prefetch.js';
 import type { StoredMachine } from './fleet-record.js';
 
+/** A request that is refused for too many waits this long and up to as long again. */
+const REFUSED_PAUSE_MS = 40;
+const REFUSED_JITTER_MS = 60;
+
 /** Asked too often is no reason to begin the whole takeover again: this one request waits a moment. */
-async function patiently<T>(ctx: LeaderContext, ask: () => Promise<T>): Promise<T> {
-  for (;;) {
-    try {
-      return await ask();
-    } catch (error) {
-      if (!(error instanceof StateRefused && error.tooMany) || ctx.ended()) throw error;
-      await sleep(ctx.clock, 40 + ctx.random() * 60);
-    }
-  }
+function patiently<T>(ctx: LeaderContext, ask: () => Promise<T>): Promise<T> {
+  const pauseMs = (): number => REFUSED_PAUSE_MS + ctx.random() * REFUSED_JITTER_MS;
+  return retryTooMany({ clock: ctx.clock, pauseMs, wanted: () => !ctx.ended() }, ask);
 }
 
 async function readAll(ctx: LeaderContext, prefix: string): Promise<Records> {
