Repeated work, addresses: one piece each; no summary is made where no line is written

The summary walked all jobs and machines every 10 s also where the log level writes none. Unit tests and traces pass.

--- a/src/cluster/leader.ts
+++ b/src/cluster/leader.ts
@@ -6,7 +6,7 @@
 import { reason } from '../log/logger.js';
 import type { Epoch, HostId, JobId, MemberId } from '../model/ids.js';
 import type { Report } from '../model/report.js';
-import { type Cancel, type Steady, since } from '../model/time.js';
+import { type Cancel, repeat, type Steady, since } from '../model/time.js';
 import { Budget } from '../net/budget.js';
 import { DependencyGraph } from '../scheduler/dependencies.js';
 import { JobStore } from '../scheduler/job-store.js';
@@ -184,18 +184,10 @@
     );
     for (const host of this.restorer.inOrderOfNeed()) this.dispatcher.wake(host);
     void this.watcher.run(from);
-    this.loop();
+    this.stopTick = repeat(this.ctx.clock, TICK_MS, () => this.tick());
     this.decisions.start();
   }
 
-  private loop(): void {
-    if (this.over) return;
-    this.stopTick = this.ctx.clock.after(TICK_MS, () => {
-      this.tick();
-      this.loop();
-    });
-  }
-
   private tick(): void {
     const now = this.ctx.clock.now();
     if (this.health.deaf(now)) {
--- a/src/cluster/load-monitor.ts
+++ b/src/cluster/load-monitor.ts
@@ -1,5 +1,5 @@
 /** How much of the processor time that this process gets it uses. */
-import type { Clock } from '../model/time.js';
+import { type Clock, repeat } from '../model/time.js';
 
 const SAMPLE_MS = 500;
 /** The part of the last value that stays at each sample. */
@@ -20,11 +20,11 @@
   private last: LoopReading;
 
   constructor(
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly read: () => LoopReading = () => performance.eventLoopUtilization(),
   ) {
     this.last = read();
-    this.sample();
+    repeat(clock, SAMPLE_MS, () => this.sample());
   }
 
   /** Between 0 and 1. */
@@ -33,13 +33,10 @@
   }
 
   private sample(): void {
-    this.clock.after(SAMPLE_MS, () => {
-      const now = this.read();
-      const active = now.active - this.last.active;
-      const elapsed = active + now.idle - this.last.idle;
-      this.last = now;
-      if (elapsed > 0) this.smoothed = this.smoothed * KEPT + (active / elapsed) * (1 - KEPT);
-      this.sample();
-    });
+    const now = this.read();
+    const active = now.active - this.last.active;
+    const elapsed = active + now.idle - this.last.idle;
+    this.last = now;
+    if (elapsed > 0) this.smoothed = this.smoothed * KEPT + (active / elapsed) * (1 - KEPT);
   }
 }
--- a/src/cluster/memory-monitor.ts
+++ b/src/cluster/memory-monitor.ts
@@ -1,6 +1,6 @@
 /** How near this process is to the end of its memory. */
 import { getHeapStatistics } from 'node:v8';
-import type { Clock } from '../model/time.js';
+import { type Clock, repeat } from '../model/time.js';
 
 const SAMPLE_MS = 1000;
 /** From this part of the heap's limit on caches are dropped and no new work is taken. */
@@ -20,12 +20,12 @@
   private isScarce = false;
 
   constructor(
-    private readonly clock: Clock,
+    clock: Clock,
     /** Drops what can be read again. */
     private readonly shed: () => void,
     private readonly read: () => HeapReading = getHeapStatistics,
   ) {
-    this.sample();
+    repeat(clock, SAMPLE_MS, () => this.sample());
   }
 
   /** Whether no new work should be taken. */
@@ -34,11 +34,8 @@
   }
 
   private sample(): void {
-    this.clock.after(SAMPLE_MS, () => {
-      const { used_heap_size: used, heap_size_limit: limit } = this.read();
-      this.isScarce = used > limit * SCARCE;
-      if (this.isScarce) this.shed();
-      this.sample();
-    });
+    const { used_heap_size: used, heap_size_limit: limit } = this.read();
+    this.isScarce = used > limit * SCARCE;
+    if (this.isScarce) this.shed();
   }
 }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -8,7 +8,7 @@
 import { type Log, reason } from '../log/logger.js';
 import type { MemberId } from '../model/ids.js';
 import { PROTOCOL_VERSION } from '../model/protocol.js';
-import { realClock } from '../model/time.js';
+import { realClock, repeat } from '../model/time.js';
 import { HttpTarget, NoSocket } from '../net/http-client.js';
 import { FrontServer } from '../net/server.js';
 import { shareSockets, type SocketShares } from '../net/sockets.js';
@@ -145,8 +145,9 @@
     this.leadership.run();
     void this.users.watch();
     this.machineTypes.run();
-    this.tellProgress();
-    this.summarise();
+    const { clock } = this.ctx;
+    repeat(clock, PROGRESS_MS, () => this.tellProgress());
+    if (this.log.tellsInfo) repeat(clock, this.ctx.ops.log.summary_s * 1000, () => this.summarise());
   }
 
   /** Its code is loaded only where it is switched on. */
@@ -288,36 +289,30 @@
   }
 
   private tellProgress(): void {
-    this.ctx.clock.after(PROGRESS_MS, () => {
-      if (this.leadership.leader) {
-        for (const payload of encodeProgress(this.leadership.leader.progress())) {
-          this.progress.take(payload);
-          for (const link of this.peers.links) link.send(Kind.Progress, 0, payload);
-        }
-      }
-      this.tellProgress();
-    });
+    const { leader } = this.leadership;
+    if (!leader) return;
+    for (const payload of encodeProgress(leader.progress())) {
+      this.progress.take(payload);
+      for (const link of this.peers.links) link.send(Kind.Progress, 0, payload);
+    }
   }
 
   private summarise(): void {
-    this.ctx.clock.after(this.ctx.ops.log.summary_s * 1000, () => {
-      const cpu = process.cpuUsage();
-      this.log.info(
-        {
-          ...this.leadership.leader?.summary(),
-          ...this.failover?.summary(),
-          leads: this.leadership.leader?.epoch ?? null,
-          stateOk: this.connectivity.stateOk,
-          peers: this.peers.alive.length,
-          lateMs: this.admission.lateMs,
-          load: Math.round(this.ctx.load() * 100) / 100,
-          refusals: this.userRouter.takeRefusals(),
-          rssMb: Math.round(process.memoryUsage.rss() / 1e6),
-          cpuMs: Math.round((cpu.user + cpu.system) / 1000),
-        },
-        'summary',
-      );
-      this.summarise();
-    });
+    const cpu = process.cpuUsage();
+    this.log.info(
+      {
+        ...this.leadership.leader?.summary(),
+        ...this.failover?.summary(),
+        leads: this.leadership.leader?.epoch ?? null,
+        stateOk: this.connectivity.stateOk,
+        peers: this.peers.alive.length,
+        lateMs: this.admission.lateMs,
+        load: Math.round(this.ctx.load() * 100) / 100,
+        refusals: this.userRouter.takeRefusals(),
+        rssMb: Math.round(process.memoryUsage.rss() / 1e6),
+        cpuMs: Math.round((cpu.user + cpu.system) / 1000),
+      },
+      'summary',
+    );
   }
 }
--- a/src/model/time.ts
+++ b/src/model/time.ts
@@ -36,6 +36,23 @@
   });
 }
 
+/** Runs something at this pace, counted from the end of each run, until it is called off. */
+export function repeat(clock: Clock, everyMs: number, run: () => void): Cancel {
+  let stopped = false;
+  let cancel: Cancel = () => {};
+  const next = (): void => {
+    cancel = clock.after(everyMs, () => {
+      run();
+      if (!stopped) next();
+    });
+  };
+  next();
+  return () => {
+    stopped = true;
+    cancel();
+  };
+}
+
 export const realClock: Clock = {
   now: () => performance.now() as Steady,
   wall: () => Date.now() as WallTime,
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -1,5 +1,6 @@
 /** Calls by HTTP/1.1 over kept connections, each with a deadline. */
 import { connect, type Socket } from 'node:net';
+import { splitAddress } from './address.js';
 import { type HttpResponse, ResponseReader } from './http-response.js';
 
 /** An answer, its JSON body parsed. */
@@ -165,9 +166,9 @@
     private readonly maxSockets: number,
     private readonly count = new SocketCount(),
   ) {
-    const colon = address.lastIndexOf(':');
-    this.host = address.slice(0, colon);
-    this.port = Number(address.slice(colon + 1));
+    const { host, port } = splitAddress(address);
+    this.host = host;
+    this.port = port;
     this.hostHeader = `Host: ${address}\r\n`;
   }
 
--- a/src/net/server.ts
+++ b/src/net/server.ts
@@ -1,6 +1,7 @@
 import { createServer as createHttp, type RequestListener, type Server as HttpServer } from 'node:http';
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Log } from '../log/logger.js';
+import { splitAddress } from './address.js';
 
 /** What one listening address takes. */
 export interface ServerLimits {
@@ -11,12 +12,6 @@
   readonly idleMs: number;
 }
 
-/** `10.0.0.1:8080` */
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 /**
  * From this part of the sockets on, connections end with their answers: more workers than there are
  * sockets then take turns, where kept connections would shut some of them out until their leases end.
--- a/src/peer/ask-once.ts
+++ b/src/peer/ask-once.ts
@@ -1,6 +1,6 @@
 /** One question to a controller over a connection of its own: for tools that are no controllers themselves. */
 import { connect } from 'node:net';
-import { splitAddress } from '../net/server.js';
+import { splitAddress } from '../net/address.js';
 import { type AnswerFrame, decodeAnswer, encodeFrame, FrameReader, Kind } from './frames.js';
 
 /** The question could not be put, or was not answered. */
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -2,9 +2,9 @@
 import type { Log } from '../log/logger.js';
 import type { MemberId } from '../model/ids.js';
 import { NO_TIME_LOAD } from '../model/load.js';
-import { type Cancel, type Clock, type Steady, since } from '../model/time.js';
+import { type Cancel, type Clock, repeat, type Steady, since } from '../model/time.js';
 import { DEPENDENCIES_VERSION, UNVERSIONED } from '../model/protocol.js';
-import { splitAddress } from '../net/server.js';
+import { splitAddress } from '../net/address.js';
 import {
   type AnswerFrame,
   decodeAnswer,
@@ -69,16 +69,14 @@
 
   start(): void {
     this.dial();
-    this.keepAlive();
+    repeat(this.clock, PING_MS, () => this.keepAlive());
   }
 
   private keepAlive(): void {
-    this.clock.after(PING_MS, () => {
-      if (this.open && this.lastHeard !== null && since(this.clock.now(), this.lastHeard) > SILENT_MS) {
-        this.socket?.destroy();
-      } else if (this.open) this.send(Kind.Ping, 0, encodePing(this.myPing()));
-      this.keepAlive();
-    });
+    if (!this.open) return;
+    const silent = this.lastHeard !== null && since(this.clock.now(), this.lastHeard) > SILENT_MS;
+    if (silent) this.socket?.destroy();
+    else this.send(Kind.Ping, 0, encodePing(this.myPing()));
   }
 
   private dial(): void {
--- a/test/unit/sockets.test.ts
+++ b/test/unit/sockets.test.ts
@@ -8,7 +8,8 @@
 import { PROTOCOL_VERSION, UNVERSIONED } from '../../src/model/protocol.js';
 import { ms, realClock } from '../../src/model/time.js';
 import { HttpTarget } from '../../src/net/http-client.js';
-import { FrontServer, splitAddress } from '../../src/net/server.js';
+import { FrontServer } from '../../src/net/server.js';
+import { splitAddress } from '../../src/net/address.js';
 import { encodeFrame, encodePing, Kind, type Ping } from '../../src/peer/frames.js';
 import { PeerLink, PeerServer } from '../../src/peer/link.js';
 
