--- a/test/soak/controller-process.ts
+++ b/test/soak/controller-process.ts
@@ -39,8 +39,12 @@
     });
     this.child.stderr?.setEncoding('utf8');
     this.child.stderr?.on('data', (text: string) => this.read(text));
+    // However this process ends, it leaves none behind, stopped or not.
+    const killChild = (): void => void this.child.kill('SIGKILL');
+    process.on('exit', killChild);
     this.ended = new Promise((resolve) => {
       this.child.on('exit', () => {
+        process.off('exit', killChild);
         options.onExit(this.killed);
         resolve();
       });
--- a/test/soak/loopback-machines.ts
+++ b/test/soak/loopback-machines.ts
@@ -58,6 +58,9 @@
   lostShare = 0;
   /** Commands arrive once more, so many ms later. */
   repeatAfterMs: number | null = null;
+  /** The first order to start something has come to a machine. */
+  onFirstWork: (id: HostId) => void = () => {};
+  private readonly worked = new Set<HostId>();
   private readonly holding = new Set<HostId>();
   private held: (() => void)[] = [];
   private readonly up = new Map<HostId, Up>();
@@ -112,6 +115,8 @@
       if (this.holding.has(id)) await new Promise<void>((resolve) => this.held.push(resolve));
       // A machine that hangs carries it out when it goes on.
       await new Promise<void>((resolve) => worker.whenAwake(resolve));
+      const { orders } = (request.body ?? {}) as { orders?: readonly { verb: string }[] };
+      this.noteWork(id, orders ?? []);
       const after = this.repeatAfterMs;
       if (after !== null) realClock.after(after, () => worker.whenAwake(() => void act(request)));
       return act(request);
@@ -149,9 +154,16 @@
     if (this.options.random() < this.lostShare / 2) return this.lost();
     const answer = await this.call(this.up.get(id)?.links[this.nodes.indexOf(node)], body);
     if (this.oneWay.has(id) || this.options.random() < this.lostShare / 2) return this.lost();
+    this.noteWork(id, answer?.orders ?? []);
     return answer;
   }
 
+  private noteWork(id: HostId, orders: readonly { readonly verb: string }[]): void {
+    if (this.worked.has(id) || !orders.some(({ verb }) => verb === 'run')) return;
+    this.worked.add(id);
+    this.onFirstWork(id);
+  }
+
   private async lost(): Promise<null> {
     await sleep(realClock, ANSWER_MS);
     return null;
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -78,11 +78,14 @@
   return new Promise((resolve) => {
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
     let text = '';
-    const late = setTimeout(() => child.kill('SIGKILL'), SEED_LIMIT_MS);
+    const late = setTimeout(() => child.kill('SIGTERM'), SEED_LIMIT_MS);
+    const endChild = (): void => void child.kill('SIGTERM');
+    process.on('exit', endChild);
     child.stdout.setEncoding('utf8');
     child.stdout.on('data', (part: string) => (text += part));
     child.on('close', () => {
       clearTimeout(late);
+      process.off('exit', endChild);
       try {
         resolve(JSON.parse(text) as SeedResult);
       } catch {
@@ -148,6 +151,8 @@
 async function main(): Promise<void> {
   try {
     const given = readArguments();
+    // What runs on 'exit' ends the children.
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => process.exit(EXIT_BROKEN));
     await (given.program === null ? runAll(given) : runOne(given, given.program));
   } catch (error) {
     console.error(`soak: ${error instanceof Error ? error.message : String(error)}`);
--- a/test/soak/soak-troubles.ts
+++ b/test/soak/soak-troubles.ts
@@ -4,6 +4,10 @@
 
 const LOST_SHARE = 0.15;
 const REPEAT_AFTER_MS = 2500;
+const MUTE_MS = 9000;
+const BETWEEN_ENDS_MS = 3000;
+const SOON_MS = 150;
+const BACK_MS = 300;
 
 function pick(nodes: readonly string[], random: () => number): string {
   return nodes[Math.floor(random() * nodes.length)] as string;
@@ -41,6 +45,26 @@
         };
       },
     },
+    {
+      // Their records may not be written yet, and until they are heard nothing else names them.
+      name: 'leaders end as new machines get their first work',
+      forS: 40,
+      begin() {
+        let next = 0;
+        site.machines.onFirstWork = (id) => {
+          site.mute.add(id);
+          site.clock.after(MUTE_MS, () => site.mute.delete(id));
+          const { leader } = site;
+          if (leader === undefined || site.clock.now() < next) return;
+          next = site.clock.now() + BETWEEN_ENDS_MS;
+          site.clock.after(SOON_MS, () => site.crash(leader));
+          site.clock.after(SOON_MS + BACK_MS, () => site.start(leader));
+        };
+        return () => {
+          site.machines.onFirstWork = () => {};
+        };
+      },
+    },
     {
       name: 'a zone is cut off, with its controller',
       forS: 28,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,23 +1,27 @@
-import { spawnSync } from 'node:child_process';
-import { mkdtempSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
+import { execFile } from 'node:child_process';
+import { mkdirSync, mkdtempSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { build } from 'esbuild';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { RULE_PARTS } from './broken-controller.js';
 
-const folder = mkdtempSync(join(tmpdir(), 'plumyoke-soak-'));
+mkdirSync('target', { recursive: true });
+// Below the project's folder, so that its libraries are found.
+const folder = mkdtempSync('target/soak-test-');
 const script = join(folder, 'soak.mjs');
 const LIMIT_MS = 400_000;
 
 interface Outcome {
-  readonly status: number | null;
+  readonly status: number;
   readonly text: string;
 }
 
-function soak(...args: string[]): Outcome {
-  const run = spawnSync(process.execPath, [script, '--out', folder, ...args], { encoding: 'utf8' });
-  return { status: run.status, text: `${run.stdout}${run.stderr}` };
+function soak(...args: string[]): Promise<Outcome> {
+  return new Promise((resolve) => {
+    execFile(process.execPath, [script, '--out', folder, ...args], (error, stdout, stderr) => {
+      resolve({ status: error ? Number(error.code ?? -1) : 0, text: `${stdout}${stderr}` });
+    });
+  });
 }
 
 beforeAll(async () => {
@@ -30,8 +34,6 @@
     outfile: script,
     external: ['esbuild'],
     logLevel: 'warning',
-    absWorkingDir: process.cwd(),
-    nodePaths: [join(process.cwd(), 'node_modules')],
   });
 });
 
@@ -41,8 +43,8 @@
 describe('real controllers over loopback, with troubles that overlap', () => {
   it(
     'break no rule, and whatever was accepted is served',
-    () => {
-      const { status, text } = soak('--seeds', '1-3', '--parallel', '3');
+    async () => {
+      const { status, text } = await soak('--seeds', '1-3', '--parallel', '3');
       expect(text).toContain('3 seeds run, 0 failed');
       expect(status).toBe(0);
     },
@@ -51,8 +53,8 @@
 
   it.each(RULE_PARTS)(
     'are caught without the part "%s" of the placement rule',
-    (part) => {
-      const { status, text } = soak('--seeds', '1', '--broken', part);
+    async (part) => {
+      const { status, text } = await soak('--seeds', '1', '--broken', part);
       expect(text).toContain('1 seeds run, 0 failed');
       expect(status).toBe(0);
     },
@@ -65,8 +67,8 @@
     ['an unknown part', ['--broken', 'colour']],
     ['an unknown option', ['--speed', '3']],
     ['too many at once', ['--parallel', '99']],
-  ])('say in one line what is wrong with the arguments: %s', (_name, args) => {
-    const { status, text } = soak(...args);
+  ])('say in one line what is wrong with the arguments: %s', async (_name, args) => {
+    const { status, text } = await soak(...args);
     expect(status).toBe(2);
     expect(text.trim().split('\n')).toHaveLength(1);
   });
