--- a/src/fleet/inventory.ts
+++ b/src/fleet/inventory.ts
@@ -13,6 +13,8 @@
 const LIST_EVERY_MS = 4000;
 /** What a boot may take beyond its type's patience. */
 const BOOT_MARGIN_MS = 10_000;
+/** What the log says of a machine of which only the name is known. */
+export const KNOWN_BY_TASK = 'machine known by a task alone';
 /** By then a machine that is up has been heard by a new leader. */
 const HEARING_MS = 15_000;
 
@@ -79,7 +81,7 @@
 
   /** A predecessor placed a task on a machine of which nothing else is known. */
   adoptUnknown(id: HostId, since: Steady): Host | null {
-    this.ctx.log.info({ host: id }, 'machine known by a task alone');
+    this.ctx.log.info({ host: id }, KNOWN_BY_TASK);
     return this.add(new Host(id, UNKNOWN_FACTS, since), '');
   }
 
--- a/test/soak/loopback-controllers.ts
+++ b/test/soak/loopback-controllers.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { Relay } from '@plumyoke/standins';
 import { ORDER_WITHHELD } from '../../src/workers/order-issuer.js';
+import { KNOWN_BY_TASK } from '../../src/fleet/inventory.js';
 import { ControllerProcess, type LogLine } from './controller-process.js';
 import { ObservedSet } from './observed-set.js';
 import { type ControllerSettings, settingsFile } from '../standins/settings-file.js';
@@ -39,6 +40,8 @@
 export class LoopbackControllers {
   /** Those that reach no other controller. */
   readonly alone = new ObservedSet<string>();
+  /** Machines that new leaders knew by a task alone. */
+  unknownMachines = 0;
   private readonly relay = new Relay();
   private readonly running = new Map<string, ControllerProcess>();
   private readonly ending = new Map<string, Promise<void>>();
@@ -118,6 +121,7 @@
       this.leading.delete(member);
       listener.trace(`${member}     leads no more: ${String(line['why'])}`);
     }
+    if (msg === KNOWN_BY_TASK) this.unknownMachines++;
     if (msg === ORDER_WITHHELD) listener.breach(`withheld: ${JSON.stringify(line)}`);
     if (msg === 'uncaught exception') listener.breach(`exception: ${member}: ${String(line['error'])}`);
   }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -107,8 +107,9 @@
     console.log(`seed ${seed}: FAILED: it came to no end`);
     return;
   }
-  const { machines, accepted, starts, leaderships, troubles } = result;
-  const size = `${machines} machines, ${accepted} jobs, ${starts} starts, ${leaderships} leaderships`;
+  const { machines, accepted, starts, leaderships, unknownMachines, troubles } = result;
+  const met = `${leaderships} leaderships, ${unknownMachines} machines known by a task alone`;
+  const size = `${machines} machines, ${accepted} jobs, ${starts} starts, ${met}`;
   console.log(`seed ${seed}: ${verdict}: ${size}${troubles.length > 0 ? `; ${troubles.join('; ')}` : ''}`);
   if (passed(result, broken)) return;
   for (const text of result.broken.slice(0, SHOWN_BREACHES)) console.log(`  ${text}`);
--- a/test/soak/seed.ts
+++ b/test/soak/seed.ts
@@ -24,6 +24,8 @@
   readonly accepted: number;
   readonly starts: number;
   readonly leaderships: number;
+  /** Machines that new leaders knew by a task alone: what issue 30 was about. */
+  readonly unknownMachines: number;
   readonly broken: readonly string[];
 }
 
@@ -80,6 +82,7 @@
     accepted: day.accepted,
     starts: rules.starts,
     leaderships: site.controllers.leaderships,
+    unknownMachines: site.controllers.unknownMachines,
     broken: rules.broken,
   };
 }
