Progress in chunks of several sizes: merge by a task's life, keep to the smallest size

Cause: a leader with higher limits left the small records that it found and wrote newer, larger ones beside them; the next one took smaller records for newer and believed the old ones.

Mend: a job goes on in the smallest chunk size among its records, and records are merged for each task by what is furthest in its life. It holds because each step of that life only goes forward (docs/safety.md); neither size nor revision could decide, since a write of the larger size that was under way lands after the smaller ones. Where an earlier version has moved a task back by misreading, both placements are held until proven gone. Small records that say less than larger ones are written anew, so that an earlier version reads right.

A fixture made by the landed version is taken over, and its reading rule reads what is written then.

--- a/src/leader/leader-parts.ts
+++ b/src/leader/leader-parts.ts
@@ -146,7 +146,7 @@
     epoch: term.epoch,
     epochRevision: term.epochRevision,
     startedAt: controller.clock.now(),
-    jobs: new JobStore(),
+    jobs: new JobStore((task) => later().restorer.holdOnMachine(task)),
     workers,
     isLeaseValid: () => lease.isLeaseValid(),
     stepDown: (reason) => lifetime.end(reason),
--- a/src/leader/leader-summary.ts
+++ b/src/leader/leader-summary.ts
@@ -22,13 +22,22 @@
   let blocked = 0;
   let assigned = 0;
   let runningCpus = 0;
+  let mixedChunkJobs = 0;
   for (const job of jobs.values()) {
+    if (job.hasMixedChunkSizes) mixedChunkJobs++;
     if (job.isBlocked) blocked += job.waitingCount;
     else waiting += job.waitingCount;
     assigned += job.assignedCount;
     runningCpus += job.runningCount * job.spec.cpus;
   }
-  return { jobs: jobs.size, waiting, blocked, assigned, runningCpus: Math.round(runningCpus) };
+  return {
+    jobs: jobs.size,
+    waiting,
+    blocked,
+    assigned,
+    runningCpus: Math.round(runningCpus),
+    mixedChunkJobs,
+  };
 }
 
 function workerSummary(workers: WorkerRegistry): object {
--- a/src/leader/record-loader.ts
+++ b/src/leader/record-loader.ts
@@ -89,21 +89,30 @@
   for (const row of rows) {
     const openKey = parseOpenKey(row.key);
     if (!openKey) continue;
-    if (openKey.chunk === null) {
-      const record = await readDescription(ctx, decodeJob(openKey.job, row.value));
-      // The head is written once, together with the job's record: their revisions are the same.
-      jobs.set(openKey.job, createActiveJob(ctx, record, row.revision));
-    } else {
-      const job = jobs.get(openKey.job);
-      if (job) job.addStoredProgress(openKey.chunk, openKey.size, row.value, row.revision);
-      else staleKeys.push(row.key);
-    }
+    const { job: id, chunk, size } = openKey;
+    if (chunk === null) jobs.set(id, await loadJob(ctx, id, row));
+    else if (jobs.has(id)) jobs.get(id)?.addStoredProgress(chunk, size, row.value, row.revision);
+    else staleKeys.push(row.key);
   }
-  for (const job of jobs.values()) job.applyStoredProgress();
+  for (const job of jobs.values()) applyProgress(ctx, job);
   const loaded = [...jobs.values()];
   return { jobs: loaded, cancelled: await findCancelled(ctx, loaded), staleKeys, revision };
 }
 
+async function loadJob(ctx: LeaderContext, id: JobId, { value, revision }: KeyValue): Promise<ActiveJob> {
+  const record = await readDescription(ctx, decodeJob(id, value));
+  // The head is written once, together with the job's record: their revisions are the same.
+  return createActiveJob(ctx, record, revision);
+}
+
+function applyProgress({ log, clock }: LeaderContext, job: ActiveJob): void {
+  const { chunkSizes, contradictedTasks, unproven } = job.applyStoredProgress();
+  if (!job.hasMixedChunkSizes) return;
+  job.rewriteOutdatedProgress(clock.now());
+  const fields = { job: job.spec.id, chunkSizes, contradictedTasks, unprovenTasks: unproven.size };
+  log.info(fields, 'progress records of several chunk sizes merged');
+}
+
 function isSplitProgress({ key }: KeyValue): boolean {
   const openKey = parseOpenKey(key);
   return openKey !== null && openKey.size < DEFAULT_CHUNK_SIZE;
--- a/src/leader/state-restorer.ts
+++ b/src/leader/state-restorer.ts
@@ -6,6 +6,7 @@
 import { Priority } from '../model/job.js';
 import { FactSource } from '../model/machine-facts.js';
 import { type MonotonicTime, since } from '../model/time.js';
+import type { Task } from '../scheduler/task.js';
 import type { Worker } from '../workers/state/worker.js';
 import type { FleetRecordWriter } from './fleet-record-writer.js';
 import type { JobIntake } from './job-intake.js';
@@ -89,20 +90,24 @@
     }
   }
 
-  /**
-   * Every task that may be on a machine keeps its capacity there. A machine that no record names is fenced like an
-   * unresponsive one unless it is heard; until its facts are learned, nothing is assumed of it.
-   */
   private assignPlacedTasks(): void {
-    const { jobs, workers, startedAt } = this.ctx;
-    for (const job of jobs.values()) {
-      for (const task of job.assignedTasks()) {
-        if (task.machine === null) continue;
-        const worker = workers.get(task.machine) ?? this.parts.fleet.registerUnknown(task.machine, startedAt);
-        worker?.assign(task);
-      }
+    for (const job of this.ctx.jobs.values()) {
+      for (const task of job.assignedTasks()) this.holdOnMachine(task);
     }
   }
+
+  /**
+   * A task that an earlier leader placed on a machine keeps its capacity there. A machine that no record names is
+   * fenced like an unresponsive one unless it is heard; until its facts are learned, nothing is assumed of it.
+   */
+  holdOnMachine(task: Task): void {
+    const { workers, startedAt, clock } = this.ctx;
+    if (task.machine === null) return;
+    const worker = workers.get(task.machine) ?? this.parts.fleet.registerUnknown(task.machine, startedAt);
+    if (worker) worker.assign(task);
+    // The machine was proven gone in this term, and the task with it.
+    else task.job.releaseTask(task, clock.now());
+  }
 }
 
 function contactRank(worker: Worker): number {
--- a/src/scheduler/active-job.ts
+++ b/src/scheduler/active-job.ts
@@ -3,12 +3,14 @@
 import type { JobSpec, Priority } from '../model/job.js';
 import type { MonotonicTime, WallTime } from '../model/time.js';
 import { DEFAULT_CHUNK_SIZE } from '../store/keys.js';
+import type { TaskPlacement } from '../store/progress-record.js';
 import { AttemptHistory } from './attempt-history.js';
 import { JobDependencies } from './job-dependencies.js';
 import { JobFailures } from './job-failures.js';
 import { type InheritedPriority, JobPriority } from './job-priority.js';
-import { JobProgress, type StoredTaskProgress } from './job-progress.js';
+import { JobProgress, type StoredProgress } from './job-progress.js';
 import type { ChunkJob, ProgressChunk } from './progress-chunk.js';
+import type { TaskProgress, UnfinishedProgress } from './progress-merge.js';
 import { Task } from './task.js';
 import { TaskQueue } from './task-queue.js';
 import { ZoneTally } from './zone-tally.js';
@@ -20,6 +22,8 @@
   onChunkDirty(chunk: ProgressChunk): void;
   /** The chunk is not written any more: others have replaced it. */
   onChunkSuperseded(chunk: ProgressChunk): void;
+  /** The task may be on another machine as well, where it is held from now on. */
+  onHeldElsewhere(task: Task): void;
 }
 
 /** Owns its tasks: phases, machines and zones of tasks change through it, so that its counts always fit them. */
@@ -44,6 +48,8 @@
   private lastPlacement: MonotonicTime | null = null;
   /** Tasks that were running in their last heartbeat. */
   runningCount = 0;
+  /** Whether its progress was read from records of more than one chunk size. */
+  hasMixedChunkSizes = false;
 
   constructor(
     readonly spec: JobSpec,
@@ -184,16 +190,42 @@
     if (!task.isAssigned) return;
     const chunk = this.chunkOf(task.index);
     chunk.committing.delete(task);
-    task.phase = 'waiting';
-    task.machine = null;
     this.zoneTally.remove(task.zone);
     task.zone = null;
-    this.resetAttempt(task);
-    this.placedTasks--;
     this.history.recordLost();
-    this.queue.retry(task.index);
+    const [next, ...later] = task.progressAfterRelease;
+    task.progressAfterRelease = later;
+    if (next?.kind === 'placed') this.holdElsewhere(task, next.placement);
+    else this.queueTask(task, next?.attemptNumber ?? task.attemptNumber);
     chunk.markDirty(now);
     this.listener?.onJobChanged(this);
+    if (task.phase === 'placed') this.listener?.onHeldElsewhere(task);
+  }
+
+  private queueTask(task: Task, lastAttempt: AttemptNumber): void {
+    task.phase = 'waiting';
+    task.machine = null;
+    task.attemptNumber = lastAttempt;
+    this.resetAttempt(task);
+    this.placedTasks--;
+    this.queue.retry(task.index);
+  }
+
+  private holdElsewhere(task: Task, placement: TaskPlacement): void {
+    const { pendingStop } = task;
+    this.resetAttempt(task);
+    this.holdAt(task, placement);
+    // A cancelled task has to be gone from there as well.
+    if (this.isCancelled) task.pendingStop = pendingStop;
+  }
+
+  /** An earlier leader placed the task there: it counts as running until it is proven gone. */
+  private holdAt(task: Task, { attemptNumber, machine }: TaskPlacement): void {
+    task.phase = 'placed';
+    task.attemptNumber = attemptNumber;
+    task.machine = machine;
+    task.isInherited = true;
+    this.zoneTally.add(null);
   }
 
   /** The task ended with success. */
@@ -208,6 +240,7 @@
     task.machine = null;
     task.zone = null;
     task.observedState = null;
+    task.progressAfterRelease = [];
     this.doneTasks++;
     chunk.markDirty(now);
     this.listener?.onJobChanged(this);
@@ -239,12 +272,15 @@
 
   /** Adds a record of progress that an earlier leader wrote; `applyStoredProgress` follows the last one. */
   addStoredProgress(chunk: number, size: number, value: unknown, revision: Revision): void {
-    this.progress.addStored({ index: chunk, size, value, revision });
+    this.progress.addStored({ index: chunk, size, revision }, value);
   }
 
   /** Takes over the stored progress, and queues every task that is neither done nor placed. */
-  applyStoredProgress(): void {
-    for (const [index, stored] of this.progress.takeStored()) this.restoreTask(this.task(index), stored);
+  applyStoredProgress(): StoredProgress {
+    const stored = this.progress.takeStored();
+    this.hasMixedChunkSizes = stored.chunkSizes.length > 1;
+    for (const [index, progress] of stored.tasks)
+      this.restoreTask(this.task(index), progress, stored.unproven.get(index) ?? []);
     let firstNeverStarted = 0;
     for (const index of this.tasks.keys()) firstNeverStarted = Math.max(firstNeverStarted, index + 1);
     for (let index = 0 as TaskIndex; index < firstNeverStarted; index++) {
@@ -252,25 +288,28 @@
       if (!task || task.phase === 'waiting') this.queue.retry(index);
     }
     this.queue.restoreNeverStarted(firstNeverStarted);
+    return stored;
+  }
+
+  /** Writes the records anew that contradict others (`JobProgress.rewriteOutdated`). */
+  rewriteOutdatedProgress(now: MonotonicTime): void {
+    this.progress.rewriteOutdated(now);
   }
 
-  private restoreTask(task: Task, stored: StoredTaskProgress): void {
-    switch (stored.kind) {
-      case 'done':
-        task.phase = 'done';
-        this.doneTasks++;
-        break;
-      case 'placed':
-        task.phase = 'placed';
-        task.attemptNumber = stored.placement.attemptNumber;
-        task.machine = stored.placement.machine;
-        task.isInherited = true;
-        this.placedTasks++;
-        this.zoneTally.add(null);
-        break;
-      case 'waiting':
-        task.attemptNumber = stored.attemptNumber;
-        break;
+  private restoreTask(task: Task, progress: TaskProgress, unproven: readonly TaskPlacement[]): void {
+    if (progress.kind === 'done') {
+      task.phase = 'done';
+      this.doneTasks++;
+      return;
     }
+    const placements = unproven.map((placement): UnfinishedProgress => ({ kind: 'placed', placement }));
+    const [current = progress, ...later] = [...placements, progress];
+    if (current.kind === 'waiting') {
+      task.attemptNumber = current.attemptNumber;
+      return;
+    }
+    task.progressAfterRelease = later;
+    this.holdAt(task, current.placement);
+    this.placedTasks++;
   }
 }
--- a/src/scheduler/job-progress.ts
+++ b/src/scheduler/job-progress.ts
@@ -1,23 +1,41 @@
 /** A job's progress in chunks, and how it is read back from records of several chunk sizes. */
-import type { AttemptNumber, Revision, TaskIndex } from '../model/ids.js';
+import type { Revision, TaskIndex } from '../model/ids.js';
 import type { MonotonicTime } from '../model/time.js';
 import { keys } from '../store/keys.js';
-import { decodeChunk, type TaskPlacement } from '../store/progress-record.js';
+import { type ChunkProgress, decodeChunk, type TaskPlacement } from '../store/progress-record.js';
 import { type ChunkJob, ProgressChunk } from './progress-chunk.js';
+import { isSameProgress, mergeClaims, type ProgressClaim, type TaskProgress } from './progress-merge.js';
 
-/** A record of progress as read from the store, not applied yet. */
-interface StoredChunk {
+/** A record of progress as read from the store. */
+interface StoredChunkKey {
   readonly index: number;
+  /** Tasks that share one record. */
   readonly size: number;
-  readonly value: unknown;
   readonly revision: Revision;
 }
 
-/** The progress of one task according to the records. */
-export type StoredTaskProgress =
-  | { readonly kind: 'done' }
-  | { readonly kind: 'placed'; readonly placement: TaskPlacement }
-  | { readonly kind: 'waiting'; readonly attemptNumber: AttemptNumber };
+/** A record of progress, decoded and not applied yet. */
+interface StoredChunk extends StoredChunkKey {
+  readonly progress: ChunkProgress;
+}
+
+/** All stored progress of a job, of which every task that was begun is a part. */
+export interface StoredProgress {
+  readonly tasks: ReadonlyMap<TaskIndex, TaskProgress>;
+  /** Further placements of tasks that earlier versions' records contradict each other on (`MergedProgress`). */
+  readonly unproven: ReadonlyMap<TaskIndex, readonly TaskPlacement[]>;
+  /** The chunk sizes of the records, ascending. */
+  readonly chunkSizes: readonly number[];
+  /** Tasks of which two records say different things. */
+  readonly contradictedTasks: number;
+}
+
+/** Yields what a record says of each task that it lists. */
+function* progressOf({ done, placed, usedAttempts }: ChunkProgress): Generator<[TaskIndex, TaskProgress]> {
+  for (const index of done) yield [index, { kind: 'done' }];
+  for (const [index, placement] of placed) yield [index, { kind: 'placed', placement }];
+  for (const [index, attemptNumber] of usedAttempts) yield [index, { kind: 'waiting', attemptNumber }];
+}
 
 /** The chunks of one job. */
 export class JobProgress {
@@ -26,6 +44,8 @@
   /** Keys of records that are replaced by records of another chunk size. */
   readonly supersededKeys: string[] = [];
   private storedChunks: StoredChunk[] = [];
+  /** Chunks whose record says less than others that were read beside it. */
+  private readonly outdatedChunks = new Set<ProgressChunk>();
 
   constructor(
     private readonly job: ChunkJob,
@@ -44,36 +64,64 @@
   }
 
   /** Adds a record that an earlier leader wrote, of any chunk size; `takeStored` applies it. */
-  addStored(chunk: StoredChunk): void {
-    this.storedChunks.push(chunk);
+  addStored(chunk: StoredChunkKey, value: unknown): void {
+    this.storedChunks.push({ ...chunk, progress: decodeChunk(value) });
   }
 
   /**
-   * Merges all records that were added. Smaller chunks were made of larger ones and list every task that was ever
-   * begun: they are merged last and take precedence.
+   * Merges all records that were added. The job goes on in the smallest chunk size among them: a larger record beside
+   * smaller ones would be newer than they are, and an earlier version lets the smaller ones win whatever their age.
    */
-  takeStored(): Map<TaskIndex, StoredTaskProgress> {
-    const merged = new Map<TaskIndex, StoredTaskProgress>();
-    for (const { index: chunkIndex, size, value, revision } of this.storedChunks.sort(
-      (a, b) => b.size - a.size,
-    )) {
-      const firstTask = (chunkIndex * size) as TaskIndex;
-      if (size === this.chunkSize) this.chunkOf(firstTask).revision = revision;
-      else this.supersededKeys.push(keys.openChunk(this.job.spec.id, chunkIndex, size));
-      const { done, placed, usedAttempts } = decodeChunk(value);
-      for (const index of done) merged.set(index, { kind: 'done' });
-      for (const [index, placement] of placed) merged.set(index, { kind: 'placed', placement });
-      for (const [index, attemptNumber] of usedAttempts) {
-        merged.set(index, { kind: 'waiting', attemptNumber });
-      }
-    }
+  takeStored(): StoredProgress {
+    const stored = this.storedChunks;
     this.storedChunks = [];
-    return merged;
+    const chunkSizes = [...new Set(stored.map(({ size }) => size))].sort((one, other) => one - other);
+    this.chunkSize = Math.min(this.chunkSize, ...chunkSizes);
+    for (const chunk of stored) this.adoptKey(chunk);
+    // Of one size, each task stands in one record.
+    if (chunkSizes.length > 1) return { ...this.mergeSizes(stored), chunkSizes };
+    const tasks = new Map<TaskIndex, TaskProgress>();
+    for (const chunk of stored)
+      for (const [index, progress] of progressOf(chunk.progress)) tasks.set(index, progress);
+    return { tasks, unproven: new Map(), chunkSizes, contradictedTasks: 0 };
+  }
+
+  /** The next write of a chunk compares with the revision of the record that it replaces. */
+  private adoptKey({ index, size, revision }: StoredChunkKey): void {
+    if (size === this.chunkSize) this.chunkOf((index * size) as TaskIndex).revision = revision;
+    else this.supersededKeys.push(keys.openChunk(this.job.spec.id, index, size));
+  }
+
+  private mergeSizes(stored: readonly StoredChunk[]): Omit<StoredProgress, 'chunkSizes'> {
+    const tasks = new Map<TaskIndex, TaskProgress>();
+    const unproven = new Map<TaskIndex, readonly TaskPlacement[]>();
+    let contradictedTasks = 0;
+    for (const [index, claims] of claimsByTask(stored)) {
+      const merged = mergeClaims(claims);
+      tasks.set(index, merged.progress);
+      if (merged.unproven.length > 0) unproven.set(index, merged.unproven);
+      const [placement] = merged.unproven;
+      const effective: TaskProgress = placement ? { kind: 'placed', placement } : merged.progress;
+      const outdated = claims.filter(({ progress }) => !isSameProgress(progress, effective));
+      if (outdated.length > 0) contradictedTasks++;
+      if (outdated.some((claim) => claim.chunkSize === this.chunkSize))
+        this.outdatedChunks.add(this.chunkOf(index));
+    }
+    return { tasks, unproven, contradictedTasks };
+  }
+
+  /**
+   * Writes the records anew that say less than the larger ones beside them: an earlier version that takes over would
+   * believe them.
+   */
+  rewriteOutdated(now: MonotonicTime): void {
+    for (const chunk of this.outdatedChunks) chunk.markDirty(now);
+    this.outdatedChunks.clear();
   }
 
   /**
    * Goes on in smaller chunks, and returns those that they replace. Durable progress stays where it is until its part
-   * changes; what is not durable is written anew, and takes precedence over whatever of the old size still arrives late.
+   * changes; what is not durable is written anew.
    */
   shrinkChunks(size: number, now: MonotonicTime): ProgressChunk[] {
     if (size >= this.chunkSize || this.job.spec.taskCount <= size) return [];
@@ -97,3 +145,16 @@
     if (chunk.revision > 0) this.supersededKeys.push(chunk.key);
   }
 }
+
+function claimsByTask(stored: readonly StoredChunk[]): Map<TaskIndex, ProgressClaim[]> {
+  const claimsOf = new Map<TaskIndex, ProgressClaim[]>();
+  for (const { size, revision, progress: chunk } of stored) {
+    for (const [index, progress] of progressOf(chunk)) {
+      const claim = { progress, chunkSize: size, revision };
+      const claims = claimsOf.get(index);
+      if (claims) claims.push(claim);
+      else claimsOf.set(index, [claim]);
+    }
+  }
+  return claimsOf;
+}
--- a/src/scheduler/job-store.ts
+++ b/src/scheduler/job-store.ts
@@ -3,6 +3,7 @@
 import type { FinalState } from '../model/job.js';
 import type { ActiveJob, JobListener } from './active-job.js';
 import type { ProgressChunk } from './progress-chunk.js';
+import type { Task } from './task.js';
 import type { TeamUsage } from './team-usage.js';
 
 /** Ended jobs that are remembered: a late watch event must not open them again. */
@@ -20,6 +21,9 @@
   /** Raised whenever the set of jobs that are neither cancelled nor complete changes. */
   version = 0;
 
+  /** `holdOnMachine` is called when a task is held on another machine than before, where it may be running as well. */
+  constructor(private readonly holdOnMachine: (task: Task) => void = () => {}) {}
+
   get size(): number {
     return this.activeJobs.size;
   }
@@ -67,6 +71,10 @@
     this.dirtyChunks.delete(chunk);
   }
 
+  onHeldElsewhere(task: Task): void {
+    this.holdOnMachine(task);
+  }
+
   /** Removes a job whose end is durable, and remembers the end. */
   close(id: JobId): void {
     const job = this.activeJobs.get(id);
--- a/src/scheduler/task.ts
+++ b/src/scheduler/task.ts
@@ -14,6 +14,7 @@
 import type { MonotonicTime, WallTime } from '../model/time.js';
 import type { AttemptHistory } from './attempt-history.js';
 import type { JobFailures } from './job-failures.js';
+import type { UnfinishedProgress } from './progress-merge.js';
 import type { ZoneTally } from './zone-tally.js';
 
 /**
@@ -56,6 +57,8 @@
   finishTask(task: Task, now: MonotonicTime): void;
 }
 
+const NO_PROGRESS: readonly UnfinishedProgress[] = [];
+
 /** A task that was begun at least once. Its phase, machine and zone are changed by its job alone. */
 export class Task {
   phase: TaskPhase = 'waiting';
@@ -73,6 +76,11 @@
   /** Placed in an earlier epoch: gone once a heartbeat in ours lacks it. */
   isInherited = false;
   pendingStop: PendingStop | null = null;
+  /**
+   * What counts once the current placement is proven gone, in this order: records of earlier versions may name several
+   * placements that can be running, and each is held until it is proven gone (`MergedProgress`).
+   */
+  progressAfterRelease: readonly UnfinishedProgress[] = NO_PROGRESS;
 
   constructor(
     readonly job: TaskJob,
--- a/test/simulation/simulated-controllers.ts
+++ b/test/simulation/simulated-controllers.ts
@@ -55,12 +55,17 @@
   /** The share of processor time that each node reports. */
   load = 0;
 
+  /** Called for every line that a controller logs as an error or as information. */
+  onLogLine: (level: 'error' | 'info', text: string, fields: object) => void = () => {};
+
   /** A withheld command is recorded as a violation: without that check the controller would have broken a rule. */
   private readonly log: Logger = {
     ...silentLogger,
     error: (fields, text) => {
+      this.onLogLine('error', text, fields);
       if (text === START_WITHHELD) this.rules.recordViolation(`withheld: ${JSON.stringify(fields)}`);
     },
+    info: (fields, text) => this.onLogLine('info', text, fields),
   };
 
   constructor(size = SMALL_SITE) {
--- a/test/simulation/simulated-site.ts
+++ b/test/simulation/simulated-site.ts
@@ -44,10 +44,13 @@
       const job = /^open\/(j-\d+)\/(?:\d+-)?\d+$/.exec(key)?.[1];
       if (job === undefined) continue;
       for (const [index, attemptNumber, host] of (value as { p?: [number, AttemptNumber, MachineId][] }).p ??
-        [])
+        []) {
+        // A record that a later one contradicts may name a machine that is gone.
+        if (!this.workers.has(host)) continue;
         this.worker(host).command(token, 1 as AgentIncarnation, [
           { kind: 'start', task: `${job}/${index}` as TaskId, attemptNumber },
         ]);
+      }
     }
   }
 
--- a/test/traces/progress-chunks.test.ts
+++ b/test/traces/progress-chunks.test.ts
@@ -134,4 +134,26 @@
     await replaceControllersUnheard(site, [0, 40]);
     await expectServed(site);
   });
+
+  it('says at restore which sizes it found, and on how many tasks they differ', async () => {
+    const size = roomFor(TASKS, {});
+    delete size.next;
+    const site = new SimulatedSite(size);
+    const merges: object[] = [];
+    site.onLogLine = (_level, text, fields) => {
+      if (text === 'progress records of several chunk sizes merged') merges.push(fields);
+    };
+    site.startAll();
+    await site.run(1);
+    await site.submit({ ref: REF, tasks: TASKS, runS: 100 });
+    await runUntil(site, () => site.runningTaskCount(REF) === TASKS);
+    size.next = LOW_LIMITS;
+    await replaceControllers(site);
+    await moveTasks(site, MOVED, TASKS);
+    expect(merges).toEqual([]);
+    await replaceControllers(site);
+    // Four tasks were on each of the three machines.
+    expect(merges).toEqual([{ job: REF, chunkSizes: [60, 300], contradictedTasks: 12, unprovenTasks: 0 }]);
+    await expectServed(site);
+  });
 });
--- a/test/traces/upgrade.test.ts
+++ b/test/traces/upgrade.test.ts
@@ -4,6 +4,7 @@
   type Epoch,
   type Revision,
   type JobId,
+  type MachineId,
   type MemberId,
   type FenceGeneration,
   fencingTokenOf,
@@ -19,7 +20,9 @@
   PROTOCOL_VERSION,
   SPLIT_DESCRIPTIONS_VERSION,
 } from '../../src/model/protocol.js';
+import { parseOpenKey } from '../../src/store/keys.js';
 import { decodeLeader } from '../../src/store/leader-record.js';
+import { decodeChunk } from '../../src/store/progress-record.js';
 import type { KeyValue } from '../../src/wire/key-value-store.js';
 import { SimulatedSite } from '../simulation/simulated-site.js';
 import type { JobRequest } from '../simulation/site-setup.js';
@@ -202,6 +205,68 @@
   });
 });
 
+/** Made in the same way by the version of commit a2c346b: a leader with small records, then one with larger ones. */
+const grown = JSON.parse(readFileSync(new URL('../fixtures/grown.json', import.meta.url), 'utf8')) as {
+  records: { key: string; value: unknown; stamp: Revision }[];
+};
+const GROWN_REF = 'j-000001';
+const GROWN_TASKS = 70;
+
+/** Where the tasks are according to the records, as that version reads them: small records win, whatever their age. */
+function placesAsGrownVersionReads(site: SimulatedSite): Map<string, string> {
+  const chunks = [...site.store.keys].flatMap(([key, { value }]) => {
+    const openKey = parseOpenKey(key);
+    return openKey?.chunk == null ? [] : [{ size: openKey.size, ...decodeChunk(value) }];
+  });
+  const places = new Map<string, string>();
+  for (const { done, placed, usedAttempts } of chunks.sort((one, other) => other.size - one.size)) {
+    for (const index of [...done, ...usedAttempts.keys()]) places.delete(`${GROWN_REF}/${index}`);
+    for (const [index, { machine }] of placed) places.set(`${GROWN_REF}/${index}`, machine);
+  }
+  return places;
+}
+
+describe('records of a version that went back to larger chunks', () => {
+  it('are taken over as the later ones say, and that version reads what is written then', async () => {
+    const site = new SimulatedSite({ limit: { red: 140, blue: 0 }, reportS: 3, nodes: 3 });
+    const rows = grown.records.map(({ key, value, stamp }) => ({ key, value, revision: stamp }));
+    site.restore(
+      rows.filter((row) => row.key !== 'leader'),
+      [{ ref: GROWN_REF, tasks: GROWN_TASKS, runS: 100 }],
+      fencingTokenOf(2 as Epoch, 0 as FenceGeneration),
+    );
+    const whereTheyRun = (): Map<string, string> =>
+      new Map(
+        Array.from({ length: GROWN_TASKS }, (_, index): [string, string] => {
+          const task = `${GROWN_REF}/${index}`;
+          return [task, site.machineOf(task)];
+        }),
+      );
+    // That version itself would look for eight tasks on machines that are gone.
+    const misread = [...placesAsGrownVersionReads(site).values()].filter(
+      (machine) => !site.workers.has(machine as MachineId),
+    );
+    expect(misread).toHaveLength(8);
+    site.startAll();
+    await site.run(5);
+    expect(site.runningTaskCount(GROWN_REF)).toBe(GROWN_TASKS);
+    expect(site.rules.startCount).toBe(GROWN_TASKS);
+    expect(placesAsGrownVersionReads(site)).toEqual(whereTheyRun());
+    // Also after some were placed anew.
+    site.killMachine(site.machineOf(`${GROWN_REF}/0`));
+    site.killMachine(site.machineOf(`${GROWN_REF}/60`));
+    await runUntil(site, () => site.runningTaskCount(GROWN_REF) === GROWN_TASKS, 60);
+    await site.run(1);
+    expect(placesAsGrownVersionReads(site)).toEqual(whereTheyRun());
+    await runUntil(site, () => site.store.value(`open/${GROWN_REF}`) === undefined, 200);
+    await site.run(5);
+    expect(await site.query(GROWN_REF)).toBe('done');
+    expect([...site.store.keys.keys()].filter((key) => key.startsWith('open/'))).toEqual([]);
+    await site.finish();
+    expect(site.rules.violations).toEqual([]);
+  });
+});
+
 describe('frames of the production version', () => {
   it('are read, and the same frames are still written', () => {
     const bytes = Object.values(production.frames).map((hex) => Buffer.from(hex, 'hex'));
