Failing tests: an unreadable progress record ends every takeover; a late large record stays behind

Seen: with one record of progress that cannot be decoded no controller gets to lead ('state restore failed' every 200 ms, without the key), so nobody's jobs start or end. A record under a key of an unknown form is passed over in silence, and its job goes on as if it held nothing. And a large record whose write got no answer before the chunk size changed stays in the store after its job is closed.

--- a/test/traces/progress-chunks.test.ts
+++ b/test/traces/progress-chunks.test.ts
@@ -156,4 +156,21 @@
     expect(merges).toEqual([{ job: REF, chunkSizes: [60, 300], contradictedTasks: 12, unprovenTasks: 0 }]);
     await expectServed(site);
   });
+
+  it('leaves nothing behind of a large record that was written late, after smaller ones', async () => {
+    const site = new SimulatedSite(roomFor(TASKS, LOW_LIMITS));
+    // Beside controllers that could not read small records none are written, until a large one is refused.
+    for (const name of site.nodes) site.earlierVersionNodes.add(name);
+    site.startAll();
+    await site.run(1);
+    await site.submit({ ref: REF, tasks: TASKS, runS: 20 });
+    await runUntil(site, () => site.workers.size > 0);
+    site.store.lateCommitRate = 1;
+    await site.run(1);
+    site.store.lateCommitRate = 0;
+    // Its repetition is refused, and smaller ones are written in its place.
+    site.store.sizeLimits = { txnOps: LOW_LIMITS.txn_ops, valueBytes: LOW_LIMITS.value_kb * 1024 };
+    await runUntil(site, () => storedSizes(site).size === 2, 10);
+    await expectServed(site);
+  });
 });
--- /dev/null
+++ b/test/traces/unreadable-progress.test.ts
@@ -0,0 +1,67 @@
+/**
+ * What happens: one stored progress record that cannot be decoded keeps every controller from leading, so that no job starts
+ * or ends any more. Under a key of an unknown form it is not even noticed.
+ *
+ * Why: the record was decoded as the type it should have; the error ended the whole restore, which was begun again for ever.
+ *
+ * What showed it: "state restore failed" every 200 ms, with "number 7 is not iterable" and without a key.
+ */
+import { describe, expect, it } from 'vitest';
+import type { Revision } from '../../src/model/ids.js';
+import type { KeyValue } from '../../src/wire/key-value-store.js';
+import type { SimulatedSite } from '../simulation/simulated-site.js';
+import { runUntil, startedSite } from './steps.js';
+
+const DAMAGED = 'j-000001';
+const OTHER = 'j-000002';
+const UNREADABLE = 'progress record unreadable, job held back';
+
+/** The error lines of the controllers, with their fields. */
+function recordErrors(site: SimulatedSite): object[] {
+  const lines: object[] = [];
+  site.onLogLine = (level, text, fields) => {
+    if (level === 'error') lines.push({ text, ...fields });
+  };
+  return lines;
+}
+
+/** Two running jobs; then all controllers are replaced, and the next leader finds this record. */
+async function siteWithRecord(row: Pick<KeyValue, 'key' | 'value'>) {
+  const site = await startedSite();
+  // More tasks than its team's limit has room for: some were never started.
+  await site.submit({ ref: DAMAGED, tasks: 10, cpus: 4, runS: 30 });
+  await site.submit({ ref: OTHER, tasks: 2, cpus: 4, runS: 30, team: 'blue' });
+  await runUntil(site, () => site.runningTaskCount(DAMAGED) === 6 && site.runningTaskCount(OTHER) === 2, 60);
+  await site.run(3);
+  for (const node of site.nodes) site.crash(node);
+  site.store.restore([{ ...row, revision: 900 as Revision }]);
+  const errors = recordErrors(site);
+  const starts = site.rules.startCount;
+  site.startAll();
+  await runUntil(site, () => site.leader !== undefined, 20);
+  return { site, errors, startsOfDamaged: () => site.rules.startCount - starts };
+}
+
+describe('a progress record that cannot be read', () => {
+  it.each([
+    ['a field that is no list', `open/${DAMAGED}/0000`, { d: 7 }],
+    ['a key of an unknown form', `open/${DAMAGED}/progress`, { d: [[0, 0]] }],
+  ])('is named once, and nothing of its job is started: %s', async (_name, key, value) => {
+    const { site, errors, startsOfDamaged } = await siteWithRecord({ key, value });
+    await site.run(60);
+    expect(errors).toEqual([expect.objectContaining({ text: UNREADABLE, key })]);
+    expect(startsOfDamaged()).toBe(0);
+    // It stays known, and the record stays for whoever repairs it.
+    expect(await site.query(DAMAGED, site.leader as string)).toMatch(/pending|running/);
+    expect(site.store.value(key)).toEqual(value);
+    // Other jobs go on, and it can be cancelled.
+    expect(await site.query(OTHER, site.leader as string)).toBe('done');
+    await site.submit({ ref: 'j-000003', runS: 5 }, site.leader);
+    expect(await site.cancel(DAMAGED, site.leader)).toBe('cancelled');
+    await site.run(60);
+    expect(await site.query('j-000003', site.leader as string)).toBe('done');
+    await site.finish();
+    expect(site.rules.violations).toEqual([]);
+    expect([...site.store.keys.keys()].filter((left) => left.startsWith('open/'))).toEqual([]);
+  });
+});
