Drop every progress record whose write was sent, answered or not

Callers saw nothing; the store kept a record for ever, or until the next takeover found it without a head. Cause: a job's end drops the records whose revision is known; a write without an answer leaves the revision at 0, and a change of the chunk size then forgot the key. Mend: a chunk remembers that a write was sent. It holds because the drop of a key that does not exist changes nothing, and a start that is applied after the job's end fails on the job's record.

--- a/src/leader/commit-batch.ts
+++ b/src/leader/commit-batch.ts
@@ -160,6 +160,7 @@
       batch.compares.push({ key: keys.job(chunk.job.spec.id), revision: chunk.job.revision });
     batch.writes.push({ set: chunk.key, value: encodeChunk(progress) });
     batch.chunks.push({ chunk, version: chunk.version, starting });
+    chunk.wasSent = true;
     if (starting.length > 0) this.writeCounts.starts++;
     else this.writeCounts.progress++;
     batch.bytes += WRITE_BYTES + progress.placed.size * PLACEMENT_BYTES + chunk.tasks.size * TASK_BYTES;
@@ -202,7 +203,7 @@
 
 /** The keys of a job that go with its head: stored progress, superseded chunks, and parts of its description. */
 function closedKeys(job: ActiveJob): string[] {
-  const storedChunks = [...job.chunks.values()].filter((chunk) => chunk.revision > 0);
+  const storedChunks = [...job.chunks.values()].filter((chunk) => chunk.mayBeStored);
   return [...storedChunks.map((chunk) => chunk.key), ...job.supersededKeys, ...overflowKeys(job.spec)];
 }
 
--- a/src/scheduler/job-progress.ts
+++ b/src/scheduler/job-progress.ts
@@ -142,7 +142,7 @@
     }
     if (chunk.isDirty) for (const part of parts) part.markDirty(now);
     chunk.supersedeBy([...parts]);
-    if (chunk.revision > 0) this.supersededKeys.push(chunk.key);
+    if (chunk.mayBeStored) this.supersededKeys.push(chunk.key);
   }
 }
 
--- a/src/scheduler/progress-chunk.ts
+++ b/src/scheduler/progress-chunk.ts
@@ -17,6 +17,8 @@
 export class ProgressChunk implements DurableProgress {
   /** The revision of its record. */
   revision: Revision = NO_REVISION;
+  /** A write of its record was sent, whatever became of it. */
+  wasSent = false;
   /** Raised by each change; the change is durable once `durableVersion` has caught up. */
   version = 0;
   durableVersion = 0;
@@ -38,6 +40,11 @@
     return keys.openChunk(this.job.spec.id, this.index, this.size);
   }
 
+  /** Whether its record may be in the store, or may still be applied: it has to be dropped in the end. */
+  get mayBeStored(): boolean {
+    return this.revision > NO_REVISION || this.wasSent;
+  }
+
   get isDirty(): boolean {
     return this.version > this.durableVersion;
   }
