An unreadable progress record holds back its own job alone, and is named

What callers saw: with one record of progress that cannot be decoded nobody's jobs started or ended, since every elected controller restored for ever; with one that decodes to nothing by accident, or whose key has an unknown form, tasks that may be running were started anew.

Cause: the stored value was taken for what its type says ('state restore failed' every 200 ms, 'number 7 is not iterable', no key). Mend: value and key are checked as they are read; what no version writes is named in one error line and holds its job back. It holds because such a job starts nothing and none of its records is replaced, so that a later leader comes to the same.

--- a/src/leader/leader-summary.ts
+++ b/src/leader/leader-summary.ts
@@ -23,8 +23,10 @@
   let assigned = 0;
   let runningCpus = 0;
   let mixedChunkJobs = 0;
+  let heldBackJobs = 0;
   for (const job of jobs.values()) {
     if (job.hasMixedChunkSizes) mixedChunkJobs++;
+    if (job.isHeldBack) heldBackJobs++;
     if (job.isBlocked) blocked += job.waitingCount;
     else waiting += job.waitingCount;
     assigned += job.assignedCount;
@@ -37,6 +39,7 @@
     assigned,
     runningCpus: Math.round(runningCpus),
     mixedChunkJobs,
+    heldBackJobs,
   };
 }
 
--- a/src/leader/record-loader.ts
+++ b/src/leader/record-loader.ts
@@ -1,12 +1,14 @@
 /** Reads what earlier leaders have recorded: unfinished jobs, machines, forecasts. */
 import type { LeaderContext } from '../core/context.js';
 import type { FleetManager } from '../fleet/fleet-manager.js';
+import { errorMessage } from '../log/logger.js';
 import type { JobId, Revision } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
 import type { MonotonicTime } from '../model/time.js';
 import { ActiveJob } from '../scheduler/active-job.js';
 import { decodeJob, withDescription } from '../store/job-record.js';
-import { DEFAULT_CHUNK_SIZE, keys, parseOpenKey } from '../store/keys.js';
+import { InvalidProgressRecordError } from '../store/errors.js';
+import { DEFAULT_CHUNK_SIZE, jobOfUnknownOpenKey, keys, type OpenKey, parseOpenKey } from '../store/keys.js';
 import { decodeFleetChunk, type MachineRecord } from '../store/machine-record.js';
 import { type RecordSet, readRecords, retryWhileRateLimited } from '../store/records.js';
 import type { Compare, KeyValue } from '../wire/key-value-store.js';
@@ -88,11 +90,10 @@
   const staleKeys: string[] = [];
   for (const row of rows) {
     const openKey = parseOpenKey(row.key);
-    if (!openKey) continue;
-    const { job: id, chunk, size } = openKey;
-    if (chunk === null) jobs.set(id, await loadJob(ctx, id, row));
-    else if (jobs.has(id)) jobs.get(id)?.addStoredProgress(chunk, size, row.value, row.revision);
-    else staleKeys.push(row.key);
+    if (!openKey) holdBackJobOf(ctx, jobs, row.key);
+    else if (openKey.chunk !== null) addProgress(ctx, jobs.get(openKey.job), openKey, row);
+    else jobs.set(openKey.job, await loadJob(ctx, openKey.job, row));
+    if (openKey && !jobs.has(openKey.job)) staleKeys.push(row.key);
   }
   for (const job of jobs.values()) applyProgress(ctx, job);
   const loaded = [...jobs.values()];
@@ -105,6 +106,30 @@
   return createActiveJob(ctx, record, revision);
 }
 
+/** Adds a record of progress to its job; undefined: the job is over. */
+function addProgress(
+  ctx: LeaderContext,
+  job: ActiveJob | undefined,
+  { chunk, size }: OpenKey,
+  { key, value, revision }: KeyValue,
+): void {
+  if (!job || chunk === null) return;
+  try {
+    job.addStoredProgress(chunk, size, value, revision);
+  } catch (error) {
+    if (!(error instanceof InvalidProgressRecordError)) throw error;
+    ctx.log.error({ key, error: errorMessage(error) }, 'progress record unreadable, job held back');
+    job.holdBack(key);
+  }
+}
+
+/** A key of a form that no version writes: what it says of its job is unknown. */
+function holdBackJobOf(ctx: LeaderContext, jobs: ReadonlyMap<JobId, ActiveJob>, key: string): void {
+  ctx.log.error({ key, error: 'a key of an unknown form' }, 'progress record unreadable, job held back');
+  const id = jobOfUnknownOpenKey(key);
+  if (id !== null) jobs.get(id)?.holdBack(key);
+}
+
 function applyProgress({ log, clock }: LeaderContext, job: ActiveJob): void {
   const { chunkSizes, contradictedTasks, unproven } = job.applyStoredProgress();
   if (!job.hasMixedChunkSizes) return;
--- a/src/scheduler/active-job.ts
+++ b/src/scheduler/active-job.ts
@@ -50,6 +50,7 @@
   runningCount = 0;
   /** Whether its progress was read from records of more than one chunk size. */
   hasMixedChunkSizes = false;
+  private isProgressUnreadable = false;
 
   constructor(
     readonly spec: JobSpec,
@@ -67,7 +68,7 @@
 
   /** Whether no task of it may start yet. */
   get isBlocked(): boolean {
-    return this.dependencies.isBlocked;
+    return this.dependencies.isBlocked || this.isProgressUnreadable;
   }
 
   /** When it should be complete by its own deadline. */
@@ -257,7 +258,8 @@
   }
 
   onChunkDirty(chunk: ProgressChunk): void {
-    this.listener?.onChunkDirty(chunk);
+    // A record that cannot be read must not be replaced by one that knows nothing of it.
+    if (!this.isProgressUnreadable) this.listener?.onChunkDirty(chunk);
   }
 
   /** Keys of its records that are replaced by others. */
@@ -270,11 +272,26 @@
     for (const chunk of this.progress.shrinkChunks(size, now)) this.listener?.onChunkSuperseded(chunk);
   }
 
-  /** Adds a record of progress that an earlier leader wrote; `applyStoredProgress` follows the last one. */
+  /**
+   * Adds a record of progress that an earlier leader wrote; `applyStoredProgress` follows the last one.
+   *
+   * @throws {InvalidProgressRecordError} On a value that no version writes under this key.
+   */
   addStoredProgress(chunk: number, size: number, value: unknown, revision: Revision): void {
     this.progress.addStored({ index: chunk, size, revision }, value);
   }
 
+  /** One of its records cannot be read: none of its tasks may start, since each may be running somewhere. */
+  holdBack(unreadableKey: string): void {
+    this.isProgressUnreadable = true;
+    this.progress.supersededKeys.push(unreadableKey);
+  }
+
+  /** Whether one of its records cannot be read. */
+  get isHeldBack(): boolean {
+    return this.isProgressUnreadable;
+  }
+
   /** Takes over the stored progress, and queues every task that is neither done nor placed. */
   applyStoredProgress(): StoredProgress {
     const stored = this.progress.takeStored();
--- a/src/scheduler/job-progress.ts
+++ b/src/scheduler/job-progress.ts
@@ -1,8 +1,14 @@
 /** A job's progress in chunks, and how it is read back from records of several chunk sizes. */
 import type { Revision, TaskIndex } from '../model/ids.js';
 import type { MonotonicTime } from '../model/time.js';
+import { InvalidProgressRecordError } from '../store/errors.js';
 import { keys } from '../store/keys.js';
-import { type ChunkProgress, decodeChunk, type TaskPlacement } from '../store/progress-record.js';
+import {
+  type ChunkProgress,
+  decodeChunk,
+  type TaskPlacement,
+  type TaskRange,
+} from '../store/progress-record.js';
 import { type ChunkJob, ProgressChunk } from './progress-chunk.js';
 import { isSameProgress, mergeClaims, type ProgressClaim, type TaskProgress } from './progress-merge.js';
 
@@ -41,7 +47,7 @@
 export class JobProgress {
   /** By index. */
   readonly chunks = new Map<number, ProgressChunk>();
-  /** Keys of records that are replaced by records of another chunk size. */
+  /** Keys of records that are replaced by records of another chunk size, or that cannot be read. */
   readonly supersededKeys: string[] = [];
   private storedChunks: StoredChunk[] = [];
   /** Chunks whose record says less than others that were read beside it. */
@@ -63,9 +69,20 @@
     return chunk;
   }
 
-  /** Adds a record that an earlier leader wrote, of any chunk size; `takeStored` applies it. */
+  /**
+   * Adds a record that an earlier leader wrote, of any chunk size; `takeStored` applies it.
+   *
+   * @throws {InvalidProgressRecordError} On a value that no version writes under this key.
+   */
   addStored(chunk: StoredChunkKey, value: unknown): void {
-    this.storedChunks.push({ ...chunk, progress: decodeChunk(value) });
+    const { index, size } = chunk;
+    if (index * size >= this.job.spec.taskCount)
+      throw new InvalidProgressRecordError('a chunk beyond the job');
+    const tasks: TaskRange = {
+      first: index * size,
+      end: Math.min((index + 1) * size, this.job.spec.taskCount),
+    };
+    this.storedChunks.push({ ...chunk, progress: decodeChunk(value, tasks) });
   }
 
   /**
--- a/src/store/keys.ts
+++ b/src/store/keys.ts
@@ -50,14 +50,20 @@
   readonly size: number;
 }
 
-/** Parses a key under `open/`; null: this version writes no such key. */
+/** Parses a key under `open/`; null: no version writes such a key. */
 export function parseOpenKey(key: string): OpenKey | null {
   const parts = /^open\/(j-\d+)(?:\/(?:(\d+)-)?(\d+))?$/.exec(key);
   if (!parts) return null;
-  const [, job, size, chunk] = parts;
-  return {
-    job: job as JobId,
-    chunk: chunk === undefined ? null : Number(chunk),
-    size: size === undefined ? DEFAULT_CHUNK_SIZE : Number(size),
-  };
+  const [, id, sizeText, chunkText] = parts;
+  const job = id as JobId;
+  if (chunkText === undefined) return { job, chunk: null, size: DEFAULT_CHUNK_SIZE };
+  const chunk = Number(chunkText);
+  const size = sizeText === undefined ? DEFAULT_CHUNK_SIZE : Number(sizeText);
+  const isCanonical = size > 0 && keys.openChunk(job, chunk, size) === key;
+  return isCanonical ? { job, chunk, size } : null;
+}
+
+/** The job that a key under `open/` of an unknown form seems to belong to; null: none. */
+export function jobOfUnknownOpenKey(key: string): JobId | null {
+  return (/^open\/(j-\d+)\//.exec(key)?.[1] ?? null) as JobId | null;
 }
--- a/src/store/progress-record.ts
+++ b/src/store/progress-record.ts
@@ -1,5 +1,6 @@
 /** Codec of a job's progress: which tasks of one chunk are done, and which may be on which machine. */
 import type { MachineId, TaskIndex, AttemptNumber } from '../model/ids.js';
+import { InvalidProgressRecordError } from './errors.js';
 import { DEFAULT_CHUNK_SIZE } from './keys.js';
 
 /** What one task takes in a record, with usual names, and what the record takes besides. */
@@ -12,6 +13,15 @@
   return Math.max(1, Math.min(DEFAULT_CHUNK_SIZE, fitting));
 }
 
+/** Tasks from `first` up to, and without, `end`. */
+export interface TaskRange {
+  readonly first: number;
+  readonly end: number;
+}
+
+/** The most tasks that a job may have (PROTOCOL). */
+const ANY_TASK: TaskRange = { first: 0, end: 100_000 };
+
 /** Where a task may be: its current attempt and the machine. */
 export interface TaskPlacement {
   readonly attemptNumber: AttemptNumber;
@@ -62,23 +72,79 @@
   return stored;
 }
 
-/** Decodes a chunk's progress; a missing record holds none. */
-export function decodeChunk(value: unknown): ChunkProgress {
-  const stored = (value ?? {}) as StoredChunk;
-  const done = new Set<TaskIndex>();
-  for (const [first, last] of stored.d ?? []) {
-    for (let index = first; index <= last; index++) done.add(index as TaskIndex);
+function listOf(value: unknown): readonly unknown[] {
+  if (value === undefined || value === null) return [];
+  if (Array.isArray(value)) return value;
+  throw new InvalidProgressRecordError('a field that is no list');
+}
+
+function entryOf(value: unknown, length: number): readonly unknown[] {
+  if (Array.isArray(value) && value.length === length) return value;
+  throw new InvalidProgressRecordError(`an entry that has not ${length} places`);
+}
+
+/** Decodes one record; a task may be listed once. */
+class ChunkDecoder implements ChunkProgress {
+  readonly done = new Set<TaskIndex>();
+  readonly placed = new Map<TaskIndex, TaskPlacement>();
+  readonly usedAttempts = new Map<TaskIndex, AttemptNumber>();
+
+  constructor(private readonly range: TaskRange) {}
+
+  private task(value: unknown): TaskIndex {
+    const { first, end } = this.range;
+    if (!Number.isInteger(value) || (value as number) < first || (value as number) >= end)
+      throw new InvalidProgressRecordError(`task ${String(value)} is not from ${first} to ${end - 1}`);
+    return value as TaskIndex;
   }
-  const placed = new Map<TaskIndex, TaskPlacement>();
-  for (const [index, attemptNumber, machine] of stored.p ?? []) {
-    placed.set(index as TaskIndex, {
-      attemptNumber: attemptNumber as AttemptNumber,
+
+  /** The number of a task that the record has not listed so far. */
+  private newTask(value: unknown): TaskIndex {
+    const index = this.task(value);
+    if (this.done.has(index) || this.placed.has(index) || this.usedAttempts.has(index))
+      throw new InvalidProgressRecordError(`task ${index} is listed twice`);
+    return index;
+  }
+
+  addDone(entry: unknown): void {
+    const [first, last] = entryOf(entry, 2);
+    const end = this.task(last);
+    for (let index = this.task(first); index <= end; index++) this.done.add(this.newTask(index));
+  }
+
+  addPlaced(entry: unknown): void {
+    const [index, attemptNumber, machine] = entryOf(entry, 3);
+    if (typeof machine !== 'string' || machine === '')
+      throw new InvalidProgressRecordError('a machine without a name');
+    this.placed.set(this.newTask(index), {
+      attemptNumber: attemptNumberOf(attemptNumber),
       machine: machine as MachineId,
     });
   }
-  const usedAttempts = new Map<TaskIndex, AttemptNumber>();
-  for (const [index, attemptNumber] of stored.u ?? []) {
-    usedAttempts.set(index as TaskIndex, attemptNumber as AttemptNumber);
+
+  addUsedAttempt(entry: unknown): void {
+    const [index, attemptNumber] = entryOf(entry, 2);
+    this.usedAttempts.set(this.newTask(index), attemptNumberOf(attemptNumber));
   }
-  return { done, placed, usedAttempts };
+}
+
+function attemptNumberOf(value: unknown): AttemptNumber {
+  if (Number.isSafeInteger(value) && (value as number) > 0) return value as AttemptNumber;
+  throw new InvalidProgressRecordError(`attempt number ${String(value)}`);
+}
+
+/**
+ * Decodes the progress of the tasks in a chunk. Unknown fields are left unread.
+ *
+ * @throws {InvalidProgressRecordError} On a value that no version writes.
+ */
+export function decodeChunk(value: unknown, range = ANY_TASK): ChunkProgress {
+  if (typeof value !== 'object' || value === null || Array.isArray(value))
+    throw new InvalidProgressRecordError('no object');
+  const stored = value as Record<keyof StoredChunk, unknown>;
+  const decoder = new ChunkDecoder(range);
+  for (const entry of listOf(stored.d)) decoder.addDone(entry);
+  for (const entry of listOf(stored.p)) decoder.addPlaced(entry);
+  for (const entry of listOf(stored.u)) decoder.addUsedAttempt(entry);
+  return { done: decoder.done, placed: decoder.placed, usedAttempts: decoder.usedAttempts };
 }
--- a/test/traces/unreadable-progress.test.ts
+++ b/test/traces/unreadable-progress.test.ts
@@ -44,7 +44,25 @@
 
 describe('a progress record that cannot be read', () => {
   it.each([
+    ['no object', `open/${DAMAGED}/0000`, 'lost'],
+    ['null', `open/${DAMAGED}/0000`, null],
+    ['a list', `open/${DAMAGED}/0000`, []],
     ['a field that is no list', `open/${DAMAGED}/0000`, { d: 7 }],
+    ['a text for a list', `open/${DAMAGED}/0000`, { d: 'all' }],
+    ['a short entry', `open/${DAMAGED}/0000`, { p: [[0, 1]] }],
+    ['a task beyond the job', `open/${DAMAGED}/0000`, { d: [[0, 10]] }],
+    ['a task of another chunk', `open/${DAMAGED}/2-0001`, { d: [[1, 2]] }],
+    ['a range without an end', `open/${DAMAGED}/0000`, { d: [[0, 1e15]] }],
+    ['a task that is no number', `open/${DAMAGED}/0000`, { u: [['0', 1]] }],
+    ['an attempt without a number', `open/${DAMAGED}/0000`, { u: [[0, 0]] }],
+    ['a machine without a name', `open/${DAMAGED}/0000`, { p: [[0, 1, '']] }],
+    ['a task that is listed twice', `open/${DAMAGED}/0000`, { d: [[0, 1]], u: [[1, 1]] }],
+    ['a chunk beyond the job', `open/${DAMAGED}/0007`, {}],
+    ['a small chunk beyond the job', `open/${DAMAGED}/2-0005`, {}],
+    ['a chunk size of zero', `open/${DAMAGED}/0-0000`, { d: [[0, 0]] }],
+    ['a chunk size that is no number', `open/${DAMAGED}/many-0000`, { d: [[0, 0]] }],
+    ['the default size spelled out', `open/${DAMAGED}/300-0000`, { d: [[0, 0]] }],
+    ['a size beyond numbers', `open/${DAMAGED}/99999999999999999999-0000`, { d: [[0, 0]] }],
     ['a key of an unknown form', `open/${DAMAGED}/progress`, { d: [[0, 0]] }],
   ])('is named once, and nothing of its job is started: %s', async (_name, key, value) => {
     const { site, errors, startsOfDamaged } = await siteWithRecord({ key, value });
@@ -64,4 +82,13 @@
     expect(site.rules.violations).toEqual([]);
     expect([...site.store.keys.keys()].filter((left) => left.startsWith('open/'))).toEqual([]);
   });
+
+  it('belongs to no job: it is named, and all go on', async () => {
+    const { site, errors } = await siteWithRecord({ key: 'open/nothing', value: {} });
+    await site.run(60);
+    expect(errors).toEqual([expect.objectContaining({ text: UNREADABLE, key: 'open/nothing' })]);
+    for (const ref of [DAMAGED, OTHER]) expect(await site.query(ref, site.leader as string)).toBe('done');
+    await site.finish();
+    expect(site.rules.violations).toEqual([]);
+  });
 });
