Overflow records: the first of each list is a fence for the others and the acceptance

What callers saw: a job with a long description, submitted at two controllers with different limits at once, was accepted and never started, and no later leader got to lead. Cause: both write desc/<job>/<n>, cut at different lengths, and the acceptance compared with neither (3 parts counted, three of the other split stored; 'Unterminated string in JSON at position 1152' every 200 ms). Mend: further parts and the acceptance compare with the stamp at which their writer set the first part. It holds because every other writer sets the first part anew before anything else, so that all the former one still sends fails, however late. Keys and values keep their form.

--- a/src/api/submissions.ts
+++ b/src/api/submissions.ts
@@ -7,11 +7,12 @@
 import { remainingQuota } from '../scheduler/queue.js';
 import { encodeEndedJob, encodeJob, splitJob, type SplitJob } from '../store/job-record.js';
 import { keys } from '../store/keys.js';
-import type { Compare, WriteOperation } from '../wire/key-value-store.js';
+import type { Compare, SetOperation, WriteOperation } from '../wire/key-value-store.js';
 import { accepted, parseSubmission } from '../wire/users.js';
 import type { AcceptableJob, Dependencies } from './dependencies.js';
 import type { JobCache } from './job-cache.js';
 import type { JobReader } from './job-reader.js';
+import { OverflowRecords } from './overflow-records.js';
 import { backOff, isRetryable, MAX_ATTEMPTS } from './store-retry.js';
 import { BusyError, unavailable, unprocessable, type UserAnswer } from './user-answer.js';
 import type { UserBudgets } from './user-budgets.js';
@@ -25,7 +26,7 @@
 
 /** The writes of an acceptance, and the further records that have to be there before it. */
 interface Acceptance {
-  readonly records: readonly WriteOperation[];
+  readonly records: readonly SetOperation[];
   readonly writes: readonly WriteOperation[];
 }
 
@@ -107,31 +108,31 @@
 
   private async write(id: JobId, { records, writes }: Acceptance): Promise<UserAnswer> {
     const { reader, budgets } = this.parts;
-    const isUnknown: Compare[] = [{ key: keys.job(id), revision: NO_REVISION }];
-    let written = 0;
+    const isUnknown: Compare = { key: keys.job(id), revision: NO_REVISION };
+    const overflow = new OverflowRecords(this.ctx, records, isUnknown);
     for (let attempts = 1; ; attempts++) {
-      if (!budgets.tryTakeWrites(writes.length + records.length - written)) throw BUSY;
+      if (!budgets.tryTakeWrites(writes.length + overflow.missing)) throw BUSY;
       try {
-        // Records that the job's own one has no room for are there before the job is accepted.
-        for (const record of records.slice(written)) {
-          const result = await this.ctx.store.txn(isUnknown, [record]);
-          if (!result.ok) break;
-          written++;
-        }
-        const result = await this.ctx.store.txn(isUnknown, writes);
-        if (result.ok) return { status: 201, body: accepted(id) };
+        if ((await overflow.write()) && (await this.tryAccept([isUnknown, ...overflow.compares], writes)))
+          return { status: 201, body: accepted(id) };
         const existing = await reader.read(id);
         if (existing) return reader.remember(id, existing);
+        // Another controller takes the same submission in: it may be done with it by the next attempt.
+        overflow.begin();
       } catch (error) {
         this.ctx.storeLimits.recordFailure(error);
         // The same transaction is tried again: at most one of the two is carried out.
         if (!isRetryable(error) || attempts >= MAX_ATTEMPTS) throw error;
-        await backOff(this.ctx, attempts, WRITE_RETRY_MS);
       }
       if (attempts >= MAX_ATTEMPTS) return unavailable('not decided');
+      await backOff(this.ctx, attempts, WRITE_RETRY_MS);
     }
   }
 
+  private async tryAccept(compares: readonly Compare[], writes: readonly WriteOperation[]): Promise<boolean> {
+    return (await this.ctx.store.txn(compares, writes)).ok;
+  }
+
   /** Null: the job has no stored form that both the store takes and every controller reads. */
   private acceptanceOf({ spec, state }: AcceptableJob, namedJobs: readonly JobId[]): Acceptance | null {
     const { storeLimits, clock } = this.ctx;
--- a/src/store/job-record.ts
+++ b/src/store/job-record.ts
@@ -7,7 +7,7 @@
 import type { ImageId, JobId, TeamId, MachineTypeId, ZoneId } from '../model/ids.js';
 import type { JobKind, JobRecord, JobSpec, JobState } from '../model/job.js';
 import type { WallTime } from '../model/time.js';
-import type { WriteOperation } from '../wire/key-value-store.js';
+import type { SetOperation } from '../wire/key-value-store.js';
 import { keys } from './keys.js';
 
 /** A job's description by position (docs/state.md). */
@@ -178,7 +178,7 @@
 export interface SplitJob {
   readonly spec: JobSpec;
   /** To be written before the job's own record. */
-  readonly records: readonly WriteOperation[];
+  readonly records: readonly SetOperation[];
 }
 
 /**
@@ -210,8 +210,8 @@
   };
 }
 
-function encodeDependencies(id: JobId, dependencies: readonly JobId[], valueBytes: number): WriteOperation[] {
-  const records: WriteOperation[] = [];
+function encodeDependencies(id: JobId, dependencies: readonly JobId[], valueBytes: number): SetOperation[] {
+  const records: SetOperation[] = [];
   let part: JobId[] = [];
   let partBytes = LIST_OVERHEAD_BYTES;
   const flushPart = (): void => {
@@ -229,7 +229,7 @@
   return records;
 }
 
-function encodeDescription(spec: JobSpec, valueBytes: number): WriteOperation[] {
+function encodeDescription(spec: JobSpec, valueBytes: number): SetOperation[] {
   const names: NameTuple = [
     spec.jobClass,
     spec.team,
@@ -240,7 +240,7 @@
   // Base64 takes one byte a letter and needs no escapes, so that it can be cut anywhere.
   const text = Buffer.from(JSON.stringify(names)).toString('base64');
   const partLength = valueBytes - LIST_OVERHEAD_BYTES;
-  const records: WriteOperation[] = [];
+  const records: SetOperation[] = [];
   for (let start = 0; start < text.length; start += partLength) {
     const value = text.slice(start, start + partLength);
     records.push({ set: keys.description(spec.id, records.length), value });
--- a/src/wire/key-value-store.ts
+++ b/src/wire/key-value-store.ts
@@ -64,8 +64,14 @@
 }
 
 /** A write of a transaction: a key is set, and bound to a lease where one is given, or dropped. */
-export type WriteOperation =
-  { readonly set: string; readonly value: unknown; readonly grant?: LeaseId } | { readonly drop: string };
+export type WriteOperation = SetOperation | { readonly drop: string };
+
+/** A write of a transaction that sets a key. */
+export interface SetOperation {
+  readonly set: string;
+  readonly value: unknown;
+  readonly grant?: LeaseId;
+}
 
 function toKeyValue({ key, data, stamp, tether }: z.infer<typeof keyValueSchema>): KeyValue {
   const keyValue = { key, value: data, revision: stamp as Revision };
