A leader that met an unreadable record starts nothing until earlier worker leases are over

What callers saw: quota, 28 and 32 of 24 CPUs of a team, while its tasks of the unreadable record still ran on machines that could not be reached and others of the same team were started on new ones. Cause: tasks that no readable record names count for nothing. Mend: decisions begin once every lease that an earlier leader can have renewed is over (LeaseExpiry.earlierLeasesEndAt, the bound that releases tasks of silent machines). It holds because by then what runs unknown was either shown by a heartbeat and stopped, or its worker's lease has ended it.

--- a/src/leader/job-intake.ts
+++ b/src/leader/job-intake.ts
@@ -4,7 +4,7 @@
 import type { Committer } from './committer.js';
 import type { DemandListener, DependencyTracker } from './dependency-tracker.js';
 import type { JobCanceller } from './job-canceller.js';
-import type { LoadedJobs } from './record-loader.js';
+import type { LoadedJobs } from './open-job-loader.js';
 
 /** The parts of the leader that `JobIntake` works with. */
 interface JobIntakeParts {
--- a/src/leader/job-watcher.ts
+++ b/src/leader/job-watcher.ts
@@ -9,7 +9,8 @@
 import { keys } from '../store/keys.js';
 import type { WatchEvent } from '../wire/key-value-store.js';
 import type { JobIntake } from './job-intake.js';
-import { createActiveJob, loadOpenJobs, readDescription } from './record-loader.js';
+import { loadOpenJobs } from './open-job-loader.js';
+import { createActiveJob, readDescription } from './record-loader.js';
 import { retryUntilTermEnds } from './retry.js';
 import { watchedUpTo, type WorkerLeasePolicy } from './worker-lease-policy.js';
 
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -44,7 +44,7 @@
 
   /** Restores what earlier leaders left, and begins to decide. Resolves then, or when the term ends before. */
   async start(): Promise<void> {
-    const { ctx, restorer, heartbeats, dependencies, dispatcher, watcher, decisions } = this.parts;
+    const { ctx, restorer, heartbeats, dependencies, dispatcher, watcher } = this.parts;
     const restoredUpTo = await restorer.run();
     if (this.lifetime.isEnded || restoredUpTo === null) return;
     const readyAt = ctx.clock.now();
@@ -55,7 +55,22 @@
     for (const worker of restorer.inContactOrder()) dispatcher.dispatch(worker);
     watcher.start(restoredUpTo);
     this.lifetime.addCleanup(runPeriodically(ctx.clock, TICK_INTERVAL_MS, () => this.tick(readyAt)));
-    decisions.start();
+    this.startDecisions();
+  }
+
+  /**
+   * Tasks that stand in an unreadable record count for no quota. Nothing is started until their machines have shown them,
+   * and stopped them as unwanted, or their worker leases have surely expired.
+   */
+  private startDecisions(): void {
+    const { ctx, restorer, failureDetector, decisions } = this.parts;
+    if (!restorer.hasUnreadableRecords) {
+      decisions.start();
+      return;
+    }
+    const delayMs = Math.max(0, since(failureDetector.earlierLeasesEndAt, ctx.clock.now()));
+    ctx.log.info({ epoch: ctx.epoch, delayMs: Math.round(delayMs) }, 'unreadable records, starts delayed');
+    this.lifetime.addCleanup(ctx.clock.after(delayMs, () => decisions.start()));
   }
 
   private tick(readyAt: MonotonicTime): void {
--- a/src/leader/state-restorer.ts
+++ b/src/leader/state-restorer.ts
@@ -10,7 +10,8 @@
 import type { Worker } from '../workers/state/worker.js';
 import type { FleetRecordWriter } from './fleet-record-writer.js';
 import type { JobIntake } from './job-intake.js';
-import { type LoadedFleet, type LoadedJobs, loadFleet, loadOpenJobs } from './record-loader.js';
+import { type LoadedJobs, loadOpenJobs } from './open-job-loader.js';
+import { type LoadedFleet, loadFleet } from './record-loader.js';
 import { retryUntilTermEnds } from './retry.js';
 import type { WorkerLeasePolicy } from './worker-lease-policy.js';
 
@@ -29,6 +30,9 @@
 
 /** Reads the records until it has them all, or the term is over. */
 export class StateRestorer {
+  /** Some records cannot be read: tasks may run that nobody counts. */
+  hasUnreadableRecords = false;
+
   constructor(
     private readonly ctx: LeaderContext,
     private readonly parts: StateRestorerParts,
@@ -48,6 +52,7 @@
     const jobs = await loadOpenJobs(this.ctx);
     this.restore(jobs, await loadFleet(this.ctx, this.parts.fleet));
     this.parts.workerLeasePolicy.observedCancellationsUpTo(startedAt);
+    this.hasUnreadableRecords = jobs.hasUnreadable;
     this.logRestored(jobs, startedAt);
     return jobs.revision;
   }
--- a/src/workers/failure-detector.ts
+++ b/src/workers/failure-detector.ts
@@ -77,6 +77,11 @@
     this.leaseExpiry.recordAnswerToUnknownMachine(now);
   }
 
+  /** From when on nothing runs of which no heartbeat has told us (`LeaseExpiry`). */
+  get earlierLeasesEndAt(): MonotonicTime {
+    return this.leaseExpiry.earlierLeasesEndAt;
+  }
+
   /** The tick without a valid leader lease: nobody is judged meanwhile, but worker leases still expire. */
   checkLeases(now: MonotonicTime): void {
     this.lastTickAt = now;
--- a/src/workers/lease-expiry.ts
+++ b/src/workers/lease-expiry.ts
@@ -28,9 +28,20 @@
    */
   hasExpired(worker: Worker, now: MonotonicTime): boolean {
     if (worker.isEmpty) return false;
+    return now > worker.lease.expiry(this.earlierAnswersUntil, this.duration);
+  }
+
+  /** From when on no lease runs that an earlier leader has renewed: what we have not heard of by then runs nowhere. */
+  get earlierLeasesEndAt(): MonotonicTime {
+    return plus(this.earlierAnswersUntil, this.duration);
+  }
+
+  private get earlierAnswersUntil(): MonotonicTime {
     const predecessorUntil = plus(this.ctx.startedAt, maxLocalDuration(this.predecessorRenewalMs));
-    const start = this.unknownAnsweredAt > predecessorUntil ? this.unknownAnsweredAt : predecessorUntil;
-    const duration = maxLocalDuration(this.ctx.settings.workerLeaseDuration) + EXPIRY_MARGIN_MS;
-    return now > worker.lease.expiry(start, duration);
+    return this.unknownAnsweredAt > predecessorUntil ? this.unknownAnsweredAt : predecessorUntil;
+  }
+
+  private get duration(): number {
+    return maxLocalDuration(this.ctx.settings.workerLeaseDuration) + EXPIRY_MARGIN_MS;
   }
 }
