Records of jobs and machines that cannot be read concern themselves alone, and are named

What callers saw: one head, part of a description or list of machines that cannot be decoded kept every controller from leading; one such record under job/ kept the leader from hearing of later submissions. Cause: its error ended the whole restore, or the whole answer of a watch, which began again for ever. Mend: records are checked as they are decoded and left out one by one, each named in an error line. It holds because a job left out starts nothing, its progress is no stale key, and starts wait until earlier worker leases are over; machines are learned from heartbeats, tasks and the cloud's list anyway.

--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -1,9 +1,6 @@
 /** What this controller has seen of jobs. */
 import type { JobId, Revision } from '../model/ids.js';
 import type { FinalState, JobKind, JobRecord } from '../model/job.js';
-import { decodeJob } from '../store/job-record.js';
-import { keys } from '../store/keys.js';
-import type { WatchEvent } from '../wire/key-value-store.js';
 
 /** What was last seen of an accepted job. */
 export interface ObservedJob {
@@ -77,14 +74,4 @@
     this.openJobs.delete(id);
     this.finalJobs.set(id, { state: record.state, body });
   }
-
-  /** Remembers the changes that a watch of the jobs' records has brought. */
-  applyChanges(changes: readonly WatchEvent[], bodyOf: (id: JobId, record: JobRecord) => object): void {
-    for (const { key, value, revision } of changes) {
-      if (value === undefined) continue;
-      const id = key.slice(keys.jobs.length) as JobId;
-      const record = decodeJob(id, value);
-      this.learn(id, record, revision, bodyOf(id, record));
-    }
-  }
 }
--- a/src/api/job-reader.ts
+++ b/src/api/job-reader.ts
@@ -5,6 +5,7 @@
 import type { JobId, Revision } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
 import { ms, sleep } from '../model/time.js';
+import { decodeJobChanges } from '../store/job-changes.js';
 import { decodeJob } from '../store/job-record.js';
 import { keys } from '../store/keys.js';
 import type { WatchEvent } from '../wire/key-value-store.js';
@@ -49,12 +50,14 @@
     }
   }
 
-  private observe(changes: readonly WatchEvent[]): void {
+  private observe(events: readonly WatchEvent[]): void {
     const cancelled: ConfirmedCancellation[] = [];
-    this.cache.applyChanges(changes, (id, record) => {
+    // The leader's watch logs the same record as an error.
+    const onUnreadable = (key: string): void => this.ctx.log.debug({ key }, 'job record unreadable');
+    for (const { id, record, revision } of decodeJobChanges(events, onUnreadable)) {
       if (record.state === 'cancelled') cancelled.push({ id, age: ms(0) });
-      return this.statusBody(id, record);
-    });
+      this.cache.learn(id, record, revision, this.statusBody(id, record));
+    }
     this.ctx.cancellations.learn(cancelled);
   }
 
--- a/src/leader/job-watcher.ts
+++ b/src/leader/job-watcher.ts
@@ -2,12 +2,11 @@
 import type { Mutex } from 'async-mutex';
 import type { LeaderContext } from '../core/context.js';
 import { errorMessage } from '../log/logger.js';
-import type { JobId, Revision } from '../model/ids.js';
+import type { Revision } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
 import { sleep } from '../model/time.js';
-import { decodeJob } from '../store/job-record.js';
+import { decodeJobChanges, type JobChange } from '../store/job-changes.js';
 import { keys } from '../store/keys.js';
-import type { WatchEvent } from '../wire/key-value-store.js';
 import type { JobIntake } from './job-intake.js';
 import { loadOpenJobs } from './open-job-loader.js';
 import { createActiveJob, readDescription } from './record-loader.js';
@@ -61,8 +60,9 @@
     if (this.ctx.isEnded()) return after;
     if (result === null) return this.resync();
     const { changes, revision } = result;
-    await lock.runExclusive(() => changes.forEach((change) => this.apply(change)));
     const hasEvents = changes.length > 0;
+    const jobChanges = decodeJobChanges(changes, (key, error) => this.logUnreadable(key, error));
+    await lock.runExclusive(() => jobChanges.forEach((change) => this.apply(change)));
     workerLeasePolicy.observedCancellationsUpTo(
       watchedUpTo({ sentAt, waitMs: WATCH_TIMEOUT_MS, hasEvents, answeredAt: clock.now() }),
     );
@@ -81,10 +81,11 @@
     return loaded.revision;
   }
 
-  private apply({ key, value, revision }: WatchEvent): void {
-    if (value === undefined) return;
-    const id = key.slice(keys.jobs.length) as JobId;
-    const record = decodeJob(id, value);
+  private logUnreadable(key: string, error: Error): void {
+    this.ctx.log.error({ key, error: errorMessage(error) }, 'job record unreadable, change left out');
+  }
+
+  private apply({ id, record, revision }: JobChange): void {
     if (record.state === 'cancelled') this.parts.intake.cancel(id);
     else if (record.state === 'accepted') this.addAccepted(record, revision);
   }
--- a/src/leader/open-job-loader.ts
+++ b/src/leader/open-job-loader.ts
@@ -3,7 +3,7 @@
 import { errorMessage } from '../log/logger.js';
 import type { JobId, Revision } from '../model/ids.js';
 import type { ActiveJob } from '../scheduler/active-job.js';
-import { InvalidProgressRecordError } from '../store/errors.js';
+import { InvalidRecordError } from '../store/errors.js';
 import { decodeJob } from '../store/job-record.js';
 import { DEFAULT_CHUNK_SIZE, jobOfUnknownOpenKey, keys, type OpenKey, parseOpenKey } from '../store/keys.js';
 import type { Compare, KeyValue } from '../wire/key-value-store.js';
@@ -42,6 +42,7 @@
   readonly staleKeys: string[] = [];
   hasUnreadable = false;
   private readonly jobs = new Map<JobId, ActiveJob>();
+  private readonly leftOut = new Set<JobId>();
 
   constructor(private readonly ctx: LeaderContext) {}
 
@@ -59,20 +60,28 @@
     return jobs;
   }
 
-  private async addHead(id: JobId, { value, revision }: KeyValue): Promise<void> {
-    const record = await readDescription(this.ctx, decodeJob(id, value));
-    // The head is written once, together with the job's record: their revisions are the same.
-    this.jobs.set(id, createActiveJob(this.ctx, record, revision));
+  private async addHead(id: JobId, { key, value, revision }: KeyValue): Promise<void> {
+    try {
+      const record = await readDescription(this.ctx, decodeJob(id, value));
+      // The head is written once, together with the job's record: their revisions are the same.
+      this.jobs.set(id, createActiveJob(this.ctx, record, revision));
+    } catch (error) {
+      if (!(error instanceof InvalidRecordError)) throw error;
+      // Its progress stays where it is for whoever repairs the record.
+      this.ctx.log.error({ key, error: errorMessage(error) }, 'job record unreadable, job left out');
+      this.leftOut.add(id);
+      this.hasUnreadable = true;
+    }
   }
 
   private addProgress({ job: id, chunk, size }: OpenKey, { key, value, revision }: KeyValue): void {
     const job = this.jobs.get(id);
-    if (!job) this.staleKeys.push(key);
+    if (!job && !this.leftOut.has(id)) this.staleKeys.push(key);
     if (!job || chunk === null) return;
     try {
       job.addStoredProgress(chunk, size, value, revision);
     } catch (error) {
-      if (!(error instanceof InvalidProgressRecordError)) throw error;
+      if (!(error instanceof InvalidRecordError)) throw error;
       this.holdBack(job, key, error);
     }
   }
--- a/src/leader/record-loader.ts
+++ b/src/leader/record-loader.ts
@@ -1,10 +1,12 @@
 /** Reads what earlier leaders have recorded: descriptions of jobs, machines, forecasts (`open-job-loader`: open jobs). */
 import type { LeaderContext } from '../core/context.js';
 import type { FleetManager } from '../fleet/fleet-manager.js';
+import { errorMessage } from '../log/logger.js';
 import type { JobId, Revision } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
 import type { MonotonicTime } from '../model/time.js';
 import { ActiveJob } from '../scheduler/active-job.js';
+import { InvalidRecordError } from '../store/errors.js';
 import { withDescription } from '../store/job-record.js';
 import { keys } from '../store/keys.js';
 import { decodeFleetChunk, type MachineRecord } from '../store/machine-record.js';
@@ -47,7 +49,7 @@
   for (let index = 0; index < count; index++) {
     const key = keyOf(id, index);
     const row = await withRateLimitRetry(ctx, () => ctx.store.get(key));
-    if (!row) throw new Error(`${key} is missing`);
+    if (!row) throw new InvalidRecordError(`${key} is missing`);
     parts.push(row.value as T);
   }
   return parts;
@@ -82,14 +84,23 @@
 /** Reads the recorded machines, and hands the stored forecasts to the fleet. */
 export async function loadFleet(ctx: LeaderContext, fleet: FleetManager): Promise<LoadedFleet> {
   const { rows } = await loadRecords(ctx, keys.fleet);
-  const machines = rows.flatMap(({ value }) =>
-    decodeFleetChunk(value).map((record) => loadedMachine(ctx, record)),
-  );
+  const machines = rows.flatMap((row) => readMachines(ctx, row)).map((record) => loadedMachine(ctx, record));
   const forecasts = (await loadRecords(ctx, keys.forecast)).rows;
   for (const { key, value } of forecasts) fleet.restoreForecast(key.slice(keys.forecast.length), value);
   return { machines, records: [...rows, ...forecasts] };
 }
 
+/** The machines of a record; none of one that cannot be read: heartbeats, tasks and the cloud's list name them as well. */
+function readMachines({ log }: LeaderContext, { key, value }: KeyValue): MachineRecord[] {
+  try {
+    return decodeFleetChunk(value);
+  } catch (error) {
+    if (!(error instanceof InvalidRecordError)) throw error;
+    log.error({ key, error: errorMessage(error) }, 'machine record unreadable, left out');
+    return [];
+  }
+}
+
 function loadedMachine({ clock }: LeaderContext, record: MachineRecord): LoadedMachine {
   const age = Math.max(0, clock.wall() - record.rentedAt);
   return { record, rentedAt: (clock.now() - age) as MonotonicTime };
--- a/src/scheduler/active-job.ts
+++ b/src/scheduler/active-job.ts
@@ -275,7 +275,7 @@
   /**
    * Adds a record of progress that an earlier leader wrote; `applyStoredProgress` follows the last one.
    *
-   * @throws {InvalidProgressRecordError} On a value that no version writes under this key.
+   * @throws {InvalidRecordError} On a value that no version writes under this key.
    */
   addStoredProgress(chunk: number, size: number, value: unknown, revision: Revision): void {
     this.progress.addStored({ index: chunk, size, revision }, value);
--- a/src/scheduler/job-progress.ts
+++ b/src/scheduler/job-progress.ts
@@ -1,7 +1,7 @@
 /** A job's progress in chunks, and how it is read back from records of several chunk sizes. */
 import type { Revision, TaskIndex } from '../model/ids.js';
 import type { MonotonicTime } from '../model/time.js';
-import { InvalidProgressRecordError } from '../store/errors.js';
+import { InvalidRecordError } from '../store/errors.js';
 import { keys } from '../store/keys.js';
 import {
   type ChunkProgress,
@@ -72,12 +72,11 @@
   /**
    * Adds a record that an earlier leader wrote, of any chunk size; `takeStored` applies it.
    *
-   * @throws {InvalidProgressRecordError} On a value that no version writes under this key.
+   * @throws {InvalidRecordError} On a value that no version writes under this key.
    */
   addStored(chunk: StoredChunkKey, value: unknown): void {
     const { index, size } = chunk;
-    if (index * size >= this.job.spec.taskCount)
-      throw new InvalidProgressRecordError('a chunk beyond the job');
+    if (index * size >= this.job.spec.taskCount) throw new InvalidRecordError('a chunk beyond the job');
     const tasks: TaskRange = {
       first: index * size,
       end: Math.min((index + 1) * size, this.job.spec.taskCount),
--- a/src/store/errors.ts
+++ b/src/store/errors.ts
@@ -45,8 +45,8 @@
   override readonly code = 'STORE_OUTCOME_UNKNOWN';
 }
 
-/** A record of progress that no version writes. The message says what is wrong with it. */
-export class InvalidProgressRecordError extends Error {
-  override readonly name = 'InvalidProgressRecordError';
-  readonly code = 'STORE_INVALID_PROGRESS_RECORD';
+/** A record that no version writes. The message says what is wrong with it. */
+export class InvalidRecordError extends Error {
+  override readonly name = 'InvalidRecordError';
+  readonly code = 'STORE_INVALID_RECORD';
 }
--- a/src/store/job-record.ts
+++ b/src/store/job-record.ts
@@ -8,6 +8,7 @@
 import type { JobKind, JobRecord, JobSpec, JobState } from '../model/job.js';
 import type { WallTime } from '../model/time.js';
 import type { SetOperation } from '../wire/key-value-store.js';
+import { InvalidRecordError } from './errors.js';
 import { keys } from './keys.js';
 
 /** A job's description by position (docs/state.md). */
@@ -162,15 +163,37 @@
   };
 }
 
+const SPEC_TYPES = {
+  text: (value: unknown): boolean => typeof value === 'string',
+  number: (value: unknown): boolean => typeof value === 'number',
+  flag: (value: unknown): boolean => typeof value === 'boolean',
+  kind: (value: unknown): boolean => value === 'array' || value === 'service',
+  texts: (value: unknown): boolean =>
+    value === null || (Array.isArray(value) && value.every((entry) => typeof entry === 'string')),
+  optionalText: (value: unknown): boolean => value === null || typeof value === 'string',
+  optionalNumber: (value: unknown): boolean => value === null || typeof value === 'number',
+};
+
+/** What stands at each of the places that every version writes. */
+const SPEC_PLACES: readonly (keyof typeof SPEC_TYPES)[] = [
+  ...(['text', 'text', 'kind', 'number', 'number', 'number', 'number', 'number', 'text', 'number'] as const),
+  ...(['texts', 'optionalText', 'number', 'flag', 'number', 'number', 'number', 'optionalNumber'] as const),
+];
+
+function isSpecTuple(value: unknown): value is SpecTuple {
+  return Array.isArray(value) && SPEC_PLACES.every((type, place) => SPEC_TYPES[type](value[place]));
+}
+
 /**
  * Decodes a job's record. With a `descriptionRecordCount` above 0 its names are still to be read (`withDescription`).
  *
- * @throws {Error} On a value that no version writes.
+ * @throws {InvalidRecordError} On a value that no version writes.
  */
 export function decodeJob(id: JobId, value: unknown): JobRecord {
-  const stored = value as StoredJob;
-  const state = STATES[stored.s];
-  if (!state || !Array.isArray(stored.j)) throw new Error(`job record ${id} cannot be read`);
+  const stored = value as Partial<StoredJob> | null | undefined;
+  const state = STATES[stored?.s ?? ''];
+  if (!state || typeof stored?.at !== 'number' || !isSpecTuple(stored.j))
+    throw new InvalidRecordError(`job record ${id} cannot be read`);
   return { spec: decodeSpec(id, stored.j), state, acceptedAt: stored.at as WallTime };
 }
 
@@ -248,10 +271,30 @@
   return records;
 }
 
-/** Completes a decoded record with the names that its overflow records hold, given in their order. */
+function isNameTuple(value: unknown): value is NameTuple {
+  if (!Array.isArray(value)) return false;
+  const [jobClass, team, image, allowedTypes, zone] = value as unknown[];
+  const { text, texts, optionalText } = SPEC_TYPES;
+  return text(jobClass) && text(team) && text(image) && texts(allowedTypes) && optionalText(zone);
+}
+
+function decodeNames(parts: readonly string[]): NameTuple {
+  try {
+    const names: unknown = JSON.parse(Buffer.from(parts.join(''), 'base64').toString('utf8'));
+    if (isNameTuple(names)) return names;
+  } catch (error) {
+    throw new InvalidRecordError('a description whose parts make no text', { cause: error });
+  }
+  throw new InvalidRecordError('a description without its names');
+}
+
+/**
+ * Completes a decoded record with the names that its overflow records hold, given in their order.
+ *
+ * @throws {InvalidRecordError} If the parts don't fit together.
+ */
 export function withDescription(record: JobRecord, parts: readonly string[]): JobRecord {
-  const text = Buffer.from(parts.join(''), 'base64').toString('utf8');
-  const [jobClass, team, image, allowedTypes, zone] = JSON.parse(text) as NameTuple;
+  const [jobClass, team, image, allowedTypes, zone] = decodeNames(parts);
   return {
     ...record,
     spec: {
--- a/src/store/machine-record.ts
+++ b/src/store/machine-record.ts
@@ -1,6 +1,7 @@
 /** The records of the fleet (`fleet/<n>`), each with some of the machines, as every version reads and writes them. */
 import type { MachineId, MachineTypeId, ZoneId } from '../model/ids.js';
 import type { Machine } from '../model/machine.js';
+import { InvalidRecordError } from './errors.js';
 
 /**
  * One machine in a record, by position; positions never change. `confirmed` was added with issue 30: earlier versions
@@ -54,9 +55,28 @@
   return { m: machines };
 }
 
-/** Decodes the machines of one record. */
+const isText = (value: unknown): boolean => typeof value === 'string';
+const isFlag = (value: unknown): boolean => value === 0 || value === 1;
+
+function isStoredMachine(value: unknown): value is StoredMachine {
+  if (!Array.isArray(value)) return false;
+  const [id, type, zone, spot, address, rentedAt, up] = value as unknown[];
+  const hasNames = [id, type, zone, address].every(isText);
+  return hasNames && isFlag(spot) && isFlag(up) && typeof rentedAt === 'number';
+}
+
+/**
+ * Decodes the machines of one record.
+ *
+ * @throws {InvalidRecordError} On a value that no version writes.
+ */
 export function decodeFleetChunk(value: unknown): MachineRecord[] {
-  return (value as StoredFleetChunk).m.map(decodeMachine);
+  const machines = (value as Partial<StoredFleetChunk> | null | undefined)?.m;
+  if (!Array.isArray(machines)) throw new InvalidRecordError('no list of machines');
+  return machines.map((machine: unknown) => {
+    if (!isStoredMachine(machine)) throw new InvalidRecordError('a machine without its places');
+    return decodeMachine(machine);
+  });
 }
 
 function decodeMachine([
--- a/src/store/progress-record.ts
+++ b/src/store/progress-record.ts
@@ -1,6 +1,6 @@
 /** Codec of a job's progress: which tasks of one chunk are done, and which may be on which machine. */
 import type { MachineId, TaskIndex, AttemptNumber } from '../model/ids.js';
-import { InvalidProgressRecordError } from './errors.js';
+import { InvalidRecordError } from './errors.js';
 import { DEFAULT_CHUNK_SIZE } from './keys.js';
 
 /** What one task takes in a record, with usual names, and what the record takes besides. */
@@ -75,12 +75,12 @@
 function listOf(value: unknown): readonly unknown[] {
   if (value === undefined || value === null) return [];
   if (Array.isArray(value)) return value;
-  throw new InvalidProgressRecordError('a field that is no list');
+  throw new InvalidRecordError('a field that is no list');
 }
 
 function entryOf(value: unknown, length: number): readonly unknown[] {
   if (Array.isArray(value) && value.length === length) return value;
-  throw new InvalidProgressRecordError(`an entry that has not ${length} places`);
+  throw new InvalidRecordError(`an entry that has not ${length} places`);
 }
 
 /** Decodes one record; a task may be listed once. */
@@ -94,7 +94,7 @@
   private task(value: unknown): TaskIndex {
     const { first, end } = this.range;
     if (!Number.isInteger(value) || (value as number) < first || (value as number) >= end)
-      throw new InvalidProgressRecordError(`task ${String(value)} is not from ${first} to ${end - 1}`);
+      throw new InvalidRecordError(`task ${String(value)} is not from ${first} to ${end - 1}`);
     return value as TaskIndex;
   }
 
@@ -102,7 +102,7 @@
   private newTask(value: unknown): TaskIndex {
     const index = this.task(value);
     if (this.done.has(index) || this.placed.has(index) || this.usedAttempts.has(index))
-      throw new InvalidProgressRecordError(`task ${index} is listed twice`);
+      throw new InvalidRecordError(`task ${index} is listed twice`);
     return index;
   }
 
@@ -115,7 +115,7 @@
   addPlaced(entry: unknown): void {
     const [index, attemptNumber, machine] = entryOf(entry, 3);
     if (typeof machine !== 'string' || machine === '')
-      throw new InvalidProgressRecordError('a machine without a name');
+      throw new InvalidRecordError('a machine without a name');
     this.placed.set(this.newTask(index), {
       attemptNumber: attemptNumberOf(attemptNumber),
       machine: machine as MachineId,
@@ -130,17 +130,17 @@
 
 function attemptNumberOf(value: unknown): AttemptNumber {
   if (Number.isSafeInteger(value) && (value as number) > 0) return value as AttemptNumber;
-  throw new InvalidProgressRecordError(`attempt number ${String(value)}`);
+  throw new InvalidRecordError(`attempt number ${String(value)}`);
 }
 
 /**
  * Decodes the progress of the tasks in a chunk. Unknown fields are left unread.
  *
- * @throws {InvalidProgressRecordError} On a value that no version writes.
+ * @throws {InvalidRecordError} On a value that no version writes.
  */
 export function decodeChunk(value: unknown, range = ANY_TASK): ChunkProgress {
   if (typeof value !== 'object' || value === null || Array.isArray(value))
-    throw new InvalidProgressRecordError('no object');
+    throw new InvalidRecordError('no object');
   const stored = value as Record<keyof StoredChunk, unknown>;
   const decoder = new ChunkDecoder(range);
   for (const entry of listOf(stored.d)) decoder.addDone(entry);
--- a/test/traces/unreadable-records.test.ts
+++ b/test/traces/unreadable-records.test.ts
@@ -26,6 +26,7 @@
   it.each([
     ['a head that is no object', [{ key: HEAD, value: null }], HEAD],
     ['a head without a description', [{ key: HEAD, value: { s: 'a', at: 0 } }], HEAD],
+    ['a head without its places', [{ key: HEAD, value: { s: 'a', at: 0, j: [] } }], HEAD],
     ['a head of an unknown state', [{ key: HEAD, value: { s: 'x', at: 0, j: [] } }], HEAD],
     ['a part of a description that is missing', [{ key: HEAD, value: SPLIT_HEAD }], HEAD],
     [
@@ -67,4 +68,27 @@
     await site.finish();
     expect(site.rules.violations).toEqual([]);
   });
+
+  it('under `job/` is named as it changes, and later changes still count', async () => {
+    const site = await startedSite();
+    await site.submit({ ref: OTHER, kind: 'service', tasks: 2, cpus: 4, team: 'blue' });
+    await runUntil(site, () => site.runningTaskCount(OTHER) === 2, 60);
+    const errors: object[] = [];
+    site.onLogLine = (level, text, fields) => {
+      if (level === 'error') errors.push({ text, ...fields });
+    };
+    const write = site.store
+      .clientFor('node-9', site.clock)
+      .txn([], [{ set: 'job/j-000009', value: { s: 'a', j: 'lost' } }]);
+    await site.run(1);
+    expect(await write).toMatchObject({ ok: true });
+    expect(errors).toEqual([expect.objectContaining({ key: 'job/j-000009' })]);
+    expect(await site.cancel(OTHER, 'node-1')).toBe('cancelled');
+    await runUntil(site, () => site.runningTaskCount(OTHER) === 0, 30);
+    await site.submit({ ref: 'j-000003', runS: 5 }, 'node-2');
+    await site.run(40);
+    expect(await site.query('j-000003', site.leader as string)).toBe('done');
+    await site.finish();
+    expect(site.rules.violations).toEqual([]);
+  });
 });
