--- a/src/leader/open-job-loader.ts
+++ b/src/leader/open-job-loader.ts
@@ -9,6 +9,8 @@
 import type { Compare, KeyValue } from '../wire/key-value-store.js';
 import { createActiveJob, loadRecords, readDescription, withRateLimitRetry } from './record-loader.js';
 
+/** The log line of a job whose progress was read from records of several chunk sizes. */
+export const MIXED_CHUNK_SIZES = 'progress records of several chunk sizes merged';
 /** A transaction without writes may carry this many times the compares of one with writes. */
 const COMPARES_PER_TXN_OP = 4;
 
@@ -105,7 +107,7 @@
   if (!job.hasMixedChunkSizes) return;
   job.rewriteOutdatedProgress(clock.now());
   const fields = { job: job.spec.id, chunkSizes, contradictedTasks, unprovenTasks: unproven.size };
-  log.info(fields, 'progress records of several chunk sizes merged');
+  log.info(fields, MIXED_CHUNK_SIZES);
 }
 
 function isSplitProgress({ key }: KeyValue): boolean {
--- a/test/simulation/settings-file.ts
+++ b/test/simulation/settings-file.ts
@@ -25,6 +25,14 @@
   readonly listLagS: number;
   readonly cloudRps: number;
   readonly cpu: number;
+  /** Later limits of the key-value store, as the settings announce them; null: none are announced. */
+  readonly nextStoreLimits?: AnnouncedStoreLimits | null;
+}
+
+/** The store's limits on sizes that are announced. */
+interface AnnouncedStoreLimits {
+  readonly valueKb: number;
+  readonly txnOps: number;
 }
 
 const decimal = (value: number): string => (Number.isInteger(value) ? value.toFixed(1) : String(value));
@@ -38,6 +46,10 @@
   return `[[facts.teams]]\nname = "${name}"\n${limits}`;
 }
 
+function nextLimitsTable({ valueKb, txnOps }: AnnouncedStoreLimits): string {
+  return `[facts.state.next]\nvalue_kb = ${decimal(valueKb)}\ntxn_ops = ${txnOps}\n`;
+}
+
 /** Renders the file in the platform's format. */
 export function settingsFile(settings: ControllerSettings): string {
   return `member = "${settings.member}"
@@ -69,7 +81,7 @@
 write_rps = 60.0
 value_kb = 16.0
 txn_ops = 16
-[facts.cloud]
+${settings.nextStoreLimits ? nextLimitsTable(settings.nextStoreLimits) : ''}[facts.cloud]
 rps = ${decimal(settings.cloudRps)}
 list_lag_s = ${decimal(settings.listLagS)}
 [facts.resources]
--- a/test/soak/loopback-controllers.ts
+++ b/test/soak/loopback-controllers.ts
@@ -4,6 +4,7 @@
 import { Relay } from '@plumyoke/simulation';
 import { START_WITHHELD } from '../../src/workers/command-issuer.js';
 import { KNOWN_BY_TASK_ONLY } from '../../src/fleet/inventory.js';
+import { MIXED_CHUNK_SIZES } from '../../src/leader/open-job-loader.js';
 import { ControllerProcess, type LogLine } from './controller-process.js';
 import { ObservedSet } from './observed-set.js';
 import { type ControllerSettings, settingsFile } from '../simulation/settings-file.js';
@@ -42,11 +43,14 @@
   readonly isolatedMembers = new ObservedSet<string>();
   /** The number of machines that new leaders knew only from a task's record. */
   machinesKnownByTask = 0;
+  /** The number of jobs whose progress new leaders read from records of several chunk sizes. */
+  mixedChunkJobs = 0;
   private readonly relay = new Relay();
   private readonly running = new Map<string, ControllerProcess>();
   private readonly ending = new Map<string, Promise<void>>();
   private readonly epochByLeader = new Map<string, number>();
   private readonly leaderByEpoch = new Map<number, string>();
+  private readonly siblingsOf = new Map<string, ControllerSettings['siblings']>();
 
   constructor(private readonly options: ControllersOptions) {
     this.isolatedMembers.onChange = (member, present) => this.setIsolated(member, present);
@@ -73,7 +77,7 @@
 
   /** Writes all settings files and opens the relays between the controllers. */
   async prepare(): Promise<void> {
-    const { places, folder, common } = this.options;
+    const { places, folder } = this.options;
     mkdirSync(folder, { recursive: true });
     for (const place of places) {
       const siblings: ControllerSettings['siblings'][number][] = [];
@@ -82,7 +86,17 @@
         const port = await this.relay.open(place.member, other.member, () => PEER_PORT, other.host);
         siblings.push({ member: other.member, zone: other.zone, address: `127.0.0.1:${port}` });
       }
+      this.siblingsOf.set(place.member, siblings);
+    }
+    this.writeSettings();
+  }
+
+  /** Writes all settings files as they are now; a controller reads its own when it starts. */
+  writeSettings(): void {
+    const { places, folder, common } = this.options;
+    for (const place of places) {
       const { member, zone, host } = place;
+      const siblings = this.siblingsOf.get(member) ?? [];
       const own = { member, zone, front: frontOf(place), listen: `${host}:${PEER_PORT}`, siblings };
       writeFileSync(join(folder, `${member}.toml`), settingsFile({ ...common(place), ...own }));
     }
@@ -122,6 +136,7 @@
       listener.trace(`${member}     leads no more: ${String(line['reason'])}`);
     }
     if (msg === KNOWN_BY_TASK_ONLY) this.machinesKnownByTask++;
+    if (msg === MIXED_CHUNK_SIZES) this.mixedChunkJobs++;
     if (msg === START_WITHHELD) listener.recordViolation(`withheld: ${JSON.stringify(line)}`);
     if (msg === 'uncaught exception')
       listener.recordViolation(`exception: ${member}: ${String(line['error'])}`);
--- a/test/soak/loopback-site.ts
+++ b/test/soak/loopback-site.ts
@@ -31,6 +31,8 @@
 const CANCEL_REAL_S = CANCEL_S * SCALE;
 const FETCH_MS = 500;
 const BOOT_MS = 700;
+const LOW_LIMITS = { valueKb: 1, txnOps: 5 };
+const USUAL_LIMITS = { txnOps: 16, valueBytes: 16 * 1024 };
 const LIST_LAG_S = 4;
 const MAX_USER_SOCKETS = 100;
 const SUBMIT_TIMEOUT_MS = 5000;
@@ -47,6 +49,10 @@
   readonly machines: number;
   /** The CPU limit of each team. */
   readonly limit: number;
+  /** The number of digits in a machine's name. */
+  readonly idDigits: number;
+  /** Whether the store's limits on sizes are low from the beginning, and the settings say so. */
+  readonly hasLowLimits: boolean;
   readonly program: string;
   readonly folder: string;
 }
@@ -61,6 +67,7 @@
   readonly machines: LoopbackMachines;
   readonly controllers: LoopbackControllers;
   private readonly cloud: FakeCloud;
+  private hasLowLimits = false;
   private readonly jobs = new Map<JobId, JobBehavior>();
   private readonly lines: string[] = [];
   private readonly users: ReadonlyMap<string, HttpTarget>;
@@ -133,6 +140,7 @@
         listLagS: LIST_LAG_S,
         cloudRps: 8,
         cpu: 0.5,
+        nextStoreLimits: this.hasLowLimits ? LOW_LIMITS : null,
       }),
     });
   }
@@ -146,6 +154,7 @@
       (text) => this.trace(text),
     );
     cloud.bootMs = BOOT_MS;
+    cloud.idDigits = this.options.idDigits;
     cloud.listLagMs = LIST_LAG_S * 1000;
     return cloud;
   }
@@ -157,6 +166,7 @@
       const site = new LoopbackSite(options, `127.${part}`);
       if (!(await site.listen())) continue;
       await site.controllers.prepare();
+      if (options.hasLowLimits) site.setLowLimits(true);
       site.adoptMachines();
       return site;
     }
@@ -182,7 +192,7 @@
   private adoptMachines(): void {
     for (let number = 0; number < this.options.machines; number++) {
       this.cloud.adopt({
-        id: `host-${String(number).padStart(6, '0')}` as MachineId,
+        id: `host-${String(number).padStart(this.options.idDigits, '0')}` as MachineId,
         type: MIXED_MACHINE_TYPES[number % 4 === 0 ? 1 : 0]?.id as MachineTypeId,
         zone: MIXED_ZONES[number % MIXED_ZONES.length] as (typeof MIXED_ZONES)[0],
         spot: number % 2 === 0,
@@ -190,6 +200,16 @@
     }
   }
 
+  /** Changes the store's limits, and the settings of controllers that start from now on. */
+  setLowLimits(areLow: boolean): void {
+    this.trace(`store      takes ${areLow ? 'less' : 'more'}`);
+    this.hasLowLimits = areLow;
+    this.store.sizeLimits = areLow
+      ? { txnOps: LOW_LIMITS.txnOps, valueBytes: LOW_LIMITS.valueKb * 1024 }
+      : USUAL_LIMITS;
+    this.controllers.writeSettings();
+  }
+
   trace(text: string): void {
     this.lines.push(`${((systemClock.now() - this.startedAt) / 1000).toFixed(3).padStart(8)}  ${text}`);
   }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -109,8 +109,18 @@
     console.log(`seed ${seed}: FAILED: it came to no end`);
     return;
   }
-  const { machines, acceptedCount, startCount, leadershipCount, machinesKnownByTask, faults } = result;
-  const met = `${leadershipCount} leaderships, ${machinesKnownByTask} machines known by a task alone`;
+  const {
+    machines,
+    acceptedCount,
+    startCount,
+    leadershipCount,
+    machinesKnownByTask,
+    mixedChunkJobs,
+    faults,
+  } = result;
+  const met =
+    `${leadershipCount} leaderships, ${machinesKnownByTask} machines known by a task alone, ` +
+    `${mixedChunkJobs} jobs read from several chunk sizes`;
   const size = `${machines} machines, ${acceptedCount} jobs, ${startCount} starts, ${met}`;
   console.log(`seed ${seed}: ${verdict}: ${size}${faults.length > 0 ? `; ${faults.join('; ')}` : ''}`);
   if (hasPassed(result, missingPart)) return;
--- a/test/soak/seed.ts
+++ b/test/soak/seed.ts
@@ -5,7 +5,7 @@
 import { type Fault, FAULTS } from '../simulation/faults.js';
 import type { RulePart } from './broken-controller.js';
 import { LoopbackSite } from './loopback-site.js';
-import { soakFaults } from './soak-faults.js';
+import { soakFaults, storeLimitChanges } from './soak-faults.js';
 
 /** The options of a run. */
 export interface SeedOptions {
@@ -26,6 +26,8 @@
   readonly leadershipCount: number;
   /** The number of machines that new leaders knew only from a task's record (issue 30). */
   readonly machinesKnownByTask: number;
+  /** The number of jobs whose progress new leaders read from records of several chunk sizes. */
+  readonly mixedChunkJobs: number;
   readonly violations: readonly string[];
 }
 
@@ -33,6 +35,12 @@
 const LARGE_SITE_INTERVAL = 10;
 const LARGE = { machines: 300, limit: 1200, maxTasks: 40 };
 const SMALL = { machines: 3, limit: 96, maxTasks: 6 };
+/** Every fifth seed, from the third on, has low limits of the store and names too long for them. */
+const LOW_LIMITS_INTERVAL = 5;
+const FIRST_WITH_LOW_LIMITS = 3;
+const WITH_LOW_LIMITS = { machines: 12, limit: 240, maxTasks: 60 };
+const USUAL_ID_DIGITS = 6;
+const LONG_ID_DIGITS = 120;
 const CONTROLLERS = 3;
 const MANY_CONTROLLERS_INTERVAL = 7;
 const MANY_CONTROLLERS = 5;
@@ -43,10 +51,21 @@
 const MIN_AFTER_S = 46;
 const MAX_DETECTION_S = 240;
 
-function drawFaults(site: LoopbackSite, all: readonly Fault[]): Fault[] {
+function hasLowLimits(seed: number): boolean {
+  return seed % LOW_LIMITS_INTERVAL === FIRST_WITH_LOW_LIMITS;
+}
+
+function sizeOf(seed: number): typeof SMALL {
+  if (seed % LARGE_SITE_INTERVAL === 0) return LARGE;
+  return hasLowLimits(seed) ? WITH_LOW_LIMITS : SMALL;
+}
+
+function drawFaults(seed: number, site: LoopbackSite): Fault[] {
   const { random } = site;
+  const all = [...FAULTS, ...soakFaults(site)];
   const [leaderChange] = FAULTS;
   const drawn: Fault[] = random() < LEADER_CHANGE_PROBABILITY && leaderChange ? [leaderChange] : [];
+  if (hasLowLimits(seed)) drawn.push(storeLimitChanges(site));
   while (drawn.length < FAULTS_AT_ONCE) {
     const fault = all[Math.floor(random() * all.length)] as Fault;
     if (!drawn.includes(fault)) drawn.push(fault);
@@ -56,12 +75,21 @@
 
 /** Runs one seed to its end. The random choices repeat exactly, the timing of the processes does not. */
 export async function runSeed({ seed, program, folder, missingPart }: SeedOptions): Promise<SeedResult> {
-  const size = seed % LARGE_SITE_INTERVAL === 0 ? LARGE : SMALL;
+  const size = missingPart === null ? sizeOf(seed) : SMALL;
+  const isLow = missingPart === null && hasLowLimits(seed);
   const controllers = seed % MANY_CONTROLLERS_INTERVAL === 0 ? MANY_CONTROLLERS : CONTROLLERS;
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
-  const site = await LoopbackSite.open({ seed, controllers, program, folder, ...size });
-  const faults = missingPart === null ? drawFaults(site, [...FAULTS, ...soakFaults(site)]) : [];
+  const site = await LoopbackSite.open({
+    seed,
+    controllers,
+    program,
+    folder,
+    ...size,
+    idDigits: isLow ? LONG_ID_DIGITS : USUAL_ID_DIGITS,
+    hasLowLimits: isLow,
+  });
+  const faults = missingPart === null ? drawFaults(seed, site) : [];
   const plan: ScenarioPlan = {
     ...PLACEMENT_PLAN,
     maxTasks: size.maxTasks,
@@ -92,6 +120,7 @@
     startCount: rules.startCount,
     leadershipCount: site.controllers.leadershipCount,
     machinesKnownByTask: site.controllers.machinesKnownByTask,
+    mixedChunkJobs: site.controllers.mixedChunkJobs,
     violations: rules.violations,
   };
 }
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -8,11 +8,33 @@
 const MIN_CRASH_INTERVAL_MS = 3000;
 const CRASH_DELAY_MS = 150;
 const RESTART_DELAY_MS = 300;
+const LIMIT_CHANGES = 9;
+const LIMIT_CHANGE_INTERVAL_MS = 9000;
 
 function pick(nodes: readonly string[], random: () => number): string {
   return nodes[Math.floor(random() * nodes.length)] as string;
 }
 
+/**
+ * The store's limits rise and fall, and the controllers learn of it by their settings alone: each change replaces them all,
+ * so that leaders in series write progress in chunks of several sizes.
+ */
+export function storeLimitChanges(site: LoopbackSite): Fault {
+  return {
+    name: 'limits of the key-value store rise and fall while leaders change',
+    durationS: 85,
+    inject() {
+      for (let change = 0; change < LIMIT_CHANGES; change++)
+        site.clock.after(change * LIMIT_CHANGE_INTERVAL_MS, () => {
+          for (const node of site.nodes) site.crash(node);
+          site.setLowLimits(change % 2 === 1);
+          site.clock.after(RESTART_DELAY_MS, () => site.startAll());
+        });
+      return () => site.setLowLimits(false);
+    },
+  };
+}
+
 /** Returns the faults of a site. */
 export function soakFaults(site: LoopbackSite): readonly Fault[] {
   return [
--- a/test/traces/progress-chunks.test.ts
+++ b/test/traces/progress-chunks.test.ts
@@ -10,6 +10,7 @@
  * [0,1,"host-000000"]; the trace then says "host-000064 runs j-000001/0 try 2" while host-000062 runs the same attempt.
  */
 import { describe, expect, it } from 'vitest';
+import { MIXED_CHUNK_SIZES } from '../../src/leader/open-job-loader.js';
 import { parseOpenKey } from '../../src/store/keys.js';
 import { maxTasksPerChunk } from '../../src/store/progress-record.js';
 import { SimulatedSite } from '../simulation/simulated-site.js';
@@ -141,7 +142,7 @@
     const site = new SimulatedSite(size);
     const merges: object[] = [];
     site.onLogLine = (_level, text, fields) => {
-      if (text === 'progress records of several chunk sizes merged') merges.push(fields);
+      if (text === MIXED_CHUNK_SIZES) merges.push(fields);
     };
     site.startAll();
     await site.run(1);
