Consolidation asks the placement rule where the tasks that it moves may start

What callers saw: a task of a job in one zone (spread, bound to a zone or type) was stopped to empty its machine and then waited, its work lost. Cause: room was counted on all machines. Mend: for jobs with such a rule room counts only where machineRefusal and remainingInZone allow it, in one zone where tasks have to be together. It holds because the same two functions decide the start; one such machine at a time is drained, so that no room is counted twice. Jobs without such a rule take the same path as before.

--- a/src/fleet/consolidation.ts
+++ b/src/fleet/consolidation.ts
@@ -1,5 +1,20 @@
 /** Which mostly idle machines to drain, as one pure decision. */
-import type { MachineId } from '../model/ids.js';
+import type { JobId, MachineId, ZoneId } from '../model/ids.js';
+import {
+  machineRefusal,
+  type PlacementMachine,
+  type PlacementSpec,
+  remainingInZone,
+  type ZoneCounts,
+} from '../scheduler/placement-rule.js';
+
+/** Where a task may start again, if not everywhere. */
+export interface MovableTaskRule {
+  readonly job: JobId;
+  readonly spec: PlacementSpec;
+  /** The job's tasks that may be on other machines, by zone. */
+  readonly others: ZoneCounts;
+}
 
 /** A task on a machine that might be drained. */
 export interface MovableTask {
@@ -11,10 +26,12 @@
   readonly leftMs: number;
   /** Whether its job still comes in time when the task starts again now; false also for what must not move. */
   readonly mayMove: boolean;
+  /** Left out: the task may start on any machine. */
+  readonly rule?: MovableTaskRule;
 }
 
 /** A machine that might be drained. */
-export interface DrainCandidate {
+export interface DrainCandidate extends Partial<PlacementMachine> {
   readonly id: MachineId;
   readonly cpus: number;
   readonly freeCpus: number;
@@ -46,6 +63,7 @@
   cpuPrice: number,
 ): MachineId[] {
   const chosen: MachineId[] = [];
+  let hasChosenRuled = false;
   let surplusLeft = surplusCpus;
   let freeCpus = machines.reduce((sum, machine) => sum + machine.freeCpus, 0);
   let freeMemoryGb = machines.reduce((sum, machine) => sum + machine.freeMemoryGb, 0);
@@ -56,6 +74,12 @@
     const hasCpus = usedCpus <= (freeCpus - machine.freeCpus) * PACKING_EFFICIENCY;
     const hasMemory = usedMemoryGb <= (freeMemoryGb - machine.freeMemoryGb) * PACKING_EFFICIENCY;
     if (!hasCpus || !hasMemory) continue;
+    const ruled = ruledTasks(machine);
+    if (ruled.length > 0) {
+      // The room that they count on may be the same: the next ones follow once these have been placed.
+      if (hasChosenRuled || !haveAllowedRoom(ruled, machine, machines, chosen)) continue;
+      hasChosenRuled = true;
+    }
     chosen.push(machine.id);
     surplusLeft -= machine.cpus;
     freeCpus -= machine.cpus;
@@ -64,6 +88,67 @@
   return chosen;
 }
 
+/** Tasks of one job that would move together, with the rule for where they may start. */
+interface RuledTasks {
+  readonly rule: MovableTaskRule;
+  readonly task: MovableTask;
+  count: number;
+}
+
+/** The tasks of a machine that may not start everywhere, by job. */
+function ruledTasks({ tasks }: DrainCandidate): RuledTasks[] {
+  const byJob = new Map<JobId, RuledTasks>();
+  for (const task of tasks) {
+    if (!task.rule) continue;
+    const group = byJob.get(task.rule.job);
+    if (group) group.count++;
+    else byJob.set(task.rule.job, { rule: task.rule, task, count: 1 });
+  }
+  return [...byJob.values()];
+}
+
+/** Whether each of the groups has room on machines that the placement rule allows. */
+function haveAllowedRoom(
+  groups: readonly RuledTasks[],
+  drained: DrainCandidate,
+  machines: readonly DrainCandidate[],
+  chosen: readonly MachineId[],
+): boolean {
+  const others = machines.filter((machine) => machine !== drained && !chosen.includes(machine.id));
+  return groups.every((group) => hasAllowedRoom(group, others));
+}
+
+function hasAllowedRoom({ rule, task, count }: RuledTasks, machines: readonly DrainCandidate[]): boolean {
+  const { spec, others } = rule;
+  const roomByZone = [...slotsByZone(spec, task, machines)].map(([zone, slots]) =>
+    Math.min(Math.floor(slots * PACKING_EFFICIENCY), remainingInZone(spec, others, zone)),
+  );
+  const room = spec.zoneAffinity
+    ? Math.max(0, ...roomByZone)
+    : roomByZone.reduce((sum, zoneRoom) => sum + zoneRoom, 0);
+  return room >= count;
+}
+
+/** How many such tasks the free capacity of the allowed machines takes, by zone. */
+function slotsByZone(
+  spec: PlacementSpec,
+  task: MovableTask,
+  machines: readonly DrainCandidate[],
+): Map<ZoneId, number> {
+  const slots = new Map<ZoneId, number>();
+  for (const { type, zone, spot, freeCpus, freeMemoryGb } of machines) {
+    if (type === undefined || zone === undefined || spot === undefined) continue;
+    if (machineRefusal(spec, { type, zone, spot }) !== null) continue;
+    const fitting = Math.min(timesIn(freeCpus, task.cpus), timesIn(freeMemoryGb, task.memoryGb));
+    slots.set(zone, (slots.get(zone) ?? 0) + fitting);
+  }
+  return slots;
+}
+
+function timesIn(free: number, needed: number): number {
+  return needed > 0 ? Math.floor(free / needed) : Infinity;
+}
+
 /** Machines that are used, but not by much: those that cost most for what is idle of them come first. */
 function byWaste(machines: readonly DrainCandidate[]): DrainCandidate[] {
   const wastedPrice = (machine: DrainCandidate): number => (machine.price * machine.freeCpus) / machine.cpus;
