--- a/src/store/progress-record.ts
+++ b/src/store/progress-record.ts
@@ -78,9 +78,10 @@
   throw new InvalidRecordError('a field that is no list');
 }
 
-function entryOf(value: unknown, length: number): readonly unknown[] {
-  if (Array.isArray(value) && value.length === length) return value;
-  throw new InvalidRecordError(`an entry that has not ${length} places`);
+/** Places behind those that are known are left unread: a later version may add some. */
+function entryOf(value: unknown, places: number): readonly unknown[] {
+  if (Array.isArray(value) && value.length >= places) return value;
+  throw new InvalidRecordError(`an entry without its ${places} places`);
 }
 
 /** Decodes one record; a task may be listed once. */
--- a/test/unit/progress-merge.test.ts
+++ b/test/unit/progress-merge.test.ts
@@ -95,6 +95,13 @@
   });
 });
 
+describe('decodeChunk', () => {
+  it('leaves unread what a later version adds: fields, and places behind the known ones', () => {
+    const later = { d: [[0, 1, 'x']], p: [[2, 1, 'host-a', 7]], u: [[3, 2, null]], x: 1 };
+    expect(encodeChunk(decodeChunk(later))).toEqual({ d: [[0, 1]], p: [[2, 1, 'host-a']], u: [[3, 2]] });
+  });
+});
+
 describe('a task whose records contradict each other', () => {
   const SMALL = 56;
   const contradicted = (last: object): { job: ActiveJob; task: Task; held: Task[] } => {
