--- a/test/soak/seed.ts
+++ b/test/soak/seed.ts
@@ -55,9 +55,9 @@
   return seed % LOW_LIMITS_INTERVAL === FIRST_WITH_LOW_LIMITS;
 }
 
-function sizeOf(seed: number): typeof SMALL {
+function sizeOf(seed: number, isLow: boolean): typeof SMALL {
   if (seed % LARGE_SITE_INTERVAL === 0) return LARGE;
-  return hasLowLimits(seed) ? WITH_LOW_LIMITS : SMALL;
+  return isLow ? WITH_LOW_LIMITS : SMALL;
 }
 
 function drawFaults(seed: number, site: LoopbackSite): Fault[] {
@@ -75,8 +75,8 @@
 
 /** Runs one seed to its end. The random choices repeat exactly, the timing of the processes does not. */
 export async function runSeed({ seed, program, folder, missingPart }: SeedOptions): Promise<SeedResult> {
-  const size = missingPart === null ? sizeOf(seed) : SMALL;
   const isLow = missingPart === null && hasLowLimits(seed);
+  const size = sizeOf(seed, isLow);
   const controllers = seed % MANY_CONTROLLERS_INTERVAL === 0 ? MANY_CONTROLLERS : CONTROLLERS;
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
