Count refused user requests by reason; a test that reproduces unanswered queries

Callers saw queries about accepted jobs unanswered for over a minute at about 4,000 machines after troubles. No logs were kept, and the summary counted only two reasons (busy, state), neither of which includes the refusal of a first read, the age of an answer or admission.

Each refusal of a user request now has a typed reason, counted in the summary and logged by job at debug. The new trace has 4,000 open jobs, users who poll every 5 s or after Retry-After, at any of three controllers, and a store that enforces the settings' rates; it measures for each job by itself the longest time without a 200.

--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -13,6 +13,7 @@
 import { JobCache } from './job-cache.js';
 import { JobReader, type ReadJob } from './job-reader.js';
 import { RevisionConfirmations } from './revision-confirmations.js';
+import { Refusals } from './refusals.js';
 import { backOff, isRetryable, MAX_ATTEMPT_COUNT } from './store-retry.js';
 import { Submissions } from './submissions.js';
 import { NO_SUCH_JOB, stateAnswer, unavailable, type UserAnswer } from './user-answer.js';
@@ -38,6 +39,8 @@
 
 /** Handles user requests: submissions, queries and cancellations. */
 export class UserService {
+  /** The refused requests, including those that `UserRouter` refuses. */
+  readonly refusals: Refusals;
   private readonly cache = new JobCache();
   private readonly confirmations: RevisionConfirmations;
   private readonly reader: JobReader;
@@ -53,6 +56,7 @@
   ) {
     const { clock, store, storeLimits } = ctx;
     const { cache } = this;
+    this.refusals = new Refusals(ctx.log);
     const maxCompares = storeLimits.txnOps * COMPARES_PER_WRITE;
     this.confirmations = new RevisionConfirmations(clock, store, maxCompares, BATCH_WINDOW_MS);
     this.reader = new JobReader(ctx, cache, progressOf);
@@ -85,9 +89,9 @@
     const requestedAt = this.ctx.clock.now();
     const answer = await this.lookUp(id);
     const isTooOld = since(this.ctx.clock.now(), requestedAt) > MAX_ANSWER_AGE_MS;
-    return isTooOld && answer.status === 200
-      ? unavailable('the answer took too long and may be outdated; retry later')
-      : answer;
+    if (!isTooOld || answer.status !== 200) return answer;
+    this.refusals.record('answer-too-old', 'query', id);
+    return unavailable('the answer took too long and may be outdated; retry later');
   }
 
   private async lookUp(id: string): Promise<UserAnswer> {
@@ -96,8 +100,10 @@
     if (finalBody) return { status: 200, body: finalBody };
     let observed = this.cache.observed(id);
     if (!observed) {
-      if (!this.budgets.firstReads.tryTake())
+      if (!this.budgets.firstReads.tryTake()) {
+        this.refusals.record('read-budget', 'query', id);
         return unavailable('too many requests; retry later', BUSY_RETRY_S);
+      }
       const job = await this.reader.read(id);
       if (!job) return NO_SUCH_JOB;
       const answer = this.reader.cacheAndAnswer(id, job);
@@ -121,7 +127,10 @@
    */
   private async cancelWithDependency(id: JobId): Promise<UserAnswer> {
     const { status, body } = await this.cancel(id);
-    if (status !== 200) return unavailable('the job is being cancelled; retry later');
+    if (status !== 200) {
+      this.refusals.record('cancellation-pending', 'query', id);
+      return unavailable('the job is being cancelled; retry later');
+    }
     const state = (body as { status: string }).status;
     return { status, body: { ref: id, status: state, done: 0, running: 0 } };
   }
--- a/src/controller/user-router.ts
+++ b/src/controller/user-router.ts
@@ -1,6 +1,7 @@
 /** Answers users' requests in this controller or, if this controller can't, through another controller. */
 import type { Admission } from '../api/admission.js';
 import { BusyError, unavailable, type UserAnswer } from '../api/user-answer.js';
+import type { RefusalCounts, RefusalReason } from '../api/refusals.js';
 import type { UserService } from '../api/user-service.js';
 import { parseJson } from '../net/http-client.js';
 import { FrameKind } from '../peer/frames.js';
@@ -19,17 +20,6 @@
 const BUSY_RETRY_S = 2;
 const UNAVAILABLE_STATUS = 503;
 
-/**
- * The number of users' requests that this controller refused, by reason, including requests that another controller
- * then answered. Requests that `Admission` refused are not counted.
- */
-export interface Refusals {
-  /** Requests that were refused because this controller had exhausted its share of the store's write rate. */
-  busy: number;
-  /** Requests that failed because the key-value store refused a request or did not respond. */
-  state: number;
-}
-
 /** The dependencies of `UserRouter`. */
 export interface UserRouterDependencies {
   readonly userService: UserService;
@@ -45,15 +35,11 @@
  * retry.
  */
 export class UserRouter {
-  private refusals: Refusals = { busy: 0, state: 0 };
-
   constructor(private readonly dependencies: UserRouterDependencies) {}
 
-  /** Returns the refusals since the last call and resets the counts. */
-  takeRefusals(): Refusals {
-    const refusals = this.refusals;
-    this.refusals = { busy: 0, state: 0 };
-    return refusals;
+  /** Returns the refusals since the last call by reason, and resets the counts. */
+  takeRefusals(): RefusalCounts {
+    return this.dependencies.userService.refusals.takeCounts();
   }
 
   /**
@@ -63,7 +49,10 @@
   async handle(verb: UserVerb, body: Buffer, mayForward: boolean): Promise<UserAnswer> {
     const { admission, connectivity } = this.dependencies;
     const rank = verb === 'submit' ? 'submission' : 'query';
-    if (!admission.tryAcquire(rank)) return unavailable('overloaded', BUSY_RETRY_S);
+    if (!admission.tryAcquire(rank)) {
+      this.recordRefusal('overloaded', verb, body);
+      return unavailable('overloaded', BUSY_RETRY_S);
+    }
     try {
       const forwarded =
         mayForward && !connectivity.isStoreReachable ? await this.forward(verb, body, 1) : null;
@@ -75,6 +64,12 @@
     }
   }
 
+  private recordRefusal(reason: RefusalReason, verb: UserVerb, body: Buffer): void {
+    // The body of a submission is JSON; that of the other requests is the job's id.
+    const id = verb === 'submit' ? null : body.toString('utf8');
+    this.dependencies.userService.refusals.record(reason, verb, id);
+  }
+
   private answer(verb: UserVerb, body: Buffer): Promise<UserAnswer> {
     const { userService } = this.dependencies;
     switch (verb) {
@@ -94,13 +89,13 @@
     mayForward: boolean,
   ): Promise<UserAnswer> {
     if (error instanceof BusyError) {
-      this.refusals.busy++;
+      this.recordRefusal('write-budget', verb, body);
       // Each controller has its own share of the write rate for users, so another controller often has capacity left.
       const forwarded = mayForward ? await this.forward(verb, body, MAX_BUSY_FORWARD_COUNT) : null;
       return forwarded ?? unavailable('too many requests; retry later', BUSY_RETRY_S);
     }
     if (!(error instanceof KeyValueStoreError)) throw error;
-    this.refusals.state++;
+    this.recordRefusal(isRateLimitedError(error) ? 'store-rate-limited' : 'store-unavailable', verb, body);
     // The store's rate limit applies to all controllers, so forwarding would only send the store another request.
     if (isRateLimitedError(error)) return unavailable('too many requests; retry later', BUSY_RETRY_S);
     const forwarded = mayForward ? await this.forward(verb, body, 1) : null;
--- /dev/null
+++ b/test/simulation/polled-site.ts
@@ -0,0 +1,110 @@
+/** A simulated site with many open jobs whose users poll, through the same admission and routing as in a process. */
+import { Admission } from '../../src/api/admission.js';
+import type { RefusalCounts, RefusalReason } from '../../src/api/refusals.js';
+import { MemoryMonitor } from '../../src/controller/memory-monitor.js';
+import { StoreConnectivityMonitor } from '../../src/controller/store-connectivity-monitor.js';
+import { UserRouter } from '../../src/controller/user-router.js';
+import type { JobId } from '../../src/model/ids.js';
+import type { WallTime } from '../../src/model/time.js';
+import { TokenBucket } from '../../src/net/token-bucket.js';
+import { encodeJob } from '../../src/store/job-record.js';
+import { keys } from '../../src/store/keys.js';
+import type { WriteOperation } from '../../src/wire/key-value-store.js';
+import type { Settings } from '../../src/wire/settings.js';
+import { PollingUser, type PollResponse } from './polling-user.js';
+import { SimulatedSite } from './simulated-site.js';
+import { siteSettings, submissionBody } from './site-setup.js';
+import { submission } from './submission.js';
+
+/** The numbers of submissions and queries that a controller processes concurrently, as in `Controller`. */
+const MAX_ACTIVE = { submission: 48, query: 96 };
+/** The jobs that one transaction accepts: each takes two of the 16 writes. */
+const JOBS_PER_TXN = 8;
+const HEAP_LIMIT_BYTES = 100;
+
+/** Returns the id of the n-th job of a site. */
+const jobIdOf = (n: number): JobId => `j-${String(n).padStart(6, '0')}` as JobId;
+
+function acceptanceOf(id: JobId): WriteOperation[] {
+  const spec = submission(submissionBody({ ref: id, kind: 'service', cpus: 2 }));
+  const value = encodeJob({ spec, state: 'accepted', acceptedAt: 0 as WallTime });
+  return [keys.job(id), keys.openHead(id)].map((key) => ({ set: key, value }));
+}
+
+/** A site whose controllers know each other from their settings and watch the job records. */
+export class PolledSite extends SimulatedSite {
+  /** The heap usage that every controller reads, as a fraction of its limit. */
+  heapRatio = 0.5;
+  /** The users who poll, one for each job. */
+  readonly users: PollingUser[] = [];
+  private readonly routers = new Map<string, UserRouter>();
+
+  /** Accepts services at a rate that the store's limits do not bound, and creates the users who poll for them. */
+  async acceptServices(count: number): Promise<void> {
+    const client = this.store.clientFor('accepting', this.clock);
+    const ids = Array.from({ length: count }, (_, n) => jobIdOf(n));
+    for (let start = 0; start < count; start += JOBS_PER_TXN) {
+      void client.txn([], ids.slice(start, start + JOBS_PER_TXN).flatMap(acceptanceOf));
+      await this.clock.advance(10);
+    }
+    for (const id of ids) this.addUser(id);
+  }
+
+  /** Adds a user who polls for a job, known or not. */
+  addUser(id: JobId): PollingUser {
+    const user = new PollingUser(id, this.clock, this.random, (job) => this.poll(job));
+    this.users.push(user);
+    return user;
+  }
+
+  /** Makes the store enforce the rates of the settings from now on. */
+  enforceStoreRates(): void {
+    const { rps, writeRps } = siteSettings('node-0', this.size).storeLimits;
+    this.store.rateLimits = {
+      requests: new TokenBucket(this.clock, rps, rps),
+      writes: new TokenBucket(this.clock, writeRps, writeRps),
+    };
+  }
+
+  /** Returns the refusals of all running controllers since the last call, by reason. */
+  takeRefusals(): RefusalCounts {
+    const total: RefusalCounts = {};
+    for (const router of this.routers.values()) {
+      for (const [reason, count] of Object.entries(router.takeRefusals()) as [RefusalReason, number][])
+        total[reason] = (total[reason] ?? 0) + count;
+    }
+    return total;
+  }
+
+  override start(name: string): void {
+    super.start(name);
+    const { clock, users } = this.running.get(name) ?? {};
+    if (!clock || !users) return;
+    const memory = new MemoryMonitor(
+      clock,
+      () => users.clearCaches(),
+      () => ({ used_heap_size: HEAP_LIMIT_BYTES * this.heapRatio, heap_size_limit: HEAP_LIMIT_BYTES }),
+    );
+    const router = new UserRouter({
+      userService: users,
+      admission: new Admission(clock, MAX_ACTIVE, () => memory.isScarce),
+      connectivity: new StoreConnectivityMonitor(clock),
+      peers: { connected: [] },
+      random: this.random,
+    });
+    this.routers.set(name, router);
+    void users.watch();
+  }
+
+  protected override settingsFor(name: string): Settings {
+    return this.settingsWithPeers(name);
+  }
+
+  /** Sends a query to a running controller, as the load balancer does; null: no controller runs. */
+  private async poll(id: JobId): Promise<PollResponse | null> {
+    const names = this.nodes.filter((node) => this.isRunning(node));
+    const name = names[Math.floor(this.random() * names.length)];
+    const router = name === undefined ? undefined : this.routers.get(name);
+    return router ? router.handle('query', Buffer.from(id), true) : null;
+  }
+}
--- a/test/simulation/simulated-controllers.ts
+++ b/test/simulation/simulated-controllers.ts
@@ -81,7 +81,7 @@
   /** Starts the controller process of a node with empty memory. */
   start(name: string): void {
     const clock = new ProcessClock(this.clock);
-    const settings = this.failover ? this.settingsWithPeers(name) : siteSettings(name, this.size);
+    const settings = this.settingsFor(name);
     const store = this.store.clientFor(name, clock);
     const limits = new StoreLimits(settings, clock, createLimitProbe(store, settings));
     if (this.earlierVersionNodes.size === 0) limits.allowSmallChunks();
@@ -138,6 +138,11 @@
     leadership.start();
   }
 
+  /** Returns the settings with which a node starts; they name the other nodes only with failure detection. */
+  protected settingsFor(name: string): Settings {
+    return this.failover ? this.settingsWithPeers(name) : siteSettings(name, this.size);
+  }
+
   protected settingsWithPeers(name: string): Settings {
     const others = this.nodes.filter((other) => other !== name);
     const peers = others.map((member) => ({ member: member as MemberId, address: '127.0.0.1:2' }));
