Load open jobs for queries at start, and read other jobs in the order of the queries

What callers saw: after all controllers of a site with thousands of open jobs had come back, queries about accepted jobs got 503 for more than 75 s, some for minutes, while others were answered.

Cause: a controller that restarts knows no job, and each first read took a token of a small budget or was refused at once with a fixed retry time. Which job got a token was luck, each took a request of its own, and each controller had to learn all of them anew: 16 a second and controller at 200 requests a second.

Fix: before it watches, a controller loads the open jobs by pages of 500 rows; the head under open/ has the revision of the job's record, which each answer still confirms. A watch that was compacted loads them again. What is not cached then waits in one queue: requests for a job share one read unless it was sent before, 64 ids are checked for existence by one transaction (unknown ids cost the others little), jobs that exist are read first come, first served, and a job whose user gave up keeps its place. Retry-After tells the expected wait. Lookups of dependencies of a queried job take the same way. The compares a write allows stand once, in wire/key-value-store.

--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -48,6 +48,11 @@
     this.finalJobs.clear();
   }
 
+  /** Whether a state of the job is cached. */
+  has(id: JobId): boolean {
+    return this.openJobs.has(id) || this.finalJobs.has(id);
+  }
+
   /** Returns the cached fields of an accepted job; undefined if the job is not cached or has ended. */
   observed(id: JobId): ObservedJob | undefined {
     return this.openJobs.get(id);
--- a/src/api/job-reader.ts
+++ b/src/api/job-reader.ts
@@ -11,8 +11,10 @@
 import type { WatchEvent } from '../wire/key-value-store.js';
 import { jobStatus, type TaskCounts } from '../wire/users.js';
 import type { JobCache } from './job-cache.js';
+import { OpenJobPreloader } from './open-job-preloader.js';
 import { backOff, isRetryable, MAX_ATTEMPT_COUNT } from './store-retry.js';
 import type { UserAnswer } from './user-answer.js';
+import type { UserBudgets } from './user-budgets.js';
 
 const WATCH_TIMEOUT_MS = 20_000;
 const WATCH_RETRY_DELAY_MS = 300;
@@ -28,22 +30,27 @@
 
 /** Reads and watches job records in the store; all methods but `read` and `progress` add the records to the cache. */
 export class JobReader {
+  private readonly preloader: OpenJobPreloader;
+
   constructor(
     private readonly ctx: ControllerContext,
     private readonly cache: JobCache,
+    budgets: Pick<UserBudgets, 'acquireJobRead'>,
     private readonly progressOf: (id: JobId) => TaskCounts | null,
-  ) {}
+  ) {
+    this.preloader = new OpenJobPreloader(ctx, budgets, (id, job) => this.cacheAndAnswer(id, job));
+  }
 
   /**
-   * Watches all job records and caches their changes, so that most queries need only a confirmation of the cached
-   * revision. Skips unreadable records. If the store has compacted the watched revision, the watch restarts at the
-   * current revision and misses the changes in between. Runs until the process exits.
+   * Caches all open jobs and watches all job records for changes, so that most queries need only a confirmation of the
+   * cached revision. Skips unreadable records. If the store has compacted the watched revision, the open jobs are
+   * loaded again. Runs until the process exits.
    */
   async watch(): Promise<void> {
     let after: Revision | null = null;
     for (;;) {
       try {
-        after ??= (await this.ctx.store.range(keys.epoch)).revision;
+        after ??= await this.preloader.load();
         const watched = await this.ctx.store.watch(keys.jobs, after, WATCH_TIMEOUT_MS);
         after = watched?.revision ?? null;
         if (watched) this.observe(watched.changes);
--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -10,7 +10,8 @@
 import { keys } from '../store/keys.js';
 import { jobStatus, type TaskCounts } from '../wire/users.js';
 import { DependencyChecker } from './dependency-checker.js';
-import { JobCache } from './job-cache.js';
+import { JobCache, type ObservedJob } from './job-cache.js';
+import { JobLookups, LookupDelayedError } from './job-lookups.js';
 import { JobReader, type ReadJob } from './job-reader.js';
 import { RevisionConfirmations } from './revision-confirmations.js';
 import { Refusals } from './refusals.js';
@@ -21,15 +22,12 @@
 
 /** The period over which queries are collected into one request to the store. */
 const BATCH_WINDOW_MS = 100;
-/** The comparisons that a transaction may contain for each write that it may contain (PROTOCOL). */
-const COMPARES_PER_WRITE = 4;
 const CANCEL_WRITES = 1;
 const CANCEL_RETRY_DELAY_MS = 60;
 /**
  * The attempts of a cancellation: two more than for a store request, since concurrent writes may invalidate the read.
  */
 const MAX_CANCEL_ATTEMPT_COUNT = MAX_ATTEMPT_COUNT + 2;
-const BUSY_RETRY_S = 2;
 /**
  * The maximum time from the arrival of a query to its answer. A later answer of status 200 is replaced by a 503: the
  * process may have been paused meanwhile, and the user may have received a newer state from another controller. A user
@@ -44,6 +42,7 @@
   private readonly cache = new JobCache();
   private readonly confirmations: RevisionConfirmations;
   private readonly reader: JobReader;
+  private readonly lookups: JobLookups;
   private readonly budgets: UserBudgets;
   private readonly dependencies: DependencyChecker;
   private readonly submissions: Submissions;
@@ -57,11 +56,11 @@
     const { clock, store, storeLimits } = ctx;
     const { cache } = this;
     this.refusals = new Refusals(ctx.log);
-    const maxCompares = storeLimits.txnOps * COMPARES_PER_WRITE;
-    this.confirmations = new RevisionConfirmations(clock, store, maxCompares, BATCH_WINDOW_MS);
-    this.reader = new JobReader(ctx, cache, progressOf);
+    this.confirmations = new RevisionConfirmations(clock, store, storeLimits.maxCompares, BATCH_WINDOW_MS);
     this.budgets = new UserBudgets(ctx, controllerCount);
-    this.dependencies = new DependencyChecker(ctx, cache, this.confirmations, this.reader);
+    this.reader = new JobReader(ctx, cache, this.budgets, progressOf);
+    this.lookups = new JobLookups(ctx, cache, this.reader, this.budgets);
+    this.dependencies = new DependencyChecker(ctx, cache, this.confirmations, this.reader, this.lookups);
     const { reader, dependencies, budgets } = this;
     this.submissions = new Submissions(ctx, { cache, reader, dependencies, budgets });
   }
@@ -87,30 +86,45 @@
   /** Answers a query for a job's state. Throws StoreRefusedError or StoreOutcomeUnknownError, as `submit` does. */
   async query(id: string): Promise<UserAnswer> {
     const requestedAt = this.ctx.clock.now();
-    const answer = await this.lookUp(id);
+    const answer = await this.lookUpOrRefuse(id);
     const isTooOld = since(this.ctx.clock.now(), requestedAt) > MAX_ANSWER_AGE_MS;
     if (!isTooOld || answer.status !== 200) return answer;
     this.refusals.record('answer-too-old', 'query', id);
     return unavailable('the answer took too long and may be outdated; retry later');
   }
 
+  private async lookUpOrRefuse(id: string): Promise<UserAnswer> {
+    try {
+      return await this.lookUp(id);
+    } catch (error) {
+      if (!(error instanceof LookupDelayedError)) throw error;
+      this.refusals.record('read-budget', 'query', id);
+      return unavailable(error.message, error.retryAfterS);
+    }
+  }
+
   private async lookUp(id: string): Promise<UserAnswer> {
     if (!isJobId(id)) return NO_SUCH_JOB;
     const finalBody = this.cache.finalBody(id);
     if (finalBody) return { status: 200, body: finalBody };
-    let observed = this.cache.observed(id);
-    if (!observed) {
-      if (!this.budgets.firstReads.tryTake()) {
-        this.refusals.record('read-budget', 'query', id);
-        return unavailable('too many requests; retry later', BUSY_RETRY_S);
-      }
-      const job = await this.reader.read(id);
-      if (!job) return NO_SUCH_JOB;
-      const answer = this.reader.cacheAndAnswer(id, job);
-      observed = this.cache.observed(id);
-      if (!observed || (observed.dependencies.length === 0 && observed.dependencyRecordCount === 0))
-        return answer;
-    }
+    const observed = this.cache.observed(id);
+    return observed ? this.confirmOpen(id, observed) : this.answerUncached(id);
+  }
+
+  private async answerUncached(id: JobId): Promise<UserAnswer> {
+    const found = await this.lookups.find(id);
+    if (found.kind === 'absent') return NO_SUCH_JOB;
+    const observed = this.cache.observed(id);
+    const hasDependencies =
+      observed !== undefined && (observed.dependencies.length > 0 || observed.dependencyRecordCount > 0);
+    if (found.kind === 'read' && !hasDependencies) return this.reader.cacheAndAnswer(id, found.job);
+    if (observed) return this.confirmOpen(id, observed);
+    const finalBody = this.cache.finalBody(id);
+    return finalBody ? { status: 200, body: finalBody } : unavailable('the job was evicted; retry later');
+  }
+
+  /** Answers for a cached job that had not ended, after the store has confirmed its revision. */
+  private async confirmOpen(id: JobId, observed: ObservedJob): Promise<UserAnswer> {
     if (await this.dependencies.hasCancelledDependency(id)) return this.cancelWithDependency(id);
     // The job's own record is checked last: the job may have been cancelled while its dependencies were checked.
     if (await this.confirmations.hasRevision(keys.job(id), observed.revision)) {
--- a/src/leader/open-job-loader.ts
+++ b/src/leader/open-job-loader.ts
@@ -17,8 +17,6 @@
 
 /** Message logged for a job whose progress was read from records of several chunk sizes. */
 export const MIXED_CHUNK_SIZES_MESSAGE = 'progress records of several chunk sizes merged';
-/** Maximum number of compares in a transaction without writes, as a multiple of the store's operation limit. */
-const COMPARES_PER_TXN_OP = 4;
 
 /** The unfinished jobs that were loaded from the stored records. */
 export interface LoadedJobs {
@@ -134,7 +132,7 @@
 /** Returns the IDs of cancelled jobs: the jobs whose job record has changed since the job was accepted. */
 async function findCancelled(ctx: LeaderContext, jobs: readonly ActiveJob[]): Promise<JobId[]> {
   const cancelled: JobId[] = [];
-  const batchSize = ctx.storeLimits.txnOps * COMPARES_PER_TXN_OP;
+  const batchSize = ctx.storeLimits.maxCompares;
   for (let start = 0; start < jobs.length; start += batchSize) {
     const compares: Compare[] = jobs
       .slice(start, start + batchSize)
--- a/src/store/limit-probe.ts
+++ b/src/store/limit-probe.ts
@@ -1,14 +1,12 @@
 /** Probes whether the key-value store already enforces the announced limits. */
 import { NO_REVISION } from '../model/ids.js';
+import { MAX_COMPARES_PER_WRITE } from '../wire/key-value-store.js';
 import type { Settings } from '../wire/settings.js';
 import type { KeyValueStore } from './client.js';
 import { StoreRequestTooLargeError } from './errors.js';
 import { keys } from './keys.js';
 import type { LimitProbe } from './store-limits.js';
 
-/** Maximum number of compares in a transaction, as a multiple of the maximum number of writes (PROTOCOL). */
-const MAX_COMPARES_PER_WRITE = 4;
-
 /**
  * Creates a probe that sends a transaction without writes. The transaction compares one key more than the announced
  * limit allows, but no more than the current limit allows: it changes nothing, and the store refuses it as malformed
--- a/src/store/store-limits.ts
+++ b/src/store/store-limits.ts
@@ -1,5 +1,6 @@
 /** Limits of the key-value store: the current limits, and the future limits that the settings announce. */
 import type { Cancel, Clock } from '../model/time.js';
+import { MAX_COMPARES_PER_WRITE } from '../wire/key-value-store.js';
 import type { Settings, StoreLimitSettings } from '../wire/settings.js';
 import { isRateLimitedError, StoreRequestTooLargeError } from './errors.js';
 import { DEFAULT_CHUNK_SIZE } from './keys.js';
@@ -48,6 +49,8 @@
   readonly valueBytes: number;
   /** Maximum number of writes in one transaction. */
   readonly txnOps: number;
+  /** Maximum number of comparisons in one transaction. */
+  readonly maxCompares: number;
   private rateState: RateState = 'current';
   private assumptionMs = INITIAL_ASSUMPTION_MS;
   /** Whether progress chunks may be below the default size: after `allowSmallChunks` or a too large request. */
@@ -67,6 +70,7 @@
     const { storeLimits, announcedStoreLimits } = settings;
     this.valueBytes = Math.min(storeLimits.valueBytes, announcedStoreLimits.valueBytes);
     this.txnOps = Math.min(storeLimits.txnOps, announcedStoreLimits.txnOps);
+    this.maxCompares = this.txnOps * MAX_COMPARES_PER_WRITE;
   }
 
   private get rateLimits(): StoreLimitSettings {
--- a/src/wire/key-value-store.ts
+++ b/src/wire/key-value-store.ts
@@ -34,6 +34,9 @@
   ),
 });
 
+/** Maximum number of comparisons in a transaction, as a multiple of the maximum number of writes (PROTOCOL). */
+export const MAX_COMPARES_PER_WRITE = 4;
+
 /** A key with its value and the revision of its latest change. */
 export interface KeyValue {
   readonly key: string;
