--- a/src/api/dependency-checker.ts
+++ b/src/api/dependency-checker.ts
@@ -4,7 +4,6 @@
 import type { JobRecord, JobSpec } from '../model/job.js';
 import { keys } from '../store/keys.js';
 import type { JobCache } from './job-cache.js';
-import type { JobLookups } from './job-lookups.js';
 import type { JobReader } from './job-reader.js';
 import type { RevisionConfirmations } from './revision-confirmations.js';
 
@@ -27,7 +26,6 @@
     private readonly cache: JobCache,
     private readonly confirmations: RevisionConfirmations,
     private readonly reader: JobReader,
-    private readonly lookups: JobLookups,
   ) {}
 
   /**
@@ -71,7 +69,7 @@
    * Reports whether any direct or transitive dependency of the job is cancelled; false if the job is not in the cache.
    * Every answer that reports a waiting job as pending needs this check: a job must not be reported as pending after
    * one of its dependencies was cancelled, even if no leader has yet written the resulting cancellation to the job's
-   * own record. Rejects with `LookupDelayedError` or the errors of the store client.
+   * own record.
    */
   async hasCancelledDependency(id: JobId): Promise<boolean> {
     const visited = new Set<JobId>([id]);
@@ -95,9 +93,7 @@
     const observed = this.cache.observed(id);
     if (observed && (await this.confirmations.hasRevision(keys.job(id), observed.revision)))
       return 'accepted';
-    const found = await this.lookups.find(id);
-    if (found.kind === 'cached') return this.stateOf(id);
-    return found.kind === 'read' ? found.job.record.state : 'accepted';
+    return (await this.reader.readAndCache(id))?.state ?? 'accepted';
   }
 
   /** Returns the job's direct dependencies that are not known to be done; none if the job is not in the cache. */
--- a/src/api/job-lookups.ts
+++ b/src/api/job-lookups.ts
@@ -121,9 +121,14 @@
   private sendNextRequest(): void {
     const isCheckDue = this.existing.size === 0 || !this.wasLastRequestCheck;
     const unchecked = isCheckDue ? this.takeUncached(this.unchecked, this.ctx.storeLimits.maxCompares) : [];
-    this.wasLastRequestCheck = unchecked.length > 0;
-    if (unchecked.length > 0) void this.checkExistence(unchecked);
-    else for (const lookup of this.takeUncached(this.existing, 1)) void this.read(lookup);
+    this.wasLastRequestCheck = unchecked.length > 1;
+    if (this.wasLastRequestCheck) {
+      void this.checkExistence(unchecked);
+      return;
+    }
+    // A read also tells whether the job exists, so a single job needs no check before.
+    const [next] = unchecked.length > 0 ? unchecked : this.takeUncached(this.existing, 1);
+    if (next) void this.read(next);
   }
 
   /** Removes and returns up to `count` jobs from the front of a queue; jobs that are cached by now need no read. */
--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -60,7 +60,7 @@
     this.budgets = new UserBudgets(ctx, controllerCount);
     this.reader = new JobReader(ctx, cache, this.budgets, progressOf);
     this.lookups = new JobLookups(ctx, cache, this.reader, this.budgets);
-    this.dependencies = new DependencyChecker(ctx, cache, this.confirmations, this.reader, this.lookups);
+    this.dependencies = new DependencyChecker(ctx, cache, this.confirmations, this.reader);
     const { reader, dependencies, budgets } = this;
     this.submissions = new Submissions(ctx, { cache, reader, dependencies, budgets });
   }
