Keep the jobs that users ask about when memory is scarce

What callers saw: while a controller's heap was near its limit, queries about accepted jobs got 503 there without end, though all troubles were over.

Cause: MemoryMonitor called clearCaches at each sample, so every second all jobs were forgotten, and each query needed a first read again. The cache evicted in the order of insertion, too: a long-lived service went first, however often it was asked about.

Fix: an LRU map with the time of the last use. Scarce memory evicts what nobody asked about, so that memory is freed where it can be and the polled jobs stay; the caches are bounded by 20,000 and 4,000 entries.

--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -1,6 +1,8 @@
 /** An in-memory cache of the job records that this controller has read. */
 import type { JobId, Revision } from '../model/ids.js';
 import type { FinalState, JobKind, JobRecord } from '../model/job.js';
+import type { Clock } from '../model/time.js';
+import { RecencyMap } from './recency-map.js';
 
 /** The cached fields of an accepted job, from the newest record that this controller has read. */
 export interface ObservedJob {
@@ -19,19 +21,11 @@
 
 const MAX_OPEN_JOB_COUNT = 20_000;
 const MAX_FINAL_JOB_COUNT = 4000;
-
-/** A map of bounded size that evicts the entry inserted first (FIFO). */
-class BoundedMap<K, V> extends Map<K, V> {
-  constructor(private readonly maxSize: number) {
-    super();
-  }
-
-  override set(key: K, value: V): this {
-    super.set(key, value);
-    if (this.size > this.maxSize) this.delete(this.keys().next().value as K);
-    return this;
-  }
-}
+/**
+ * The time after which an entry counts as idle, for each controller of the site: twelve times the interval at which
+ * users poll, as a user may poll any of the controllers.
+ */
+const IDLE_MS_PER_CONTROLLER = 60_000;
 
 /**
  * Caches what user requests need of job records. Final states never change, so a cached final state is returned without
@@ -39,13 +33,29 @@
  * store must confirm that the record still has this revision (`RevisionConfirmations`).
  */
 export class JobCache {
-  private readonly openJobs = new BoundedMap<JobId, ObservedJob>(MAX_OPEN_JOB_COUNT);
-  private readonly finalJobs = new BoundedMap<JobId, FinalAnswer>(MAX_FINAL_JOB_COUNT);
+  private readonly openJobs: RecencyMap<JobId, ObservedJob>;
+  private readonly finalJobs: RecencyMap<JobId, FinalAnswer>;
 
-  /** Removes all entries, to free memory; later requests read the records from the store again. */
-  clear(): void {
-    this.openJobs.clear();
-    this.finalJobs.clear();
+  constructor(
+    clock: Clock,
+    private readonly controllerCount: number,
+  ) {
+    this.openJobs = new RecencyMap(clock, MAX_OPEN_JOB_COUNT);
+    this.finalJobs = new RecencyMap(clock, MAX_FINAL_JOB_COUNT);
+  }
+
+  /** The number of cached jobs. */
+  get size(): number {
+    return this.openJobs.size + this.finalJobs.size;
+  }
+
+  /**
+   * Removes the jobs that nobody has asked about for long, to free memory, and returns their number. The jobs that users
+   * poll stay: reading all of them again would take minutes where there are thousands.
+   */
+  evictIdle(): number {
+    const idleMs = IDLE_MS_PER_CONTROLLER * this.controllerCount;
+    return this.openJobs.evictIdle(idleMs) + this.finalJobs.evictIdle(idleMs);
   }
 
   /** Whether a state of the job is cached. */
--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -39,7 +39,7 @@
 export class UserService {
   /** The refused requests, including those that `UserRouter` refuses. */
   readonly refusals: Refusals;
-  private readonly cache = new JobCache();
+  private readonly cache: JobCache;
   private readonly confirmations: RevisionConfirmations;
   private readonly reader: JobReader;
   private readonly lookups: JobLookups;
@@ -54,7 +54,8 @@
     controllerCount: () => number = () => 1,
   ) {
     const { clock, store, storeLimits } = ctx;
-    const { cache } = this;
+    const cache = new JobCache(clock, ctx.settings.peers.length + 1);
+    this.cache = cache;
     this.refusals = new Refusals(ctx.log);
     this.confirmations = new RevisionConfirmations(clock, store, storeLimits.maxCompares, BATCH_WINDOW_MS);
     this.budgets = new UserBudgets(ctx, controllerCount);
@@ -65,9 +66,21 @@
     this.submissions = new Submissions(ctx, { cache, reader, dependencies, budgets });
   }
 
-  /** Clears the job cache to free memory; later requests read the records from the store again. */
-  clearCaches(): void {
-    this.cache.clear();
+  /** The number of jobs of which a state is cached. */
+  get cachedJobCount(): number {
+    return this.cache.size;
+  }
+
+  /** The number of uncached jobs that wait to be read from the store. */
+  get queuedLookupCount(): number {
+    return this.lookups.queuedCount;
+  }
+
+  /** Frees memory: evicts the cached jobs that nobody asks about; later requests read their records again. */
+  evictIdleJobs(): void {
+    const evicted = this.cache.evictIdle();
+    if (evicted > 0)
+      this.ctx.log.info({ evicted, kept: this.cache.size }, 'memory scarce, idle jobs evicted');
   }
 
   /** Watches the job records and updates the cache, until the process exits. */
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -238,7 +238,7 @@
 
   private createAdmission(): Admission {
     const { clock } = this.ctx;
-    const memory = new MemoryMonitor(clock, () => this.userService.clearCaches());
+    const memory = new MemoryMonitor(clock, () => this.userService.evictIdleJobs());
     const limits = { submission: MAX_CONCURRENT_SUBMISSION_COUNT, query: MAX_CONCURRENT_QUERY_COUNT };
     return new Admission(clock, limits, () => memory.isScarce);
   }
--- a/test/simulation/polled-site.ts
+++ b/test/simulation/polled-site.ts
@@ -82,7 +82,7 @@
     if (!clock || !users) return;
     const memory = new MemoryMonitor(
       clock,
-      () => users.clearCaches(),
+      () => users.evictIdleJobs(),
       () => ({ used_heap_size: HEAP_LIMIT_BYTES * this.heapRatio, heap_size_limit: HEAP_LIMIT_BYTES }),
     );
     const router = new UserRouter({
