Check at run time that no job stays unanswered while the store is reachable

A controller now tracks the jobs whose queries it refuses: after 75 s of refusals of one job, at most 30 s apart and with the store reachable throughout, it logs one error line a minute and counts the refusals in the summary (overdueQueries, beside cachedJobs and queuedLookups). An answered query costs one look-up in a map that is empty unless queries are refused; at most 5,000 jobs are tracked. The new trace asserts that the line stays out.

--- a/src/controller/controller-summary.ts
+++ b/src/controller/controller-summary.ts
@@ -1,10 +1,11 @@
 /** Builds the summary that a controller logs periodically. */
 import type { Admission } from '../api/admission.js';
+import type { UnansweredQueries } from '../api/unanswered-queries.js';
+import type { UserService } from '../api/user-service.js';
 import type { Failover } from '../leadership/failover/failover.js';
 import type { Leadership } from './leadership.js';
 import type { PeerGroup } from './peer-group.js';
 import type { StoreConnectivityMonitor } from './store-connectivity-monitor.js';
-import type { UserRouter } from './user-router.js';
 
 /** The components from which the summary is read. */
 export interface ControllerSummarySources {
@@ -14,7 +15,8 @@
   readonly connectivity: StoreConnectivityMonitor;
   readonly peers: PeerGroup;
   readonly admission: Admission;
-  readonly userRouter: UserRouter;
+  readonly userService: UserService;
+  readonly unansweredQueries: UnansweredQueries;
   /** The fraction of its processor time that this process uses, between 0 and 1. */
   readonly load: number;
 }
@@ -24,7 +26,8 @@
  * the leader's counts of writes and decisions.
  */
 export function controllerSummary(sources: ControllerSummarySources): object {
-  const { leadership, failover, connectivity, peers, admission, userRouter, load } = sources;
+  const { leadership, failover, connectivity, peers, admission, userService, unansweredQueries, load } =
+    sources;
   const cpu = process.cpuUsage();
   return {
     ...leadership.leader?.summary(),
@@ -34,7 +37,10 @@
     peers: peers.connected.length,
     lateMs: admission.lateMs,
     load: Math.round(load * 100) / 100,
-    refusals: userRouter.takeRefusals(),
+    refusals: userService.refusals.takeCounts(),
+    cachedJobs: userService.cachedJobCount,
+    queuedLookups: userService.queuedLookupCount,
+    overdueQueries: unansweredQueries.takeOverdueCount(),
     rssMb: Math.round(process.memoryUsage.rss() / 1e6),
     cpuMs: Math.round((cpu.user + cpu.system) / 1000),
   };
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,6 +1,7 @@
 /** A controller process: serves users and workers, forwards requests to the leader, and leads when elected. */
 import { Admission } from '../api/admission.js';
 import { createRequestListener } from '../api/http-router.js';
+import { UnansweredQueries } from '../api/unanswered-queries.js';
 import { UserService } from '../api/user-service.js';
 import { CloudClient } from '../cloud/client.js';
 import type { Features } from '../config/features.js';
@@ -77,6 +78,7 @@
   private readonly userService: UserService;
   private readonly leadership: Leadership;
   private readonly admission: Admission;
+  private readonly unansweredQueries: UnansweredQueries;
   private readonly userRouter: UserRouter;
   private readonly heartbeatRouter: HeartbeatRouter;
   private readonly frontServer: FrontServer;
@@ -107,6 +109,7 @@
     this.leadership = new Leadership(this.ctx, () => this.machineTypes.whenAvailable());
     cancellations.onLearned((ids) => this.leadership.leader?.onCancellationsConfirmed(ids));
     this.admission = this.createAdmission();
+    this.unansweredQueries = new UnansweredQueries(clock, options.log);
     this.userRouter = this.createUserRouter();
     this.heartbeatRouter = new HeartbeatRouter({
       context: this.ctx,
@@ -244,8 +247,9 @@
   }
 
   private createUserRouter(): UserRouter {
-    const { userService, admission, connectivity, peers } = this;
-    return new UserRouter({ userService, admission, connectivity, peers, random: this.options.random });
+    const { userService, admission, unansweredQueries, connectivity, peers } = this;
+    const { random } = this.options;
+    return new UserRouter({ userService, admission, unansweredQueries, connectivity, peers, random });
   }
 
   private createFrontServer(sockets: SocketAllocation): FrontServer {
@@ -305,8 +309,8 @@
   }
 
   private logSummary(): void {
-    const { leadership, failover, connectivity, peers, admission, userRouter } = this;
-    const sources = { leadership, failover, connectivity, peers, admission, userRouter };
+    const { leadership, failover, connectivity, peers, admission, userService, unansweredQueries } = this;
+    const sources = { leadership, failover, connectivity, peers, admission, userService, unansweredQueries };
     this.options.log.info(controllerSummary({ ...sources, load: this.ctx.load() }), 'summary');
   }
 }
--- a/src/controller/user-router.ts
+++ b/src/controller/user-router.ts
@@ -1,7 +1,8 @@
 /** Answers users' requests in this controller or, if this controller can't, through another controller. */
 import type { Admission } from '../api/admission.js';
 import { BusyError, unavailable, type UserAnswer } from '../api/user-answer.js';
-import type { RefusalCounts, RefusalReason } from '../api/refusals.js';
+import type { RefusalReason } from '../api/refusals.js';
+import type { UnansweredQueries } from '../api/unanswered-queries.js';
 import type { UserService } from '../api/user-service.js';
 import { parseJson } from '../net/http-client.js';
 import { FrameKind } from '../peer/frames.js';
@@ -24,6 +25,7 @@
 export interface UserRouterDependencies {
   readonly userService: UserService;
   readonly admission: Admission;
+  readonly unansweredQueries: UnansweredQueries;
   readonly connectivity: StoreConnectivityMonitor;
   readonly peers: Pick<PeerGroup, 'connected'>;
   /** Returns a random number from 0 up to, but not including, 1. */
@@ -37,16 +39,24 @@
 export class UserRouter {
   constructor(private readonly dependencies: UserRouterDependencies) {}
 
-  /** Returns the refusals since the last call by reason, and resets the counts. */
-  takeRefusals(): RefusalCounts {
-    return this.dependencies.userService.refusals.takeCounts();
-  }
-
   /**
    * Answers a request. `mayForward` is true for a request that comes directly from a user, and false for a request that
    * another controller has forwarded.
    */
   async handle(verb: UserVerb, body: Buffer, mayForward: boolean): Promise<UserAnswer> {
+    const answer = await this.answerOrRefuse(verb, body, mayForward);
+    if (verb === 'query') this.trackQuery(body.toString('utf8'), answer);
+    return answer;
+  }
+
+  /** Checks the invariant that no job stays unanswered while the store is reachable. */
+  private trackQuery(id: string, { status }: UserAnswer): void {
+    const { unansweredQueries, connectivity } = this.dependencies;
+    if (status === UNAVAILABLE_STATUS) unansweredQueries.recordRefusal(id, connectivity.isStoreReachable);
+    else unansweredQueries.recordAnswer(id);
+  }
+
+  private async answerOrRefuse(verb: UserVerb, body: Buffer, mayForward: boolean): Promise<UserAnswer> {
     const { admission, connectivity } = this.dependencies;
     const rank = verb === 'submit' ? 'submission' : 'query';
     if (!admission.tryAcquire(rank)) {
--- a/test/simulation/polled-site.ts
+++ b/test/simulation/polled-site.ts
@@ -1,9 +1,11 @@
 /** A simulated site with many open jobs whose users poll, through the same admission and routing as in a process. */
 import { Admission } from '../../src/api/admission.js';
 import type { RefusalCounts, RefusalReason } from '../../src/api/refusals.js';
+import { UnansweredQueries } from '../../src/api/unanswered-queries.js';
 import { MemoryMonitor } from '../../src/controller/memory-monitor.js';
 import { StoreConnectivityMonitor } from '../../src/controller/store-connectivity-monitor.js';
 import { UserRouter } from '../../src/controller/user-router.js';
+import { type Logger, silentLogger } from '../../src/log/logger.js';
 import type { JobId } from '../../src/model/ids.js';
 import type { WallTime } from '../../src/model/time.js';
 import { TokenBucket } from '../../src/net/token-bucket.js';
@@ -37,6 +39,8 @@
   heapRatio = 0.5;
   /** The users who poll, one for each job. */
   readonly users: PollingUser[] = [];
+  /** The jobs that a controller logged as unanswered for too long. */
+  readonly overdueJobs: string[] = [];
   private readonly routers = new Map<string, UserRouter>();
 
   /** Accepts services at a rate that the store's limits do not bound, and creates the users who poll for them. */
@@ -69,8 +73,8 @@
   /** Returns the refusals of all running controllers since the last call, by reason. */
   takeRefusals(): RefusalCounts {
     const total: RefusalCounts = {};
-    for (const router of this.routers.values()) {
-      for (const [reason, count] of Object.entries(router.takeRefusals()) as [RefusalReason, number][])
+    for (const { users } of this.running.values()) {
+      for (const [reason, count] of Object.entries(users.refusals.takeCounts()) as [RefusalReason, number][])
         total[reason] = (total[reason] ?? 0) + count;
     }
     return total;
@@ -85,9 +89,14 @@
       () => users.evictIdleJobs(),
       () => ({ used_heap_size: HEAP_LIMIT_BYTES * this.heapRatio, heap_size_limit: HEAP_LIMIT_BYTES }),
     );
+    const log: Logger = {
+      ...silentLogger,
+      error: (fields) => this.overdueJobs.push((fields as { job: string }).job),
+    };
     const router = new UserRouter({
       userService: users,
       admission: new Admission(clock, MAX_ACTIVE, () => memory.isScarce),
+      unansweredQueries: new UnansweredQueries(clock, log),
       connectivity: new StoreConnectivityMonitor(clock),
       peers: { connected: [] },
       random: this.random,
--- a/test/traces/unanswered-queries.test.ts
+++ b/test/traces/unanswered-queries.test.ts
@@ -37,6 +37,7 @@
   const forgottenCount = gapsS.filter((gapS) => gapS > FORGOTTEN_AFTER_S).length;
   const summary = `longest ${gapsS[0]} s; refusals ${JSON.stringify(site.takeRefusals())}`;
   expect(forgottenCount, summary).toBe(0);
+  expect(site.overdueJobs).toEqual([]);
 }
 
 describe('no accepted job of a large site stays unanswered for 75 s', () => {
