--- a/test/simulation/scenario.ts
+++ b/test/simulation/scenario.ts
@@ -3,6 +3,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import type { ScenarioSite } from './scenario-site.js';
 import type { JobRequest } from './site-setup.js';
+import { AnswerGaps } from './answer-gaps.js';
 import { randomPlacementRequest } from './placement-request.js';
 import type { Fault, ScenarioUsers } from './faults.js';
 
@@ -11,6 +12,8 @@
   readonly request: JobRequest;
   /** The last state that the user received; `new` until the job is accepted. */
   state: 'new' | 'accepted' | 'done' | 'cancelled';
+  /** Whether the job belongs to the backlog, which need not run. */
+  readonly isBacklog: boolean;
   /** Whether the user has sent a request to cancel the job. */
   isCancelling: boolean;
   readonly submittedAt: number;
@@ -38,9 +41,14 @@
 const INITIAL_SERVICE_COUNT = 3;
 /** The mean interval at which a user queries each accepted job; each interval varies by up to 10 %. */
 const QUERY_INTERVAL_MS = 5000;
+/** The interval between the submissions of two services of the backlog. */
+const BACKLOG_ARRIVAL_MS = 100;
 /** The delay after which a user repeats a submission or cancellation that failed. */
 const RETRY_DELAY_MS = 2000;
 
+/** The team of the backlog; a site that runs scenarios with a backlog has it in its settings. */
+export const BACKLOG_TEAM = 'backlog';
+
 /** The options of a scenario. Durations are in seconds of the site's clock. */
 export interface ScenarioPlan {
   /** Whether the scenario submits random jobs with placement constraints of all kinds. */
@@ -51,6 +59,8 @@
   readonly quietBeforeS: number;
   /** The minimum time for which rules are checked after the last fault. */
   readonly minAfterS: number;
+  /** The number of services of a team whose limit is too low to run them, about which users query all the same. */
+  readonly backlogJobCount: number;
 }
 
 /**
@@ -61,6 +71,7 @@
   maxTasks: 4,
   quietBeforeS: 30,
   minAfterS: MAX_COMPLETION_S,
+  backlogJobCount: 0,
 };
 /** A plan whose jobs combine placement constraints of all kinds, for sites with several machine types and zones. */
 export const PLACEMENT_PLAN: ScenarioPlan = { ...DEFAULT_PLAN, hasPlacementJobs: true, maxTasks: 6 };
@@ -70,6 +81,7 @@
   cancelsJobsNearEnd = false;
   sendsRepeatedAndInvalidRequests = false;
   private readonly jobs: UserJob[] = [];
+  private readonly answerGaps: AnswerGaps;
   private readonly random: () => number;
   /** Whether the faults are over, so that no new jobs are submitted. */
   private hasStoppedArrivals = false;
@@ -81,6 +93,7 @@
   ) {
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
+    this.answerGaps = new AnswerGaps((text) => site.rules.recordViolation(text));
   }
 
   /** Runs the scenario with `faults` to the end. Violations are recorded in `site.rules`. */
@@ -92,6 +105,7 @@
       this.submit({ kind: 'service', tasks: 1 + (index % 2), team: 'blue' });
     }
     this.scheduleArrivals();
+    this.scheduleBacklog(this.plan.backlogJobCount);
     await site.run(this.plan.quietBeforeS);
     const faultEndsS: number[] = [];
     for (const [index, fault] of faults.entries()) {
@@ -112,6 +126,8 @@
     await site.run(15);
     this.hasStoppedArrivals = true;
     const faultsOverAt = site.clock.now();
+    this.answerGaps.start(faultsOverAt);
+    this.scheduleAnswerChecks();
     await site.run(this.plan.minAfterS);
     const hasTimeLeft = (): boolean =>
       site.clock.now() - faultsOverAt < MAX_COMPLETION_S * 1000 || this.mayStillComplete();
@@ -121,6 +137,21 @@
     await site.finish();
   }
 
+  private scheduleAnswerChecks(): void {
+    this.site.clock.after(QUERY_INTERVAL_MS, () => {
+      this.answerGaps.check(this.site.clock.now());
+      this.scheduleAnswerChecks();
+    });
+  }
+
+  private scheduleBacklog(count: number): void {
+    if (count === 0) return;
+    this.site.clock.after(BACKLOG_ARRIVAL_MS, () => {
+      this.submit({ kind: 'service', team: BACKLOG_TEAM }, true);
+      this.scheduleBacklog(count - 1);
+    });
+  }
+
   private scheduleArrivals(): void {
     if (this.hasStoppedArrivals) return;
     const rate = this.plan.hasPlacementJobs ? PLACEMENT_ARRIVAL_RATE_RATIO : 1;
@@ -163,11 +194,12 @@
     return running[Math.floor(this.random() * running.length)] ?? (nodes[0] as string);
   }
 
-  private submit(request: Omit<JobRequest, 'ref'>): void {
+  private submit(request: Omit<JobRequest, 'ref'>, isBacklog = false): void {
     const ref = `j-${String(this.jobs.length + 1).padStart(6, '0')}`;
     const job: UserJob = {
       request: { ref, ...request },
       state: 'new',
+      isBacklog,
       isCancelling: false,
       submittedAt: this.site.clock.now(),
       doneAt: null,
@@ -180,9 +212,10 @@
     const status = await this.site.submitConcurrently(job.request, this.randomRunningNode());
     if (status === 200 || status === 201) {
       job.state = 'accepted';
+      this.answerGaps.recordAnswer(job.request.ref, this.site.clock.now());
       this.scheduleQueries(job);
       // A user cancels a service with a probability of 40 %, 10 to 70 s after the service was accepted.
-      if (job.request.kind === 'service' && this.random() < 0.4) {
+      if (job.request.kind === 'service' && !job.isBacklog && this.random() < 0.4) {
         this.site.clock.after(10_000 + 60_000 * this.random(), () => void this.cancel(job));
       }
     } else if (this.site.clock.now() - job.submittedAt < 60_000) {
@@ -192,8 +225,12 @@
 
   private scheduleQueries(job: UserJob): void {
     this.site.clock.after(QUERY_INTERVAL_MS * (0.9 + 0.2 * this.random()), () => {
-      if (job.state !== 'accepted') return;
+      if (job.state !== 'accepted') {
+        this.answerGaps.forget(job.request.ref);
+        return;
+      }
       void this.site.queryConcurrently(job.request.ref, this.randomRunningNode()).then((state) => {
+        if (state !== null) this.answerGaps.recordAnswer(job.request.ref, this.site.clock.now());
         if (state === 'done' || state === 'cancelled') job.state = state;
         if (state === 'done') job.doneAt ??= this.site.clock.now();
       });
@@ -279,8 +316,8 @@
   private describeIncompleteJobs(): string[] {
     const { site } = this;
     const violations: string[] = [];
-    for (const { request, state } of this.jobs) {
-      if (state === 'new' || state === 'done') continue;
+    for (const { request, state, isBacklog } of this.jobs) {
+      if (state === 'new' || state === 'done' || isBacklog) continue;
       const running = site.runningTaskCount(request.ref);
       const tasks = request.tasks ?? 1;
       if (state === 'cancelled' && running > 0) violations.push(`ran_cancelled: ${request.ref} at the end`);
--- a/test/simulation/settings-file.ts
+++ b/test/simulation/settings-file.ts
@@ -30,6 +30,8 @@
   readonly listLagS: number;
   readonly cloudRps: number;
   readonly cpu: number;
+  /** The store's requests per second; 200 if undefined. */
+  readonly storeRps?: number;
   /** Future limits of the key-value store that the settings announce; null or undefined: none are announced. */
   readonly nextStoreLimits?: AnnouncedStoreLimits | null;
 }
@@ -40,6 +42,8 @@
   readonly txnOps: number;
 }
 
+const DEFAULT_STORE_RPS = 200;
+
 /** Formats a number as a TOML float, which needs a decimal point. */
 const formatFloat = (value: number): string => (Number.isInteger(value) ? value.toFixed(1) : String(value));
 
@@ -83,7 +87,7 @@
 gang_peer_s = 4.0
 cancel_s = ${formatFloat(settings.cancelS)}
 [facts.state]
-rps = 200.0
+rps = ${formatFloat(settings.storeRps ?? DEFAULT_STORE_RPS)}
 write_rps = 60.0
 value_kb = 16.0
 txn_ops = 16
--- a/test/soak/broken-controller.ts
+++ b/test/soak/broken-controller.ts
@@ -1,5 +1,6 @@
 /**
- * Builds controllers that lack one part of the placement rule. The soak test requires the rule checker to detect each.
+ * Builds controllers that lack one part of the placement rule, or the ordered lookups of jobs. The soak test requires
+ * the rule checker to detect each.
  */
 import { readFileSync } from 'node:fs';
 import { build, type Plugin } from 'esbuild';
@@ -50,13 +51,33 @@
       to: 'return spec.zoneAntiAffinity && false ?',
     },
   ],
+  lookups: [
+    {
+      file: 'api/job-reader.ts',
+      from: 'await this.preloader.load()',
+      to: "(await this.ctx.store.range('epoch')).revision",
+    },
+    {
+      file: 'api/job-lookups.ts',
+      from: 'if (!lookup || this.expectedWaitMs > MAX_WAIT_MS) {',
+      to: 'if (!lookup || this.expectedWaitMs > MAX_WAIT_MS) { this.unchecked.delete(id); this.existing.delete(id);',
+    },
+  ],
 } satisfies Record<string, readonly SourceReplacement[]>;
 
-/** The name of a part of the placement rule, as given to `--broken`. */
-export type RulePart = keyof typeof REPLACEMENTS_BY_PART;
+/** The name of a part, as given to `--broken`. */
+export type ProgramPart = keyof typeof REPLACEMENTS_BY_PART;
+
+/** The parts that `buildProgram` can remove. */
+export const PROGRAM_PARTS = Object.keys(REPLACEMENTS_BY_PART) as ProgramPart[];
 
-/** The parts of the placement rule that `buildProgram` can remove. */
-export const RULE_PARTS = Object.keys(REPLACEMENTS_BY_PART) as RulePart[];
+/** The part without which open jobs are not loaded at start, and a lookup whose turn is not near is dropped. */
+export const LOOKUP_PART = 'lookups' satisfies ProgramPart;
+
+/** Returns the rule that a program without the part breaks: the start of the violation's description. */
+export function violationOf(part: ProgramPart): string {
+  return part === LOOKUP_PART ? 'forgotten' : 'wrong_place';
+}
 
 function applyReplacements(path: string, replacements: readonly SourceReplacement[]): string {
   let text = readFileSync(path, 'utf8');
@@ -72,7 +93,7 @@
   return {
     name: 'broken-controller',
     setup(bundler) {
-      bundler.onLoad({ filter: /\/src\/scheduler\/.*\.ts$/ }, ({ path }) => ({
+      bundler.onLoad({ filter: /\/src\/(scheduler|api)\/.*\.ts$/ }, ({ path }) => ({
         contents: applyReplacements(path, replacements),
         loader: 'ts',
       }));
@@ -81,10 +102,10 @@
 }
 
 /**
- * Builds the controller program. `missingPart` is the part of the placement rule to remove; null builds the full
+ * Builds the controller program. `missingPart` is the part to remove; null builds the full
  * program.
  */
-export async function buildProgram(outfile: string, missingPart: RulePart | null): Promise<void> {
+export async function buildProgram(outfile: string, missingPart: ProgramPart | null): Promise<void> {
   await build({
     entryPoints: ['src/main.ts'],
     bundle: true,
--- a/test/soak/loopback-controllers.ts
+++ b/test/soak/loopback-controllers.ts
@@ -4,6 +4,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { Relay } from '@plumyoke/simulation';
+import { UNANSWERED_MESSAGE } from '../../src/api/unanswered-queries.js';
 import { START_WITHHELD_MESSAGE } from '../../src/workers/command-issuer.js';
 import { MACHINE_KNOWN_BY_TASK_ONLY_MESSAGE } from '../../src/fleet/inventory.js';
 import { MIXED_CHUNK_SIZES_MESSAGE } from '../../src/leader/open-job-loader.js';
@@ -149,6 +150,7 @@
     if (msg === MACHINE_KNOWN_BY_TASK_ONLY_MESSAGE) this.machinesKnownByTask++;
     if (msg === MIXED_CHUNK_SIZES_MESSAGE) this.mixedChunkJobs++;
     if (msg === START_WITHHELD_MESSAGE) listener.recordViolation(`withheld: ${JSON.stringify(line)}`);
+    if (msg === UNANSWERED_MESSAGE) listener.recordViolation(`forgotten: ${member}: ${JSON.stringify(line)}`);
     if (msg === 'uncaught exception')
       listener.recordViolation(`exception: ${member}: ${String(line['error'])}`);
   }
--- a/test/soak/loopback-site.ts
+++ b/test/soak/loopback-site.ts
@@ -6,8 +6,10 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import type { MachineId, ImageId, JobId, MachineTypeId } from '../../src/model/ids.js';
 import { systemClock } from '../../src/model/time.js';
+import { TokenBucket } from '../../src/net/token-bucket.js';
 import { HttpConnectionPool, type HttpReply } from '../../src/net/http-client.js';
 import { FakeCloud } from '../simulation/fake-cloud.js';
+import { BACKLOG_TEAM } from '../simulation/scenario.js';
 import type { ScenarioSite } from '../simulation/scenario-site.js';
 import { RuleChecker } from '../simulation/rule-checker.js';
 import { cloudHandler, startHttpServer, storeHandler } from '../simulation/fake-servers.js';
@@ -42,6 +44,8 @@
 const LOW_LIMITS = { valueKb: 1, txnOps: 5 };
 const DEFAULT_LIMITS = { txnOps: 16, valueBytes: 16 * 1024 };
 const LIST_LAG_S = 4;
+/** Room for one service of the backlog: the others wait. */
+const BACKLOG_TEAM_CPU_LIMIT = 2;
 const MAX_USER_SOCKET_COUNT = 100;
 const SUBMIT_TIMEOUT_MS = 5000;
 const QUERY_TIMEOUT_MS = 2000;
@@ -52,6 +56,12 @@
 const MAX_UNANSWERED_MS = 75_000;
 const QUERY_RETRY_DELAY_MS = 1000;
 
+/** The rate limits of the key-value store. */
+export interface StoreRates {
+  readonly rps: number;
+  readonly writeRps: number;
+}
+
 /** The options of `LoopbackSite`. */
 export interface LoopbackOptions {
   readonly seed: number;
@@ -64,6 +74,8 @@
   readonly idDigits: number;
   /** Whether the key-value store and the controllers' settings have low size limits from the start. */
   readonly hasLowLimits: boolean;
+  /** The rates that the key-value store enforces and the settings name; null: the default ones, not enforced. */
+  readonly storeRates: StoreRates | null;
   readonly program: string;
   readonly folder: string;
 }
@@ -92,6 +104,7 @@
     const generator = xoroshiro128plus(options.seed);
     this.random = () => uniformFloat64(generator);
     this.store.random = this.random;
+    if (options.storeRates) this.enforceStoreRates(options.storeRates);
     this.nodes = Array.from({ length: options.controllers }, (_, index) => `node-${index}`);
     this.locations = this.nodes.map((member, index) => ({
       member,
@@ -109,6 +122,13 @@
     this.cloud = this.createCloud();
   }
 
+  private enforceStoreRates({ rps, writeRps }: StoreRates): void {
+    this.store.rateLimits = {
+      requests: new TokenBucket(systemClock, rps, rps),
+      writes: new TokenBucket(systemClock, writeRps, writeRps),
+    };
+  }
+
   private createMachines(): LoopbackMachines {
     return new LoopbackMachines({
       network: this.network,
@@ -133,7 +153,7 @@
   }
 
   private createControllers(): LoopbackControllers {
-    const { program, folder, teamCpuLimit } = this.options;
+    const { program, folder, teamCpuLimit, storeRates } = this.options;
     return new LoopbackControllers({
       locations: this.locations,
       program,
@@ -146,7 +166,10 @@
         cloud: `${host}:${CLOUD_PORT}`,
         state: `${host}:${STORE_PORT}`,
         zones: MIXED_ZONES,
-        teams: ['red', 'blue'].map((name) => ({ name, cpus: teamCpuLimit / 3, cpusMax: teamCpuLimit })),
+        teams: [
+          ...['red', 'blue'].map((name) => ({ name, cpus: teamCpuLimit / 3, cpusMax: teamCpuLimit })),
+          { name: BACKLOG_TEAM, cpus: BACKLOG_TEAM_CPU_LIMIT, cpusMax: BACKLOG_TEAM_CPU_LIMIT },
+        ],
         finishObjectiveS: 60,
         heartbeatIntervalS: 1.5,
         leaseS: LEASE_REAL_S,
@@ -154,6 +177,7 @@
         listLagS: LIST_LAG_S,
         cloudRps: 8,
         cpu: 0.5,
+        ...(storeRates ? { storeRps: storeRates.rps } : {}),
         nextStoreLimits: this.hasLowLimits ? LOW_LIMITS : null,
       }),
     });
@@ -357,7 +381,8 @@
       runMs: body.shape === 'array' ? (request.runS ?? 5) * 1000 * CLOCK_SCALE : null,
       alwaysFails: false,
     });
-    this.rules.recordSubmission(id, body, this.options.teamCpuLimit);
+    const teamCpuLimit = request.team === BACKLOG_TEAM ? BACKLOG_TEAM_CPU_LIMIT : this.options.teamCpuLimit;
+    this.rules.recordSubmission(id, body, teamCpuLimit);
     return body;
   }
 
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,14 +1,14 @@
 /**
  * Runs the soak test, which injects random faults into controller processes on loopback:
  * `npm run soak -- --seeds 1-50`. Each seed runs in a child process of its own; `--parallel` sets how many seeds run
- * concurrently. `--broken type|zone|spot|zoneAffinity|zoneAntiAffinity` runs controllers that lack the named part of
- * the placement rule, and passes if the rule checker detects a wrong placement for every seed. Exit codes: 0 passed,
+ * concurrently. `--broken type|zone|spot|zoneAffinity|zoneAntiAffinity|lookups` runs controllers that lack the named
+ * part, and passes if the rule checker detects the violation for every seed. Exit codes: 0 passed,
  * 1 failed, 2 invalid arguments.
  */
 import { spawn } from 'node:child_process';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
-import { buildProgram, RULE_PARTS, type RulePart } from './broken-controller.js';
+import { buildProgram, PROGRAM_PARTS, type ProgramPart, violationOf } from './broken-controller.js';
 import { runSeed, type SeedResult } from './seed.js';
 
 const EXIT_FAILED = 1;
@@ -25,7 +25,7 @@
   readonly seeds: readonly number[];
   readonly parallel: number;
   readonly folder: string;
-  readonly missingPart: RulePart | null;
+  readonly missingPart: ProgramPart | null;
   /** The path of the controller program; set only in the child process that runs a single seed. */
   readonly program: string | null;
 }
@@ -46,10 +46,11 @@
   return Array.from({ length: last - first + 1 }, (_, index) => first + index);
 }
 
-function parseRulePart(text: string | undefined): RulePart | null {
+function parseProgramPart(text: string | undefined): ProgramPart | null {
   if (text === undefined) return null;
-  const part = RULE_PARTS.find((name) => name === text);
-  if (part === undefined) throw new InvalidArgumentsError(`--broken must be one of ${RULE_PARTS.join(', ')}`);
+  const part = PROGRAM_PARTS.find((name) => name === text);
+  if (part === undefined)
+    throw new InvalidArgumentsError(`--broken must be one of ${PROGRAM_PARTS.join(', ')}`);
   return part;
 }
 
@@ -67,7 +68,7 @@
     seeds: parseSeeds(values.seeds),
     parallel: parseInteger('parallel', values.parallel, 1, 16),
     folder: values.out,
-    missingPart: parseRulePart(values.broken),
+    missingPart: parseProgramPart(values.broken),
     program: values.program ?? null,
   };
 }
@@ -104,10 +105,10 @@
   });
 }
 
-function hasPassed(result: SeedResult | null, missingPart: RulePart | null): boolean {
+function hasPassed(result: SeedResult | null, missingPart: ProgramPart | null): boolean {
   if (result === null) return false;
   if (missingPart === null) return result.violations.length === 0;
-  return result.violations.some((text) => text.startsWith('wrong_place'));
+  return result.violations.some((text) => text.startsWith(violationOf(missingPart)));
 }
 
 function printResult(seed: number, result: SeedResult | null, { folder, missingPart }: Arguments): void {
--- a/test/soak/seed.ts
+++ b/test/soak/seed.ts
@@ -3,9 +3,9 @@
 import { join } from 'node:path';
 import { PLACEMENT_PLAN, Scenario, type ScenarioPlan } from '../simulation/scenario.js';
 import { type Fault, FAULTS } from '../simulation/faults.js';
-import type { RulePart } from './broken-controller.js';
+import { LOOKUP_PART, type ProgramPart, violationOf } from './broken-controller.js';
 import { LoopbackSite } from './loopback-site.js';
-import { soakFaults, storeLimitChanges } from './soak-faults.js';
+import { restartsOfAll, soakFaults, storeLimitChanges } from './soak-faults.js';
 
 /** The options of `runSeed`. */
 export interface SeedOptions {
@@ -13,10 +13,10 @@
   readonly program: string;
   readonly folder: string;
   /**
-   * The part of the placement rule that the program lacks, or null for the full program. If set, the run injects no
-   * faults and ends once the rule checker detects a wrong placement.
+   * The part that the program lacks, or null for the full program. If set, the run ends once the rule checker detects
+   * the violation, and injects no faults except the restarts of all controllers without `LOOKUP_PART`.
    */
-  readonly missingPart: RulePart | null;
+  readonly missingPart: ProgramPart | null;
 }
 
 /** The result of a seed's run, which the child process writes to stdout as JSON. */
@@ -45,6 +45,18 @@
 const LOW_LIMITS_INTERVAL = 5;
 const FIRST_LOW_LIMITS_SEED = 3;
 const LOW_LIMITS_SITE = { machines: 12, teamCpuLimit: 480, maxTasks: 40 };
+/**
+ * Every fifth seed, from seed 1 on, and each fourth on the large site have a backlog of open jobs that all are queried,
+ * and a key-value store that enforces its rates: reading each job by itself would take each controller 75 s.
+ */
+const BACKLOG_INTERVAL = 5;
+const FIRST_BACKLOG_SEED = 1;
+const LARGE_BACKLOG_INTERVAL = 20;
+const BACKLOG_JOB_COUNT = 500;
+const BACKLOG_STORE_RATES = { rps: 80, writeRps: 60 };
+/** In seconds of the scenario clock: the backlog is submitted before the faults, and checked for 75 s after them. */
+const QUIET_BEFORE_FAULTS_WITH_BACKLOG_S = 60;
+const MIN_AFTER_FAULTS_WITH_BACKLOG_S = 85;
 const DEFAULT_ID_DIGITS = 6;
 const LONG_ID_DIGITS = 120;
 const DEFAULT_CONTROLLER_COUNT = 3;
@@ -64,6 +76,10 @@
   return seed % LOW_LIMITS_INTERVAL === FIRST_LOW_LIMITS_SEED;
 }
 
+function hasBacklog(seed: number): boolean {
+  return seed % BACKLOG_INTERVAL === FIRST_BACKLOG_SEED || seed % LARGE_BACKLOG_INTERVAL === 0;
+}
+
 function sizeOf(seed: number, usesLowLimits: boolean): typeof SMALL_SITE {
   if (seed % LARGE_SITE_INTERVAL === 0) return LARGE_SITE;
   return usesLowLimits ? LOW_LIMITS_SITE : SMALL_SITE;
@@ -88,6 +104,7 @@
  */
 export async function runSeed({ seed, program, folder, missingPart }: SeedOptions): Promise<SeedResult> {
   const usesLowLimits = missingPart === null && hasLowLimits(seed);
+  const usesBacklog = missingPart === null ? hasBacklog(seed) : missingPart === LOOKUP_PART;
   const size = sizeOf(seed, usesLowLimits);
   const controllers =
     seed % LARGE_CONTROLLER_COUNT_INTERVAL === 0 ? LARGE_CONTROLLER_COUNT : DEFAULT_CONTROLLER_COUNT;
@@ -101,23 +118,27 @@
     ...size,
     idDigits: usesLowLimits ? LONG_ID_DIGITS : DEFAULT_ID_DIGITS,
     hasLowLimits: usesLowLimits,
+    storeRates: usesBacklog ? BACKLOG_STORE_RATES : null,
   });
   const faults = missingPart === null ? drawFaults(seed, site) : [];
+  if (usesBacklog) faults.unshift(restartsOfAll(site));
   const plan: ScenarioPlan = {
     ...PLACEMENT_PLAN,
     maxTasks: size.maxTasks,
-    quietBeforeS: QUIET_BEFORE_FAULTS_S,
-    minAfterS: MIN_AFTER_FAULTS_S,
+    quietBeforeS: usesBacklog ? QUIET_BEFORE_FAULTS_WITH_BACKLOG_S : QUIET_BEFORE_FAULTS_S,
+    minAfterS: usesBacklog ? MIN_AFTER_FAULTS_WITH_BACKLOG_S : MIN_AFTER_FAULTS_S,
+    backlogJobCount: usesBacklog ? BACKLOG_JOB_COUNT : 0,
   };
+  const waitsForViolation = missingPart !== null && missingPart !== LOOKUP_PART;
   const scenario = new Scenario(
     seed,
     site,
-    missingPart === null ? plan : { ...plan, quietBeforeS: MAX_VIOLATION_DETECTION_S },
+    waitsForViolation ? { ...plan, quietBeforeS: MAX_VIOLATION_DETECTION_S } : plan,
   );
   const detected = new Promise<void>((resolve) => {
     if (missingPart === null) return;
     site.rules.onViolation = (text) => {
-      if (text.startsWith('wrong_place')) resolve();
+      if (text.startsWith(violationOf(missingPart))) resolve();
     };
   });
   await Promise.race([scenario.run(faults), detected]);
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -8,6 +8,8 @@
 const MIN_LEADER_CRASH_INTERVAL_MS = 3000;
 const LEADER_CRASH_DELAY_MS = 150;
 const RESTART_DELAY_MS = 300;
+const RESTART_OF_ALL_DELAY_MS = 2000;
+const SECOND_RESTART_MS = 12_000;
 const LIMIT_CHANGE_COUNT = 9;
 const LIMIT_CHANGE_INTERVAL_MS = 9000;
 
@@ -36,6 +38,25 @@
   };
 }
 
+/**
+ * Returns a fault in which all controllers end and return, twice: the second time before they could have read each open
+ * job by itself.
+ */
+export function restartsOfAll(site: LoopbackSite): Fault {
+  return {
+    name: 'all controllers end and return, twice',
+    durationS: 20,
+    inject() {
+      for (const afterMs of [0, SECOND_RESTART_MS])
+        site.clock.after(afterMs, () => {
+          for (const node of site.nodes) site.crash(node);
+          site.clock.after(RESTART_OF_ALL_DELAY_MS, () => site.startAll());
+        });
+      return () => {};
+    },
+  };
+}
+
 /** Returns the faults of links, heartbeats, commands and processes that the soak test injects into a site. */
 export function soakFaults(site: LoopbackSite): readonly Fault[] {
   return [
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { build } from 'esbuild';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { RULE_PARTS } from './broken-controller.js';
+import { PROGRAM_PARTS } from './broken-controller.js';
 
 mkdirSync('target', { recursive: true });
 // The folder is inside the project so that Node.js resolves `esbuild` from the project's `node_modules`.
@@ -51,8 +51,8 @@
     RUN_TIMEOUT_MS,
   );
 
-  it.each(RULE_PARTS)(
-    'are detected by the rule checker if they lack the part "%s" of the placement rule',
+  it.each(PROGRAM_PARTS)(
+    'are detected by the rule checker if they lack the part "%s"',
     async (part) => {
       const { status, output } = await runSoak('--seeds', '1', '--broken', part);
       expect(output).toContain('1 seeds run, 0 failed');
