--- a/test/soak/seed.ts
+++ b/test/soak/seed.ts
@@ -46,7 +46,7 @@
 const FIRST_LOW_LIMITS_SEED = 3;
 const LOW_LIMITS_SITE = { machines: 12, teamCpuLimit: 480, maxTasks: 40 };
 /**
- * Every fifth seed, from seed 1 on, and each fourth on the large site have a backlog of open jobs that all are queried,
+ * Every fifth seed, from seed 1 on, and each second one on the large site have a backlog of open jobs that all are queried,
  * and a key-value store that enforces its rates: reading each job by itself would take each controller 75 s.
  */
 const BACKLOG_INTERVAL = 5;
