--- a/test/simulation/polled-site.ts
+++ b/test/simulation/polled-site.ts
@@ -25,7 +25,7 @@
 const HEAP_LIMIT_BYTES = 100;
 
 /** Returns the id of the n-th job of a site. */
-const jobIdOf = (n: number): JobId => `j-${String(n).padStart(6, '0')}` as JobId;
+export const jobIdOf = (n: number): JobId => `j-${String(n).padStart(6, '0')}` as JobId;
 
 function acceptanceOf(id: JobId): WriteOperation[] {
   const spec = submission(submissionBody({ ref: id, kind: 'service', cpus: 2 }));
--- a/test/traces/unanswered-queries.test.ts
+++ b/test/traces/unanswered-queries.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { PolledSite } from '../simulation/polled-site.js';
+import { keys } from '../../src/store/keys.js';
+import { jobIdOf, PolledSite } from '../simulation/polled-site.js';
 import type { SiteSize } from '../simulation/site-setup.js';
 
 /** One open job for each of 4,000 machines; the reads of single records allowed to users are 3,750 in 75 s. */
@@ -75,3 +76,21 @@
     TEST_TIMEOUT_MS,
   );
 });
+
+describe('a query for a job whose record is unreadable', () => {
+  it('gets 503, and queries for other jobs are answered', async () => {
+    const site = new PolledSite(SITE);
+    site.startAll();
+    await site.run(1);
+    await site.acceptServices(2);
+    const damaged = jobIdOf(2);
+    const client = site.store.clientFor('damaging', site.clock);
+    void client.txn([], [{ set: keys.job(damaged), value: 'damaged' }]);
+    await site.run(1);
+    const user = site.addUser(damaged);
+    for (const each of site.users) each.start();
+    await site.run(20);
+    expect(site.users[0]?.statusCounts.get(200)).toBeGreaterThan(2);
+    expect([...user.statusCounts.keys()]).toEqual([503]);
+  });
+});
