--- a/test/traces/unanswered-queries.test.ts
+++ b/test/traces/unanswered-queries.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { TokenBucket } from '../../src/net/token-bucket.js';
 import { keys } from '../../src/store/keys.js';
 import { jobIdOf, PolledSite } from '../simulation/polled-site.js';
 import type { SiteSize } from '../simulation/site-setup.js';
@@ -77,6 +78,26 @@
   );
 });
 
+describe('the run-time check of unanswered queries', () => {
+  it('logs a job about which a reachable store lets no query be answered for 75 s', async () => {
+    const site = new PolledSite(SITE);
+    site.startAll();
+    await site.run(1);
+    await site.acceptServices(10);
+    for (const user of site.users) user.start();
+    await site.run(10);
+    site.store.rateLimits = {
+      requests: new TokenBucket(site.clock, 0, 0),
+      writes: new TokenBucket(site.clock, 0, 0),
+    };
+    await site.run(FORGOTTEN_AFTER_S);
+    expect(site.overdueJobs).toEqual([]);
+    await site.run(30);
+    expect(site.overdueJobs).not.toEqual([]);
+    expect(site.users.map(({ id }) => id)).toEqual(expect.arrayContaining(site.overdueJobs));
+  });
+});
+
 describe('a query for a job whose record is unreadable', () => {
   it('gets 503, and queries for other jobs are answered', async () => {
     const site = new PolledSite(SITE);
