Review, case 3: no poll for the last job of a long pipeline is answered

Shown by review/3/run.sh: 20 jobs in a row, each awaiting the one before; the user of the last one polls every 5 s for 90 s. hasCancelledDependency asks the store level by level, each level waits for a batch of 100 ms, and an answer older than 1.5 s is thrown away.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node play
