Inherit priorities in the order of acceptance, so that a change costs each edge a few visits

Cause: DependencyGraph.recomputePriority followed every path (6^11 calls), without a set of visited jobs. The first leader hung on the cancellation; each successor loaded the cancelled record and hung in the same call before it led. propagatePriority, which follows improvements depth first, and the recursion of both are the same class: a walk over the graph whose cost is that of its paths, and whose depth is that of the graph.

Fix: PriorityInheritance visits the affected jobs in the reverse order of acceptance (the revisions of their records), which is a topological order: a job names only accepted jobs. Every dependent is final before a job is visited, so each affected job is visited once and each of its edges a bounded number of times, from a queue and not by recursion. A cancellation with all its dependents, and the load at a takeover, are one change each. Durations are kept as they were when a job was added, since what it passed on must be known when it is removed.

--- a/src/leader/dependency-tracker.ts
+++ b/src/leader/dependency-tracker.ts
@@ -55,20 +55,22 @@
     void this.lookUpUnresolved();
   }
 
-  /** Adds a job: records its unmet dependencies and updates the priorities that jobs inherit from their dependents. */
-  add(job: ActiveJob): void {
+  /** Adds jobs: records their unmet dependencies and updates the priorities that jobs inherit from their dependents. */
+  add(jobs: readonly ActiveJob[]): void {
+    for (const job of jobs) this.addDependencies(job);
+    this.parts.graph.add(jobs);
+    for (const job of jobs) this.cancelIfDependencyCancelled(job);
+    void this.lookUpUnresolved();
+  }
+
+  private addDependencies(job: ActiveJob): void {
     const { id, dependencies, dependencyRecordCount } = job.spec;
     // All dependencies of a job that has started are done, and `done` is final.
-    if (job.tasks.size === 0) {
-      for (const dependency of dependencies) this.addDependency(job, dependency);
-      if (dependencyRecordCount > 0) {
-        job.dependencies.hasUnreadRecords = true;
-        void this.readFurtherDependencies(id, dependencyRecordCount);
-      }
-    }
-    this.parts.graph.add(job);
-    this.cancelIfDependencyCancelled(job);
-    void this.lookUpUnresolved();
+    if (job.tasks.size > 0) return;
+    for (const dependency of dependencies) this.addDependency(job, dependency);
+    if (dependencyRecordCount === 0) return;
+    job.dependencies.hasUnreadRecords = true;
+    void this.readFurtherDependencies(id, dependencyRecordCount);
   }
 
   /** Marks a job as durably done and releases the jobs that have no other unmet dependency. */
@@ -118,7 +120,7 @@
     if (!job || job.isCancelled) return;
     for (const dependency of dependencies) this.addDependency(job, dependency);
     job.dependencies.hasUnreadRecords = false;
-    this.parts.graph.add(job);
+    this.parts.graph.add([job]);
     this.cancelIfDependencyCancelled(job);
     if (!job.isBlocked && !job.isCancelled) this.releaseJobs([job]);
   }
@@ -145,7 +147,7 @@
       const state = row ? decodeJob(id, row.value).state : 'accepted';
       await this.parts.lock.runExclusive(() => {
         if (state === 'done') this.markDone(id);
-        else if (state === 'cancelled') this.parts.canceller.cancel(id);
+        else if (state === 'cancelled') this.parts.canceller.cancel([id]);
       });
     } catch (error) {
       this.ctx.log.debug({ job: id, error: errorMessage(error) }, 'dependency lookup failed');
--- a/src/leader/job-canceller.ts
+++ b/src/leader/job-canceller.ts
@@ -31,21 +31,25 @@
   ) {}
 
   /**
-   * Applies the confirmed cancellation of a job. Jobs that depend on the job are cancelled too; none of their tasks can
-   * have started.
+   * Applies the confirmed cancellations of jobs. Jobs that depend on the jobs are cancelled too; none of their tasks can
+   * have started. All are removed from the dependency graph as one change.
    */
-  cancel(id: JobId): void {
-    this.ctx.cancellations.learn([{ id, age: ms(0) }]);
-    const dependents = this.parts.graph.dependentsOf(id);
-    const job = this.ctx.jobs.get(id);
-    for (const dependent of dependents) if (!dependent.isCancelled) this.cancelDependent(dependent);
-    if (job && !job.isCancelled) this.stopTasks(job);
+  cancel(ids: readonly JobId[]): void {
+    const { cancellations, jobs } = this.ctx;
+    cancellations.learn(ids.map((id) => ({ id, age: ms(0) })));
+    const named = new Set(ids);
+    const dependents = this.parts.graph
+      .dependentsOf(ids)
+      .filter((job) => !job.isCancelled && !named.has(job.spec.id));
+    for (const job of dependents) job.isCancelledByDependency = true;
+    const cancelled = [...named].flatMap((id) => jobs.get(id) ?? []).filter((job) => !job.isCancelled);
+    this.stopJobs([...dependents, ...cancelled]);
   }
 
   /** Cancels a job because of a cancelled dependency; the job's stored record does not show the cancellation yet. */
   cancelDependent(job: ActiveJob): void {
     job.isCancelledByDependency = true;
-    this.stopTasks(job);
+    this.stopJobs([job]);
   }
 
   /**
@@ -63,9 +67,13 @@
     }
   }
 
+  private stopJobs(jobs: readonly ActiveJob[]): void {
+    this.parts.graph.remove(jobs);
+    for (const job of jobs) this.stopTasks(job);
+  }
+
   private stopTasks(job: ActiveJob): void {
     const now = this.ctx.clock.now();
-    this.parts.graph.remove(job);
     // The time limit runs from the time that `ConfirmedCancellations` holds, which allows for the age that a peer
     // reported, and not from the takeover.
     const cancelledAt = this.ctx.cancellations.learnedAt(job.spec.id) ?? now;
--- a/src/leader/job-intake.ts
+++ b/src/leader/job-intake.ts
@@ -21,24 +21,27 @@
     private readonly parts: JobIntakeParts,
   ) {}
 
-  /** Adds an unfinished job; does nothing if the leader already knows the job. */
-  addOpenJob(job: ActiveJob): void {
+  /** Adds unfinished jobs, except those that the leader already knows. */
+  addOpenJobs(jobs: readonly ActiveJob[]): void {
     const { canceller, dependencies, demand } = this.parts;
-    if (!this.ctx.jobs.add(job)) return;
-    dependencies.add(job);
-    if (this.ctx.cancellations.has(job.spec.id)) canceller.cancel(job.spec.id);
-    // The demand of a blocked job is recorded when its dependencies are done.
-    else if (job.tasks.size === 0 && !job.isBlocked && !job.isCancelled) demand.recordDemand(job);
+    const added = jobs.filter((job) => this.ctx.jobs.add(job));
+    dependencies.add(added);
+    const isConfirmedCancelled = (id: JobId): boolean => this.ctx.cancellations.has(id);
+    canceller.cancel(added.map(({ spec }) => spec.id).filter(isConfirmedCancelled));
+    for (const job of added) {
+      // The demand of a blocked job is recorded when its dependencies are done.
+      if (job.tasks.size === 0 && !job.isBlocked && !job.isCancelled) demand.recordDemand(job);
+    }
   }
 
-  /** Applies the confirmed cancellation of a job, which may be unknown to the leader. */
-  cancel(id: JobId): void {
-    this.parts.canceller.cancel(id);
+  /** Applies the confirmed cancellations of jobs, which may be unknown to the leader. */
+  cancel(ids: readonly JobId[]): void {
+    this.parts.canceller.cancel(ids);
   }
 
   /** Deletes the remaining records of ended jobs and cancels loaded jobs whose stored record is already cancelled. */
   processFinishedJobs({ staleKeys, cancelled }: LoadedJobs): void {
     this.parts.committer.deleteStaleKeys(staleKeys);
-    for (const id of cancelled) this.parts.canceller.cancel(id);
+    this.parts.canceller.cancel(cancelled);
   }
 }
--- a/src/leader/job-watcher.ts
+++ b/src/leader/job-watcher.ts
@@ -83,7 +83,7 @@
     const { intake, workerLeasePolicy } = this.parts;
     const startedAt = this.ctx.clock.now();
     const loaded = await loadOpenJobs(this.ctx);
-    for (const job of loaded.jobs) intake.addOpenJob(job);
+    intake.addOpenJobs(loaded.jobs);
     intake.processFinishedJobs(loaded);
     workerLeasePolicy.recordCancellationsObservedUpTo(startedAt);
     this.ctx.requestDecision();
@@ -95,7 +95,7 @@
   }
 
   private apply({ id, record, revision }: JobChange): void {
-    if (record.state === 'cancelled') this.parts.intake.cancel(id);
+    if (record.state === 'cancelled') this.parts.intake.cancel([id]);
     else if (record.state === 'accepted') this.addAccepted(record, revision);
   }
 
@@ -114,7 +114,7 @@
   }
 
   private add(record: JobRecord, revision: Revision): void {
-    this.parts.intake.addOpenJob(createActiveJob(this.ctx, record, revision));
+    this.parts.intake.addOpenJobs([createActiveJob(this.ctx, record, revision)]);
     this.ctx.requestDecision();
   }
 }
--- a/src/leader/leader-parts.ts
+++ b/src/leader/leader-parts.ts
@@ -159,7 +159,7 @@
     stepDown: (reason) => lifetime.end(reason),
     isEnded: () => lifetime.isEnded,
     requestDecision: () => getParts().decisions.request(),
-    cancelJob: (id) => getParts().canceller.cancel(id),
+    cancelJob: (id) => getParts().canceller.cancel([id]),
     drainWorker: (id) => getParts().drainer.drain(id),
     dispatchCommands: (id) => {
       const worker = workers.get(id);
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -116,7 +116,7 @@
    */
   onCancellationsConfirmed(ids: readonly JobId[]): void {
     const { lock, canceller } = this.parts;
-    if (!this.lifetime.isEnded) void lock.runExclusive(() => ids.forEach((id) => canceller.cancel(id)));
+    if (!this.lifetime.isEnded) void lock.runExclusive(() => canceller.cancel(ids));
   }
 
   /** Answers a heartbeat that a worker sent to the controller `receivedBy`. */
--- a/src/leader/state-restorer.ts
+++ b/src/leader/state-restorer.ts
@@ -84,7 +84,7 @@
 
   private restore(loadedJobs: LoadedJobs, loadedFleet: LoadedFleet): void {
     const { intake, fleetRecordWriter } = this.parts;
-    for (const job of loadedJobs.jobs) intake.addOpenJob(job);
+    intake.addOpenJobs(loadedJobs.jobs);
     fleetRecordWriter.adoptRecords(loadedFleet.records);
     this.restoreMachines(loadedFleet);
     this.assignPlacedTasks();
--- a/src/scheduler/dependency-graph.ts
+++ b/src/scheduler/dependency-graph.ts
@@ -1,53 +1,74 @@
 /** The dependencies between unfinished jobs, and the priorities and deadlines that dependencies inherit. */
 import type { JobId } from '../model/ids.js';
-import type { Priority } from '../model/job.js';
-import type { WallTime } from '../model/time.js';
 import type { ActiveJob } from './active-job.js';
+import { PriorityInheritance } from './priority-inheritance.js';
 
 /**
  * Tracks the dependencies between unfinished jobs. A job can only name accepted jobs as dependencies, so the graph has
- * no cycles. The cost of a change is proportional to the number of affected edges.
+ * no cycles. No method is recursive, and each visits a job and each of its edges a bounded number of times, whatever
+ * the number of paths: `visitCount` counts these visits.
  *
- * Each job passes its priority, and the latest time at which its dependencies may end, on to its dependencies (priority
- * inheritance), so that they are not served after work of lower priority.
+ * Each job passes its priority, and the latest time at which its dependencies may end, on to its dependencies
+ * (`PriorityInheritance`), so that they are not served after work of lower priority.
  */
 export class DependencyGraph {
   /** The direct dependents of each job, including jobs that are not in `jobs`. */
   private readonly dependents = new Map<JobId, Set<ActiveJob>>();
+  private readonly inheritance: PriorityInheritance;
+  private edgeVisitCount = 0;
 
   constructor(
-    private readonly jobs: { get(id: JobId): ActiveJob | undefined },
+    jobs: { get(id: JobId): ActiveJob | undefined },
     /** Returns the estimated duration of a job from the start of its tasks, in milliseconds. */
-    private readonly estimatedDurationMs: (job: ActiveJob) => number,
-  ) {}
+    estimatedDurationMs: (job: ActiveJob) => number,
+  ) {
+    const dependentsOf = (id: JobId): Iterable<ActiveJob> => this.dependents.get(id) ?? [];
+    this.inheritance = new PriorityInheritance({ jobs, dependentsOf, estimatedDurationMs });
+  }
+
+  /** The number of visits of jobs and edges since the graph was created. */
+  get visitCount(): number {
+    return this.edgeVisitCount + this.inheritance.visitCount;
+  }
 
-  /** Adds a job with its unmet dependencies. Other jobs may already depend on the added job. */
-  add(job: ActiveJob): void {
-    for (const id of job.dependencies.unmet) {
-      const dependents = this.dependents.get(id);
-      if (dependents) dependents.add(job);
-      else this.dependents.set(id, new Set([job]));
+  /**
+   * Adds jobs with their unmet dependencies, or the dependencies of jobs that were added before. Other jobs may already
+   * depend on the added jobs.
+   */
+  add(jobs: readonly ActiveJob[]): void {
+    for (const job of jobs) {
+      for (const id of job.dependencies.unmet) this.addEdge(job, id);
     }
-    this.tightenPriority(job);
+    this.inheritance.addJobs(jobs);
+  }
+
+  private addEdge(job: ActiveJob, dependency: JobId): void {
+    this.edgeVisitCount++;
+    const dependents = this.dependents.get(dependency);
+    if (dependents) dependents.add(job);
+    else this.dependents.set(dependency, new Set([job]));
   }
 
   /** Marks a job as durably done. Returns the dependents that have no other unmet dependency and can start. */
   complete(id: JobId): ActiveJob[] {
     const unblockedJobs: ActiveJob[] = [];
     for (const job of this.dependents.get(id) ?? []) {
+      this.edgeVisitCount++;
       job.dependencies.unmet.delete(id);
+      if (job.dependencies.unmet.size === 0) this.inheritance.forgetDuration(job);
       if (!job.isBlocked) unblockedJobs.push(job);
     }
     this.dependents.delete(id);
     return unblockedJobs;
   }
 
-  /** Returns all jobs that depend on the given job, directly or transitively; they are cancelled together with it. */
-  dependentsOf(id: JobId): ActiveJob[] {
+  /** Returns all jobs that depend on one of the given jobs, directly or transitively; they are cancelled together. */
+  dependentsOf(ids: readonly JobId[]): ActiveJob[] {
     const dependents = new Set<ActiveJob>();
-    const pending: JobId[] = [id];
+    const pending = [...ids];
     for (let next = pending.pop(); next !== undefined; next = pending.pop()) {
       for (const job of this.dependents.get(next) ?? []) {
+        this.edgeVisitCount++;
         if (dependents.has(job)) continue;
         dependents.add(job);
         pending.push(job.spec.id);
@@ -56,94 +77,20 @@
     return [...dependents];
   }
 
-  /** Removes the dependencies of a cancelled job, and recomputes what these had inherited from the job. */
-  remove(job: ActiveJob): void {
-    for (const id of job.dependencies.unmet) {
-      const dependents = this.dependents.get(id);
-      dependents?.delete(job);
-      if (dependents?.size === 0) this.dependents.delete(id);
-      const dependency = this.jobs.get(id);
-      if (dependency && this.mayHaveInheritedFrom(job, dependency)) this.recomputePriority(dependency);
+  /** Removes the dependencies of cancelled jobs, and recomputes what these had inherited from the jobs. */
+  remove(jobs: readonly ActiveJob[]): void {
+    for (const job of jobs) {
+      for (const id of job.dependencies.unmet) this.removeEdge(job, id);
+      this.inheritance.withdraw(job);
+      job.dependencies.unmet.clear();
     }
-    job.dependencies.unmet.clear();
+    this.inheritance.propagate();
   }
 
-  /** Whether the dependency may have inherited its priority or its latest end from this dependent. */
-  private mayHaveInheritedFrom(dependent: ActiveJob, dependency: ActiveJob): boolean {
-    const latestEnd = this.latestEndOfDependencies(dependent);
-    const inherited = dependency.inheritedPriority;
-    return (
-      dependent.inheritedPriority.priority >= inherited.priority ||
-      (latestEnd !== null && latestEnd <= (inherited.latestEnd ?? 0))
-    );
+  private removeEdge(job: ActiveJob, dependency: JobId): void {
+    this.edgeVisitCount++;
+    const dependents = this.dependents.get(dependency);
+    dependents?.delete(job);
+    if (dependents?.size === 0) this.dependents.delete(dependency);
   }
-
-  /** The time by which the dependencies of a job have to end for the job to meet its own latest end; null: no limit. */
-  private latestEndOfDependencies(job: ActiveJob): WallTime | null {
-    const { latestEnd } = job.inheritedPriority;
-    return latestEnd === null ? null : ((latestEnd - this.estimatedDurationMs(job)) as WallTime);
-  }
-
-  /**
-   * Merges the priorities and deadlines of all dependents into those that the job already has. Stricter values
-   * propagate to the job's dependencies.
-   */
-  private tightenPriority(job: ActiveJob): void {
-    const { priority, latestEnd } = job.inheritedPriority;
-    this.inheritFromDependents(job, priority, latestEnd);
-    for (const id of job.dependencies.unmet) {
-      const dependency = this.jobs.get(id);
-      if (dependency && this.tightensPriorityOf(job, dependency)) this.propagatePriority(job, dependency);
-    }
-  }
-
-  /**
-   * Recomputes the inherited priority and deadline of a job from its own and those of all its dependents, then those of
-   * the job's dependencies.
-   */
-  private recomputePriority(job: ActiveJob): void {
-    this.inheritFromDependents(job, job.spec.priority, job.ownDeadline);
-    for (const id of job.dependencies.unmet) {
-      const dependency = this.jobs.get(id);
-      if (dependency) this.recomputePriority(dependency);
-    }
-  }
-
-  private inheritFromDependents(job: ActiveJob, ownPriority: Priority, ownLatestEnd: WallTime | null): void {
-    let priority = ownPriority;
-    let latestEnd = ownLatestEnd;
-    for (const dependent of this.dependents.get(job.spec.id) ?? []) {
-      priority = Math.max(priority, dependent.inheritedPriority.priority);
-      latestEnd = earlierDeadline(latestEnd, this.latestEndOfDependencies(dependent));
-    }
-    const previous = job.inheritedPriority;
-    if (priority === previous.priority && latestEnd === previous.latestEnd) return;
-    job.inheritPriority(priority, latestEnd);
-  }
-
-  private propagatePriority(dependent: ActiveJob, dependency: ActiveJob): void {
-    const inherited = dependency.inheritedPriority;
-    dependency.inheritPriority(
-      Math.max(inherited.priority, dependent.inheritedPriority.priority),
-      earlierDeadline(inherited.latestEnd, this.latestEndOfDependencies(dependent)),
-    );
-    for (const id of dependency.dependencies.unmet) {
-      const next = this.jobs.get(id);
-      if (next && this.tightensPriorityOf(dependency, next)) this.propagatePriority(dependency, next);
-    }
-  }
-
-  /** Whether this dependent gives the dependency a higher priority or an earlier latest end. */
-  private tightensPriorityOf(dependent: ActiveJob, dependency: ActiveJob): boolean {
-    const inherited = dependency.inheritedPriority;
-    if (dependent.inheritedPriority.priority > inherited.priority) return true;
-    return (
-      earlierDeadline(inherited.latestEnd, this.latestEndOfDependencies(dependent)) !== inherited.latestEnd
-    );
-  }
-}
-
-function earlierDeadline(left: WallTime | null, right: WallTime | null): WallTime | null {
-  if (left === null || right === null) return left ?? right;
-  return left < right ? left : right;
 }
