Answer queries for dependent jobs from an index that cancellations reach, in place of a walk for each query

Cause: DependencyChecker.hasCancelledDependency walked the graph for each query. Within one level a job named by several others was expanded once for each of them (`visited` was filled after the filter), so the cost was that of the paths; and each level waited for one batch of confirmations (100 ms), so the latency was that of the depth.

Fix: DependencyIndex holds all open jobs and their dependencies; a cancellation is passed on to the dependents once, as it becomes known, so a query costs one look-up. JobWatch.catchUp proves that the index holds every change before the query: one request for the changes since the position of the watch, shared by all queries of an interval that keeps to a tenth of the store's requests. What a restarted controller lacks (revisions of loaded jobs, dependencies that ended) is read in the order in which it came, many records a request, within the budget of reads for users; a query that needs it and waits for longer than 1 s is refused with its reason and Retry-After, and the reading goes on for the next one.

Why the rule stays whole: the verdict is that of a time after the query came, and the job's own record is compared last, as before. A job counts as open only if its record was read or compared after it had come into the index, or was a change in the order of revisions; every later change is delivered.

--- a/src/api/dependency-checker.ts
+++ b/src/api/dependency-checker.ts
@@ -1,11 +1,13 @@
 /** Validates the dependencies between jobs (a DAG) for user requests. */
 import type { ControllerContext } from '../core/context.js';
 import type { JobId } from '../model/ids.js';
-import type { JobRecord, JobSpec } from '../model/job.js';
-import { keys } from '../store/keys.js';
+import type { JobSpec } from '../model/job.js';
+import { type MonotonicTime, plus, since, withTimeout } from '../model/time.js';
+import type { DependencyIndex, DependencyVerdict } from './dependency-index.js';
+import type { DependencyResolver } from './dependency-resolver.js';
 import type { JobCache } from './job-cache.js';
 import type { JobReader } from './job-reader.js';
-import type { RevisionConfirmations } from './revision-confirmations.js';
+import type { JobWatch } from './job-watch.js';
 
 /** A job as it is stored on acceptance: without dependencies that are done; a cancelled job has no dependencies. */
 export interface AcceptableJob {
@@ -13,19 +15,37 @@
   readonly state: 'accepted' | 'cancelled';
 }
 
+/** The time for which a query waits for the records that it lacks; a user waits 2 s for an answer (PROTOCOL). */
+const MAX_QUERY_WAIT_MS = 1000;
 /** The maximum number of job records that one dependency check reads from the store concurrently. */
 const MAX_CONCURRENT_READ_COUNT = 8;
+const RETRY_AFTER_S = 1;
 
-/**
- * Checks the states of the jobs that a job depends on. `done` and `cancelled` are final states: they are not read again
- * while the cache holds them.
- */
+/** Thrown when the records of a job's dependencies are not read in time. They are read further for the next query. */
+export class DependenciesUnresolvedError extends Error {
+  override readonly name = 'DependenciesUnresolvedError';
+  readonly code = 'DEPENDENCIES_UNRESOLVED';
+  readonly retryAfterS = RETRY_AFTER_S;
+
+  constructor() {
+    super("the job's dependencies are being read; retry later");
+  }
+}
+
+/** The collaborators of `DependencyChecker`. */
+interface DependencyCheckerParts {
+  readonly cache: JobCache;
+  readonly index: DependencyIndex;
+  readonly jobWatch: Pick<JobWatch, 'catchUp'>;
+  readonly resolver: Pick<DependencyResolver, 'start'>;
+  readonly reader: Pick<JobReader, 'readAndCache'>;
+}
+
+/** Checks the states of the jobs that a job depends on. */
 export class DependencyChecker {
   constructor(
-    private readonly ctx: ControllerContext,
-    private readonly cache: JobCache,
-    private readonly confirmations: RevisionConfirmations,
-    private readonly reader: JobReader,
+    private readonly ctx: Pick<ControllerContext, 'clock'>,
+    private readonly parts: DependencyCheckerParts,
   ) {}
 
   /**
@@ -36,14 +56,14 @@
     if (spec.dependencies.includes(spec.id)) return 'awaits must not name the job itself';
     const unknownIds: JobId[] = [];
     for (const id of spec.dependencies) {
-      const observed = this.cache.observed(id);
+      const observed = this.parts.cache.observed(id);
       if (observed?.kind === 'service')
         return `awaits names ${id}, which is a service and never becomes done`;
-      if (!observed && this.cache.finalState(id) !== 'done') unknownIds.push(id);
+      if (!observed && this.parts.cache.finalState(id) !== 'done') unknownIds.push(id);
     }
     for (let start = 0; start < unknownIds.length; start += MAX_CONCURRENT_READ_COUNT) {
       const ids = unknownIds.slice(start, start + MAX_CONCURRENT_READ_COUNT);
-      const records = await Promise.all(ids.map((id) => this.reader.readAndCache(id)));
+      const records = await Promise.all(ids.map((id) => this.parts.reader.readAndCache(id)));
       for (const [index, record] of records.entries()) {
         if (!record) return `awaits names ${ids[index]}, which is not an accepted job`;
         if (record.spec.kind === 'service')
@@ -53,58 +73,45 @@
     return null;
   }
 
+  private remainingMs(deadline: MonotonicTime): number {
+    return since(deadline, this.ctx.clock.now());
+  }
+
   /**
    * Returns the job without its done dependencies; if one of its dependencies is cancelled, the job is cancelled and
    * has no dependencies.
    * Call `findInvalidDependency` first, which loads the states of the dependencies into the cache.
    */
   withoutDoneDependencies(spec: JobSpec): AcceptableJob {
-    const dependencies = spec.dependencies.filter((id) => this.cache.finalState(id) !== 'done');
-    const isCancelled = dependencies.some((id) => this.cache.finalState(id) === 'cancelled');
+    const { cache } = this.parts;
+    const dependencies = spec.dependencies.filter((id) => cache.finalState(id) !== 'done');
+    const isCancelled = dependencies.some((id) => cache.finalState(id) === 'cancelled');
     if (isCancelled) return { spec: { ...spec, dependencies: [] }, state: 'cancelled' };
     return { spec: { ...spec, dependencies }, state: 'accepted' };
   }
 
   /**
-   * Reports whether any direct or transitive dependency of the job is cancelled; false if the job is not in the cache.
+   * Reports whether any direct or transitive dependency of the job is cancelled; false if the job has ended, which its
+   * own record tells.
    * Every answer that reports a waiting job as pending needs this check: a job must not be reported as pending after
    * one of its dependencies was cancelled, even if no leader has yet written the resulting cancellation to the job's
    * own record.
+   *
+   * The index holds every change that was made before the call, as `catchUp` proves, so the verdict is that of a time
+   * after the call. Rejects with `DependenciesUnresolvedError` if records are missing for too long, and with the errors
+   * of the store client.
    */
   async hasCancelledDependency(id: JobId): Promise<boolean> {
-    const visited = new Set<JobId>([id]);
-    let level = await this.unfinishedDependencies(id);
-    while (level.length > 0) {
-      const nextLevel: JobId[] = [];
-      const ids = level.filter((dependency) => !visited.has(dependency));
-      for (const dependency of ids) visited.add(dependency);
-      const states = await Promise.all(ids.map((dependency) => this.stateOf(dependency)));
-      if (states.includes('cancelled')) return true;
-      for (const [index, dependency] of ids.entries())
-        if (states[index] === 'accepted') nextLevel.push(...(await this.unfinishedDependencies(dependency)));
-      level = nextLevel;
-    }
-    return false;
-  }
-
-  private async stateOf(id: JobId): Promise<JobRecord['state']> {
-    const finalState = this.cache.finalState(id);
-    if (finalState) return finalState;
-    const observed = this.cache.observed(id);
-    if (observed && (await this.confirmations.hasRevision(keys.job(id), observed.revision)))
-      return 'accepted';
-    return (await this.reader.readAndCache(id))?.state ?? 'accepted';
-  }
-
-  /** Returns the job's direct dependencies that are not known to be done; none if the job is not in the cache. */
-  private async unfinishedDependencies(id: JobId): Promise<JobId[]> {
-    const observed = this.cache.observed(id);
-    if (!observed) return [];
-    const ids = [...observed.dependencies];
-    for (let index = 0; index < observed.dependencyRecordCount; index++) {
-      const row = await this.ctx.store.get(keys.dependencies(id, index));
-      if (row) ids.push(...(row.value as JobId[]));
+    const { index, jobWatch, resolver } = this.parts;
+    const deadline = plus(this.ctx.clock.now(), MAX_QUERY_WAIT_MS);
+    let verdict: DependencyVerdict = 'unresolved';
+    while (verdict === 'unresolved') {
+      const waitMs = this.remainingMs(deadline);
+      const hasCaughtUp = waitMs > 0 && (await withTimeout(this.ctx.clock, jobWatch.catchUp(), waitMs));
+      if (!hasCaughtUp) throw new DependenciesUnresolvedError();
+      verdict = index.judge(id);
+      if (verdict === 'unresolved') resolver.start();
     }
-    return ids.filter((dependency) => this.cache.finalState(dependency) !== 'done');
+    return verdict === 'cancelled';
   }
 }
--- a/src/api/job-cache.ts
+++ b/src/api/job-cache.ts
@@ -9,9 +9,8 @@
   readonly revision: Revision;
   readonly tasks: number;
   readonly kind: JobKind;
-  readonly dependencies: readonly JobId[];
-  /** The number of separate records that hold dependencies of the job, besides `dependencies`. */
-  readonly dependencyRecordCount: number;
+  /** Whether the job had to wait for other jobs when it was accepted. */
+  readonly hasDependencies: boolean;
 }
 
 interface FinalAnswer {
@@ -86,7 +85,8 @@
       const cached = this.openJobs.get(id);
       if (!this.finalJobs.has(id) && (!cached || cached.revision < revision)) {
         const { taskCount, kind, dependencies, dependencyRecordCount } = record.spec;
-        this.openJobs.set(id, { revision, tasks: taskCount, kind, dependencies, dependencyRecordCount });
+        const hasDependencies = dependencies.length > 0 || dependencyRecordCount > 0;
+        this.openJobs.set(id, { revision, tasks: taskCount, kind, hasDependencies });
       }
       return;
     }
--- a/src/api/job-reader.ts
+++ b/src/api/job-reader.ts
@@ -1,23 +1,20 @@
-/** Reads job records for user requests, and watches the records for changes. */
+/** Reads job records for user requests, and takes over the changes of records. */
 import type { ConfirmedCancellation } from '../model/confirmed-cancellation.js';
 import type { ControllerContext } from '../core/context.js';
-import { errorMessage } from '../log/logger.js';
 import type { JobId, Revision } from '../model/ids.js';
 import type { JobRecord } from '../model/job.js';
-import { ms, sleep } from '../model/time.js';
-import { decodeJobChanges } from '../store/job-changes.js';
+import { ms } from '../model/time.js';
+import type { JobChange } from '../store/job-changes.js';
 import { decodeJob } from '../store/job-record.js';
 import { keys } from '../store/keys.js';
-import type { WatchEvent } from '../wire/key-value-store.js';
 import { jobStatus, type TaskCounts } from '../wire/users.js';
+import type { DependencyIndex } from './dependency-index.js';
 import type { JobCache } from './job-cache.js';
-import { OpenJobPreloader } from './open-job-preloader.js';
+import type { JobChangeListener } from './job-watch.js';
+import type { OpenJobListener } from './open-job-preloader.js';
 import { backOff, isRetryable, MAX_ATTEMPT_COUNT } from './store-retry.js';
 import type { UserAnswer } from './user-answer.js';
-import type { UserBudgets } from './user-budgets.js';
 
-const WATCH_TIMEOUT_MS = 20_000;
-const WATCH_RETRY_DELAY_MS = 300;
 const READ_RETRY_DELAY_MS = 40;
 
 const NO_PROGRESS: TaskCounts = { done: 0, running: 0 };
@@ -28,50 +25,43 @@
   readonly revision: Revision;
 }
 
-/** Reads and watches job records in the store; all methods but `read` and `progress` add the records to the cache. */
-export class JobReader {
-  private readonly preloader: OpenJobPreloader;
-
+/** Reads job records in the store; all methods but `read` and `progress` add the records to the cache. */
+export class JobReader implements JobChangeListener, OpenJobListener {
   constructor(
-    private readonly ctx: ControllerContext,
+    private readonly ctx: Pick<ControllerContext, 'cancellations' | 'clock' | 'random' | 'store'>,
     private readonly cache: JobCache,
-    budgets: Pick<UserBudgets, 'acquireJobRead'>,
+    private readonly index: DependencyIndex,
     private readonly progressOf: (id: JobId) => TaskCounts | null,
-  ) {
-    this.preloader = new OpenJobPreloader(ctx, budgets, (id, job) => this.cacheAndAnswer(id, job));
-  }
-
-  /**
-   * Caches all open jobs and watches all job records for changes, so that most queries need only a confirmation of the
-   * cached revision. Skips unreadable records. If the store has compacted the watched revision, the open jobs are
-   * loaded again. Runs until the process exits.
-   */
-  async watch(): Promise<void> {
-    let after: Revision | null = null;
-    for (;;) {
-      try {
-        after ??= await this.preloader.load();
-        const watched = await this.ctx.store.watch(keys.jobs, after, WATCH_TIMEOUT_MS);
-        after = watched?.revision ?? null;
-        if (watched) this.observe(watched.changes);
-      } catch (error) {
-        this.ctx.log.debug({ error: errorMessage(error) }, 'job cache watch interrupted');
-        await sleep(this.ctx.clock, WATCH_RETRY_DELAY_MS + this.ctx.random() * WATCH_RETRY_DELAY_MS);
-      }
-    }
-  }
+  ) {}
 
-  private observe(events: readonly WatchEvent[]): void {
+  /** Updates the cache and the dependency index with changes of job records. */
+  onJobChanges(changes: readonly JobChange[]): void {
     const cancelled: ConfirmedCancellation[] = [];
-    // Debug level: the leader's watch logs the same unreadable record as an error.
-    const onUnreadable = (key: string): void => this.ctx.log.debug({ key }, 'job record unreadable');
-    for (const { id, record, revision } of decodeJobChanges(events, onUnreadable)) {
+    for (const { id, record, revision } of changes) {
       if (record.state === 'cancelled') cancelled.push({ id, age: ms(0) });
       this.cache.update(id, record, revision, this.statusBody(id, record));
+      if (record.state === 'accepted') this.index.addAccepted(record, revision, true);
+      else this.index.applyEnded(id, record.state);
     }
     this.ctx.cancellations.learn(cancelled);
   }
 
+  /** Clears the dependency index; the cached revisions are compared with the store's before each answer anyway. */
+  onChangesMissed(): void {
+    this.index.clear();
+  }
+
+  /** Caches a job whose head record was read; the job may have ended since the record was written. */
+  onHeadLoaded(id: JobId, job: ReadJob): void {
+    this.cacheAndAnswer(id, job);
+    this.index.addAccepted(job.record, job.revision, false);
+  }
+
+  /** Records that a job has progress, so that its dependencies are done. */
+  onProgressFound(id: JobId): void {
+    this.index.recordStarted(id);
+  }
+
   /** Reads a job's record from the store; null: the job was never accepted. */
   async read(id: JobId): Promise<ReadJob | null> {
     for (let attempts = 1; ; attempts++) {
@@ -96,6 +86,8 @@
   cacheAndAnswer(id: JobId, { record, revision }: ReadJob): UserAnswer {
     const body = this.statusBody(id, record);
     this.cache.update(id, record, revision, body);
+    // A final state that was read is as valid as one that was watched; an accepted state may be outdated.
+    if (record.state !== 'accepted') this.index.applyEnded(id, record.state);
     if (record.state === 'cancelled') this.ctx.cancellations.learn([{ id, age: ms(0) }]);
     return { status: 200, body };
   }
--- a/src/api/open-job-preloader.ts
+++ b/src/api/open-job-preloader.ts
@@ -9,6 +9,14 @@
 import type { ReadJob } from './job-reader.js';
 import type { UserBudgets } from './user-budgets.js';
 
+/** Receives the open jobs that are loaded. */
+export interface OpenJobListener {
+  /** Called for each head record; the job may have ended since the record was written. */
+  onHeadLoaded(id: JobId, job: ReadJob): void;
+  /** Called for each progress record, after the head record of its job. */
+  onProgressFound(id: JobId): void;
+}
+
 /**
  * Reads the head records of the open jobs page by page. A controller that has just started would otherwise read each
  * job by itself, which takes minutes where there are thousands.
@@ -20,7 +28,7 @@
   constructor(
     private readonly ctx: Pick<ControllerContext, 'clock' | 'log' | 'store'>,
     private readonly budgets: Pick<UserBudgets, 'acquireJobRead'>,
-    private readonly cacheJob: (id: JobId, job: ReadJob) => void,
+    private readonly listener: OpenJobListener,
   ) {}
 
   /**
@@ -35,7 +43,7 @@
       await this.budgets.acquireJobRead();
       const page = await store.range(keys.open, this.position?.after);
       const revision = this.position?.revision ?? page.revision;
-      for (const row of page.rows) if (this.cacheHead(row)) jobCount++;
+      for (const row of page.rows) if (this.addRow(row)) jobCount++;
       const last = page.rows.at(-1);
       if (!page.more || !last) {
         this.position = null;
@@ -47,14 +55,18 @@
     }
   }
 
-  /** Caches the job of a head record; false: the row is no readable head record. */
-  private cacheHead({ key, value, revision }: KeyValue): boolean {
+  /** Passes on the job of a head record; false: the row is no readable head record. */
+  private addRow({ key, value, revision }: KeyValue): boolean {
     const openKey = parseOpenKey(key);
-    if (openKey?.chunk !== null) return false;
+    if (!openKey) return false;
+    if (openKey.chunk !== null) {
+      this.listener.onProgressFound(openKey.job);
+      return false;
+    }
     try {
       // The head record is written once, together with the job's own record, so it has the revision of that record
       // unless the job has ended since; the check of the revision before each answer finds that.
-      this.cacheJob(openKey.job, { record: decodeJob(openKey.job, value), revision });
+      this.listener.onHeadLoaded(openKey.job, { record: decodeJob(openKey.job, value), revision });
       return true;
     } catch (error) {
       if (!(error instanceof InvalidRecordError)) throw error;
--- a/src/api/refusals.ts
+++ b/src/api/refusals.ts
@@ -10,6 +10,8 @@
   | 'write-budget'
   /** The job is not cached, and its turn to be read from the store has not come yet. */
   | 'read-budget'
+  /** Records of the job's dependencies have to be read before it is known that none is cancelled. */
+  | 'dependencies-unresolved'
   /** The store's rate limit refused the request. */
   | 'store-rate-limited'
   /** The store refused the request or did not answer. */
--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -8,11 +8,17 @@
 import { ms, since } from '../model/time.js';
 import { encodeEndedJob } from '../store/job-record.js';
 import { keys } from '../store/keys.js';
+import type { UserVerb } from '../peer/user-request.js';
 import { jobStatus, type TaskCounts } from '../wire/users.js';
-import { DependencyChecker } from './dependency-checker.js';
+import { DependenciesUnresolvedError, DependencyChecker } from './dependency-checker.js';
+import { DependencyIndex } from './dependency-index.js';
+import { DependencyResolver } from './dependency-resolver.js';
+import { JobBatchReader } from './job-batch-reader.js';
 import { JobCache, type ObservedJob } from './job-cache.js';
 import { JobLookups, LookupDelayedError } from './job-lookups.js';
 import { JobReader, type ReadJob } from './job-reader.js';
+import { JobWatch } from './job-watch.js';
+import { OpenJobPreloader } from './open-job-preloader.js';
 import { RevisionConfirmations } from './revision-confirmations.js';
 import { Refusals } from './refusals.js';
 import { backOff, isRetryable, MAX_ATTEMPT_COUNT } from './store-retry.js';
@@ -44,6 +50,7 @@
   private readonly reader: JobReader;
   private readonly lookups: JobLookups;
   private readonly budgets: UserBudgets;
+  private readonly jobWatch: JobWatch;
   private readonly dependencies: DependencyChecker;
   private readonly submissions: Submissions;
 
@@ -59,10 +66,17 @@
     this.refusals = new Refusals(ctx.log);
     this.confirmations = new RevisionConfirmations(clock, store, storeLimits.maxCompares, BATCH_WINDOW_MS);
     this.budgets = new UserBudgets(ctx, controllerCount);
-    this.reader = new JobReader(ctx, cache, this.budgets, progressOf);
-    this.lookups = new JobLookups(ctx, cache, this.reader, this.budgets);
-    this.dependencies = new DependencyChecker(ctx, cache, this.confirmations, this.reader);
-    const { reader, dependencies, budgets } = this;
+    const { budgets } = this;
+    const index = new DependencyIndex((id) => cache.finalState(id));
+    const reader = new JobReader(ctx, cache, index, progressOf);
+    this.reader = reader;
+    this.lookups = new JobLookups(ctx, cache, reader, budgets);
+    const jobWatch = new JobWatch(ctx, new OpenJobPreloader(ctx, budgets, reader), reader);
+    this.jobWatch = jobWatch;
+    const batchReader = new JobBatchReader(ctx, reader);
+    const resolver = new DependencyResolver(ctx, { index, batchReader, budgets });
+    const dependencies = new DependencyChecker(ctx, { cache, index, jobWatch, resolver, reader });
+    this.dependencies = dependencies;
     this.submissions = new Submissions(ctx, { cache, reader, dependencies, budgets });
   }
 
@@ -85,15 +99,19 @@
 
   /** Watches the job records and updates the cache, until the process exits. */
   watch(): Promise<void> {
-    return this.reader.watch();
+    return this.jobWatch.run();
   }
 
   /**
    * Handles a submission. Throws StoreRefusedError, StoreOutcomeUnknownError or BusyError; the caller then forwards the
    * request to another controller or answers 503.
    */
-  submit(body: unknown): Promise<UserAnswer> {
-    return this.submissions.submit(body);
+  async submit(body: unknown): Promise<UserAnswer> {
+    try {
+      return await this.submissions.submit(body);
+    } catch (error) {
+      return this.refuseDelayed(error, 'submit', null);
+    }
   }
 
   /** Answers a query for a job's state. Throws StoreRefusedError or StoreOutcomeUnknownError, as `submit` does. */
@@ -110,12 +128,18 @@
     try {
       return await this.lookUp(id);
     } catch (error) {
-      if (!(error instanceof LookupDelayedError)) throw error;
-      this.refusals.record('read-budget', 'query', id);
-      return unavailable(error.message, error.retryAfterS);
+      return this.refuseDelayed(error, 'query', id);
     }
   }
 
+  /** Returns the refusal of a request whose records are not read in time; rethrows any other error. */
+  private refuseDelayed(error: unknown, verb: UserVerb, id: string | null): UserAnswer {
+    const isUnresolved = error instanceof DependenciesUnresolvedError;
+    if (!isUnresolved && !(error instanceof LookupDelayedError)) throw error;
+    this.refusals.record(isUnresolved ? 'dependencies-unresolved' : 'read-budget', verb, id);
+    return unavailable(error.message, error.retryAfterS);
+  }
+
   private async lookUp(id: string): Promise<UserAnswer> {
     if (!isJobId(id)) return NO_SUCH_JOB;
     const finalBody = this.cache.finalBody(id);
@@ -128,9 +152,8 @@
     const found = await this.lookups.find(id);
     if (found.kind === 'absent') return NO_SUCH_JOB;
     const observed = this.cache.observed(id);
-    const hasDependencies =
-      observed !== undefined && (observed.dependencies.length > 0 || observed.dependencyRecordCount > 0);
-    if (found.kind === 'read' && !hasDependencies) return this.reader.cacheAndAnswer(id, found.job);
+    if (found.kind === 'read' && observed?.hasDependencies !== true)
+      return this.reader.cacheAndAnswer(id, found.job);
     if (observed) return this.confirmOpen(id, observed);
     const finalBody = this.cache.finalBody(id);
     return finalBody ? { status: 200, body: finalBody } : unavailable('the job was evicted; retry later');
@@ -138,7 +161,8 @@
 
   /** Answers for a cached job that had not ended, after the store has confirmed its revision. */
   private async confirmOpen(id: JobId, observed: ObservedJob): Promise<UserAnswer> {
-    if (await this.dependencies.hasCancelledDependency(id)) return this.cancelWithDependency(id);
+    if (observed.hasDependencies && (await this.dependencies.hasCancelledDependency(id)))
+      return this.cancelWithDependency(id);
     // The job's own record is checked last: the job may have been cancelled while its dependencies were checked.
     if (await this.confirmations.hasRevision(keys.job(id), observed.revision)) {
       return { status: 200, body: jobStatus(id, 'accepted', observed.tasks, this.reader.progress(id)) };
--- a/src/model/time.ts
+++ b/src/model/time.ts
@@ -45,6 +45,26 @@
   });
 }
 
+/**
+ * Waits for a promise, but no longer than `timeoutMs`. Returns whether the promise was fulfilled in time; rejects if the
+ * promise is rejected in time.
+ */
+export function withTimeout(clock: Clock, promise: Promise<unknown>, timeoutMs: number): Promise<boolean> {
+  return new Promise((resolve, reject) => {
+    const cancel = clock.after(timeoutMs, () => resolve(false));
+    promise.then(
+      () => {
+        cancel();
+        resolve(true);
+      },
+      (error: Error) => {
+        cancel();
+        reject(error);
+      },
+    );
+  });
+}
+
 /**
  * Calls `run` repeatedly, with a fixed delay between the end of one run and the start of the next. Returns a function
  * that stops the calls.
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -41,6 +41,8 @@
   /** Renews a lease. Returns false if the lease has expired. */
   keepLeaseAlive(lease: LeaseId): Promise<boolean>;
   revokeLease(lease: LeaseId): Promise<void>;
+  /** Reads the changes after a revision at once: all that were made before the call, and maybe later ones. */
+  changes(prefix: string, after: Revision): Promise<WatchResult>;
   /** Waits up to `waitMs` for changes after a revision. `changes` is empty if none occurred within that time. */
   watch(prefix: string, after: Revision, waitMs: number): Promise<WatchResult>;
 }
@@ -141,6 +143,16 @@
     await this.call('DELETE', `/grants/${lease}`);
   }
 
+  async changes(prefix: string, after: Revision): Promise<WatchResult> {
+    const reply = await this.call('GET', `/changes?under=${prefix}&after=${after}&waitMs=0`);
+    if (reply.status === 410) return null;
+    if (reply.status !== 200)
+      throw new StoreRefusedError(
+        `key-value store answered ${reply.status} to a read of changes, not 200 or 410`,
+      );
+    return decodeReply(reply, readWatchEvents);
+  }
+
   async watch(prefix: string, after: Revision, waitMs: number): Promise<WatchResult> {
     const path = `/changes?under=${prefix}&after=${after}&waitMs=${waitMs}`;
     let reply: HttpReply;
--- a/test/simulation/fake-key-value-store.ts
+++ b/test/simulation/fake-key-value-store.ts
@@ -2,7 +2,7 @@
 import type { LeaseId, Revision } from '../../src/model/ids.js';
 import type { Clock } from '../../src/model/time.js';
 import type { TokenBucket } from '../../src/net/token-bucket.js';
-import type { TxnResult, KeyValueStore } from '../../src/store/client.js';
+import type { TxnResult, KeyValueStore, WatchResult } from '../../src/store/client.js';
 import {
   StoreRefusedError,
   StoreRequestTooLargeError,
@@ -69,6 +69,10 @@
   private readonly leases = new Map<LeaseId, { ttl: number; validUntil: number }>();
   private readonly watchers = new Set<() => void>();
   private revision = 0;
+  /** The number of reads of changes, without watches. */
+  changesCount = 0;
+  /** The oldest revision after which the changes are still kept. */
+  private compactedRevision = 0;
   private nextLeaseId = 1;
   /** The number of puts and deletes in all executed transactions, committed or not; a second execution counts again. */
   writeCount = 0;
@@ -165,6 +169,18 @@
     return { ok: true, revision: writes.length > 0 ? this.applyWrites(writes) : (this.revision as Revision) };
   }
 
+  /** Returns the changes after a revision; null: the revision is older than the kept changes (410). */
+  private changesSince(prefix: string, after: Revision): WatchResult {
+    if (after < this.compactedRevision) return null;
+    const changes = this.history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
+    return { revision: this.revision as Revision, changes };
+  }
+
+  /** Discards the history of changes, as the store does with all but the last 10,000. */
+  compact(): void {
+    this.compactedRevision = this.revision;
+  }
+
   private isRateLimited(writes: number): boolean {
     if (!this.rateLimits) return false;
     return !this.rateLimits.requests.tryTake() || (writes > 0 && !this.rateLimits.writes.tryTake(writes));
@@ -262,6 +278,10 @@
           return lease !== undefined;
         }),
       revokeLease: (id) => request(() => this.endLease(id)),
+      changes: (prefix, after) => {
+        this.changesCount++;
+        return request(() => this.changesSince(prefix, after));
+      },
       watch: (prefix, after, waitMs) =>
         new Promise((resolve, reject) => {
           if (this.refusedClients.has(node) || this.isUnavailable) {
@@ -270,15 +290,13 @@
             );
             return;
           }
-          const newEvents = (): WatchEvent[] =>
-            this.history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
+          const newEvents = (): WatchEvent[] => this.changesSince(prefix, after)?.changes ?? [];
           const answerIfDue = (): void => {
             if (this.isUnavailable || this.refusedClients.has(node)) return;
-            if (newEvents().length === 0 && this.clock.now() < deadline) return;
+            const isCompacted = after < this.compactedRevision;
+            if (!isCompacted && newEvents().length === 0 && this.clock.now() < deadline) return;
             this.watchers.delete(answerIfDue);
-            clock.after(REQUEST_LATENCY_MS, () =>
-              resolve({ revision: this.revision as Revision, changes: newEvents() }),
-            );
+            clock.after(REQUEST_LATENCY_MS, () => resolve(this.changesSince(prefix, after)));
           };
           const deadline = this.clock.now() + waitMs;
           this.watchers.add(answerIfDue);
--- a/test/simulation/fake-servers.ts
+++ b/test/simulation/fake-servers.ts
@@ -132,11 +132,14 @@
 
 async function handleWatch(store: KeyValueStore, query: URLSearchParams): Promise<HttpResponse> {
   const after = Number(query.get('after')) as Revision;
-  const watchResult = await store.watch(query.get('under') ?? '', after, Number(query.get('waitMs')));
-  const news = (watchResult?.changes ?? []).map(({ key, value, revision }) =>
+  const prefix = query.get('under') ?? '';
+  const waitMs = Number(query.get('waitMs'));
+  const watchResult = await (waitMs > 0 ? store.watch(prefix, after, waitMs) : store.changes(prefix, after));
+  if (!watchResult) return { status: 410, body: {} };
+  const news = watchResult.changes.map(({ key, value, revision }) =>
     value === undefined ? { drop: key, stamp: revision } : { set: key, data: value, stamp: revision },
   );
-  return { status: 200, body: { ledger: watchResult?.revision, news } };
+  return { status: 200, body: { ledger: watchResult.revision, news } };
 }
 
 async function handleRange(store: KeyValueStore, query: URLSearchParams): Promise<HttpResponse> {
--- a/test/simulation/polled-site.ts
+++ b/test/simulation/polled-site.ts
@@ -15,7 +15,7 @@
 import type { Settings } from '../../src/wire/settings.js';
 import { PollingUser, type PollResponse } from './polling-user.js';
 import { SimulatedSite } from './simulated-site.js';
-import { siteSettings, submissionBody } from './site-setup.js';
+import { type JobRequest, siteSettings, submissionBody } from './site-setup.js';
 import { submission } from './submission.js';
 
 /** The numbers of submissions and queries that a controller processes concurrently, as in `Controller`. */
@@ -27,8 +27,9 @@
 /** Returns the id of the n-th job of a site. */
 export const jobIdOf = (n: number): JobId => `j-${String(n).padStart(6, '0')}` as JobId;
 
-function acceptanceOf(id: JobId): WriteOperation[] {
-  const spec = submission(submissionBody({ ref: id, kind: 'service', cpus: 2 }));
+function acceptanceOf(request: JobRequest): WriteOperation[] {
+  const spec = submission(submissionBody(request));
+  const { id } = spec;
   const value = encodeJob({ spec, state: 'accepted', acceptedAt: 0 as WallTime });
   return [keys.job(id), keys.openHead(id)].map((key) => ({ set: key, value }));
 }
@@ -45,13 +46,36 @@
 
   /** Accepts services at a rate that the store's limits do not bound, and creates the users who poll for them. */
   async acceptServices(count: number): Promise<void> {
-    const client = this.store.clientFor('accepting', this.clock);
     const ids = Array.from({ length: count }, (_, n) => jobIdOf(n));
-    for (let start = 0; start < count; start += JOBS_PER_TXN) {
-      void client.txn([], ids.slice(start, start + JOBS_PER_TXN).flatMap(acceptanceOf));
+    await this.acceptDirectly(ids.map((ref) => ({ ref, kind: 'service', cpus: 2 })));
+    for (const id of ids) this.addUser(id);
+  }
+
+  /**
+   * Writes the records of accepted jobs, at a rate that the store's limits do not bound. No transaction holds a job and
+   * one that it depends on, since a job can only name accepted jobs.
+   */
+  async acceptDirectly(requests: readonly JobRequest[]): Promise<void> {
+    const client = this.store.clientFor('accepting', this.clock);
+    for (let batch: JobRequest[] = [], index = 0; index < requests.length; batch = []) {
+      const refs = new Set<string>();
+      for (; index < requests.length && batch.length < JOBS_PER_TXN; index++) {
+        const request = requests[index] as JobRequest;
+        if (request.awaits?.some((ref) => refs.has(ref))) break;
+        refs.add(request.ref);
+        batch.push(request);
+        this.registerJob(request, this.nodes[0] as string);
+        this.rules.recordAcceptance(request.ref as JobId);
+      }
+      void client.txn([], batch.flatMap(acceptanceOf));
       await this.clock.advance(10);
     }
-    for (const id of ids) this.addUser(id);
+  }
+
+  /** Lets a controller load the open jobs again: the changes after the revision that it has reached are discarded. */
+  async missChanges(): Promise<void> {
+    this.store.compact();
+    await this.run(1);
   }
 
   /** Adds a user who polls for a job, known or not. */
--- a/test/unit/job-lookups.test.ts
+++ b/test/unit/job-lookups.test.ts
@@ -1,8 +1,10 @@
 import { describe, expect, it } from 'vitest';
+import { DependencyIndex } from '../../src/api/dependency-index.js';
 import { JobCache } from '../../src/api/job-cache.js';
 import { JobLookups, LookupDelayedError } from '../../src/api/job-lookups.js';
 import { JobReader } from '../../src/api/job-reader.js';
 import { UserBudgets } from '../../src/api/user-budgets.js';
+import type { ControllerContext } from '../../src/core/context.js';
 import type { JobId } from '../../src/model/ids.js';
 import type { WallTime } from '../../src/model/time.js';
 import { encodeJob } from '../../src/store/job-record.js';
@@ -30,10 +32,10 @@
     log: silentLogger,
     random: () => 0,
     cancellations: { learn: () => {} },
-  } as unknown as ConstructorParameters<typeof JobReader>[0];
+  } as unknown as ControllerContext;
   const cache = new JobCache(clock, 1);
   const budgets = new UserBudgets(context, () => 1);
-  const reader = new JobReader(context, cache, budgets, () => null);
+  const reader = new JobReader(context, cache, new DependencyIndex(() => undefined), () => null);
   const lookups = new JobLookups(context, cache, reader, budgets);
   const accept = (id: JobId): void => {
     const value = encodeJob({ spec: submission({ ref: id }), state: 'accepted', acceptedAt: 0 as WallTime });
