Read the ended jobs that a submission names by pages, within the budget of reads for users

Cause: findInvalidDependency took every named job that is not cached as open or done for one to be read by itself.

Fix: open jobs are known from the dependency index. The others are read in the order of their keys, as many as share a page, a token of the read budget for each request. After 3 s the submission is refused with 503 and Retry-After; what was read is cached, so the repeated submission goes on with the rest.

Thousands of ids far apart at a restarted controller are still refused.

--- a/src/api/dependency-checker.ts
+++ b/src/api/dependency-checker.ts
@@ -1,13 +1,15 @@
 /** Validates the dependencies between jobs (a DAG) for user requests. */
 import type { ControllerContext } from '../core/context.js';
 import type { JobId } from '../model/ids.js';
-import type { JobSpec } from '../model/job.js';
+import type { JobKind, JobSpec } from '../model/job.js';
 import { type MonotonicTime, plus, since, withTimeout } from '../model/time.js';
 import type { DependencyIndex, DependencyVerdict } from './dependency-index.js';
 import type { DependencyResolver } from './dependency-resolver.js';
+import type { FoundRecord, JobBatchReader } from './job-batch-reader.js';
 import type { JobCache } from './job-cache.js';
-import type { JobReader } from './job-reader.js';
+import { LookupDelayedError } from './job-lookups.js';
 import type { JobWatch } from './job-watch.js';
+import type { UserBudgets } from './user-budgets.js';
 
 /** A job as it is stored on acceptance: without dependencies that are done; a cancelled job has no dependencies. */
 export interface AcceptableJob {
@@ -17,8 +19,10 @@
 
 /** The time for which a query waits for the records that it lacks; a user waits 2 s for an answer (PROTOCOL). */
 const MAX_QUERY_WAIT_MS = 1000;
-/** The maximum number of job records that one dependency check reads from the store concurrently. */
-const MAX_CONCURRENT_READ_COUNT = 8;
+/** The time for which a submission reads the jobs that it names; a user waits 5 s for an answer (PROTOCOL). */
+const MAX_SUBMISSION_WAIT_MS = 3000;
+/** The number of named jobs that one request of a submission may cover. */
+const MAX_JOBS_PER_READ = 500;
 const RETRY_AFTER_S = 1;
 
 /** Thrown when the records of a job's dependencies are not read in time. They are read further for the next query. */
@@ -38,7 +42,8 @@
   readonly index: DependencyIndex;
   readonly jobWatch: Pick<JobWatch, 'catchUp'>;
   readonly resolver: Pick<DependencyResolver, 'start'>;
-  readonly reader: Pick<JobReader, 'readAndCache'>;
+  readonly batchReader: JobBatchReader;
+  readonly budgets: Pick<UserBudgets, 'acquireJobRead'>;
 }
 
 /** Checks the states of the jobs that a job depends on. */
@@ -51,24 +56,37 @@
   /**
    * Returns why the job's dependencies are invalid: one of them is the job itself, a service, or a job that was never
    * accepted. Null: the dependencies are valid; a cancelled job is a valid dependency (`withoutDoneDependencies`).
+   *
+   * Rejects with `LookupDelayedError` if too many of the named jobs are neither open nor cached. Those that were read
+   * are cached, so that a repeated submission continues with the others.
    */
   async findInvalidDependency(spec: JobSpec): Promise<string | null> {
     if (spec.dependencies.includes(spec.id)) return 'awaits must not name the job itself';
     const unknownIds: JobId[] = [];
     for (const id of spec.dependencies) {
-      const observed = this.parts.cache.observed(id);
-      if (observed?.kind === 'service')
-        return `awaits names ${id}, which is a service and never becomes done`;
-      if (!observed && this.parts.cache.finalState(id) !== 'done') unknownIds.push(id);
+      const kind = this.knownKindOf(id);
+      if (kind === 'service') return isServiceMessage(id);
+      if (kind === undefined && this.parts.cache.finalState(id) !== 'done') unknownIds.push(id);
     }
-    for (let start = 0; start < unknownIds.length; start += MAX_CONCURRENT_READ_COUNT) {
-      const ids = unknownIds.slice(start, start + MAX_CONCURRENT_READ_COUNT);
-      const records = await Promise.all(ids.map((id) => this.parts.reader.readAndCache(id)));
-      for (const [index, record] of records.entries()) {
-        if (!record) return `awaits names ${ids[index]}, which is not an accepted job`;
-        if (record.spec.kind === 'service')
-          return `awaits names ${ids[index]}, which is a service and never becomes done`;
+    return this.findInvalidAmong(unknownIds.sort());
+  }
+
+  private knownKindOf(id: JobId): JobKind | undefined {
+    return this.parts.index.kindOf(id) ?? this.parts.cache.observed(id)?.kind;
+  }
+
+  private async findInvalidAmong(sortedIds: readonly JobId[]): Promise<string | null> {
+    const { batchReader, budgets } = this.parts;
+    const deadline = plus(this.ctx.clock.now(), MAX_SUBMISSION_WAIT_MS);
+    for (let ids = sortedIds; ids.length > 0;) {
+      if (this.remainingMs(deadline) <= 0) throw new LookupDelayedError(RETRY_AFTER_S);
+      await budgets.acquireJobRead();
+      const found = await batchReader.readSome(ids.slice(0, MAX_JOBS_PER_READ));
+      for (const [id, record] of found) {
+        const invalidity = invalidityOf(id, record);
+        if (invalidity !== null) return invalidity;
       }
+      ids = ids.filter((id) => !found.has(id));
     }
     return null;
   }
@@ -115,3 +133,14 @@
     return verdict === 'cancelled';
   }
 }
+
+function isServiceMessage(id: JobId): string {
+  return `awaits names ${id}, which is a service and never becomes done`;
+}
+
+/** Returns why a job with the found record cannot be a dependency; null: it can. */
+function invalidityOf(id: JobId, found: FoundRecord): string | null {
+  if (found.kind === 'absent') return `awaits names ${id}, which is not an accepted job`;
+  if (found.kind === 'unreadable') throw found.error;
+  return found.job.record.spec.kind === 'service' ? isServiceMessage(id) : null;
+}
--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -75,7 +75,14 @@
     this.jobWatch = jobWatch;
     const batchReader = new JobBatchReader(ctx, reader);
     const resolver = new DependencyResolver(ctx, { index, batchReader, budgets });
-    const dependencies = new DependencyChecker(ctx, { cache, index, jobWatch, resolver, reader });
+    const dependencies = new DependencyChecker(ctx, {
+      cache,
+      index,
+      jobWatch,
+      resolver,
+      batchReader,
+      budgets,
+    });
     this.dependencies = dependencies;
     this.submissions = new Submissions(ctx, { cache, reader, dependencies, budgets });
   }
