Soak and scenarios: pipelines of several shapes wait, are polled and cancelled while leaders change

Cause: what checks us had random dependencies of at most four jobs back, so neither the walk over all paths nor the depth of a pipeline could show. Each job must be answered for within 75 s by itself, and end cancelled. `--broken pipelines` puts the former walk over all paths back; `--broken lookups` follows the loading of open jobs to its new file, api/job-watch.ts. runSeed is split: features, plan and site of a seed have functions of their own.

--- a/test/simulation/scenario.ts
+++ b/test/simulation/scenario.ts
@@ -7,13 +7,27 @@
 import { randomPlacementRequest } from './placement-request.js';
 import type { Fault, ScenarioUsers } from './faults.js';
 
+/**
+ * What becomes of a job: `random` jobs have to run, `backlog` jobs need not, and `pipeline` jobs wait until they are
+ * cancelled with the first job of their pipeline.
+ */
+type JobRole = 'random' | 'backlog' | 'pipeline';
+
+/** Stages of jobs, each of which depends on all jobs of the stage before. */
+export interface PipelineShape {
+  readonly stageCount: number;
+  /** The number of jobs in each stage. */
+  readonly jobCount: number;
+  /** The stage of which a job is cancelled during the faults. */
+  readonly cancelledStage: number;
+}
+
 /** A job from the view of the user who submitted the job. */
 interface UserJob {
   readonly request: JobRequest;
   /** The last state that the user received; `new` until the job is accepted. */
   state: 'new' | 'accepted' | 'done' | 'cancelled';
-  /** Whether the job belongs to the backlog, which need not run. */
-  readonly isBacklog: boolean;
+  readonly role: JobRole;
   /** Whether the user has sent a request to cancel the job. */
   isCancelling: boolean;
   readonly submittedAt: number;
@@ -43,6 +57,13 @@
 const QUERY_INTERVAL_MS = 5000;
 /** The interval between the submissions of two services of the backlog. */
 const BACKLOG_ARRIVAL_MS = 100;
+/** The run time of the job before the first stage of a pipeline, which outlasts every scenario. */
+const PIPELINE_GATE_RUN_S = 5000;
+/** The time after the start of the first fault at which a user cancels a job of each pipeline. */
+const PIPELINE_CANCEL_S = 4;
+/** The time after the last fault at which the job before the first stage of each pipeline is cancelled. */
+const PIPELINE_END_S = 80;
+const PIPELINE_ACCEPTANCE_CHECK_MS = 200;
 /** The delay after which a user repeats a submission or cancellation that failed. */
 const RETRY_DELAY_MS = 2000;
 
@@ -61,17 +82,20 @@
   readonly minAfterS: number;
   /** The number of services of a team whose limit is too low to run them, about which users query all the same. */
   readonly backlogJobCount: number;
+  /** The pipelines that are submitted before the faults; users query all their jobs. */
+  readonly pipelines: readonly PipelineShape[];
 }
 
 /**
  * The default plan: jobs with at most one kind of placement constraint besides spot, for sites with one machine type.
  */
-const DEFAULT_PLAN: ScenarioPlan = {
+export const DEFAULT_PLAN: ScenarioPlan = {
   hasPlacementJobs: false,
   maxTasks: 4,
   quietBeforeS: 30,
   minAfterS: MAX_COMPLETION_S,
   backlogJobCount: 0,
+  pipelines: [],
 };
 /** A plan whose jobs combine placement constraints of all kinds, for sites with several machine types and zones. */
 export const PLACEMENT_PLAN: ScenarioPlan = { ...DEFAULT_PLAN, hasPlacementJobs: true, maxTasks: 6 };
@@ -81,6 +105,8 @@
   cancelsJobsNearEnd = false;
   sendsRepeatedAndInvalidRequests = false;
   private readonly jobs: UserJob[] = [];
+  /** The jobs for which the first stages of the pipelines wait. */
+  private readonly pipelineGates: UserJob[] = [];
   private readonly answerGaps: AnswerGaps;
   private readonly random: () => number;
   /** Whether the faults are over, so that no new jobs are submitted. */
@@ -106,6 +132,7 @@
     }
     this.scheduleArrivals();
     this.scheduleBacklog(this.plan.backlogJobCount);
+    for (const shape of this.plan.pipelines) void this.runPipeline(shape);
     await site.run(this.plan.quietBeforeS);
     const faultEndsS: number[] = [];
     for (const [index, fault] of faults.entries()) {
@@ -128,6 +155,7 @@
     const faultsOverAt = site.clock.now();
     this.answerGaps.start(faultsOverAt);
     this.scheduleAnswerChecks();
+    site.clock.after(PIPELINE_END_S * 1000, () => this.cancelPipelineGates());
     await site.run(this.plan.minAfterS);
     const hasTimeLeft = (): boolean =>
       site.clock.now() - faultsOverAt < MAX_COMPLETION_S * 1000 || this.mayStillComplete();
@@ -147,11 +175,39 @@
   private scheduleBacklog(count: number): void {
     if (count === 0) return;
     this.site.clock.after(BACKLOG_ARRIVAL_MS, () => {
-      this.submit({ kind: 'service', team: BACKLOG_TEAM }, true);
+      this.submit({ kind: 'service', team: BACKLOG_TEAM }, 'backlog');
       this.scheduleBacklog(count - 1);
     });
   }
 
+  /** Submits a pipeline, each stage once the stage before is accepted, and cancels one of its jobs during the faults. */
+  private async runPipeline({ stageCount, jobCount, cancelledStage }: PipelineShape): Promise<void> {
+    const { clock } = this.site;
+    const cancelAt = clock.now() + (this.plan.quietBeforeS + PIPELINE_CANCEL_S) * 1000;
+    const gate = this.submit({ team: 'blue', runS: PIPELINE_GATE_RUN_S }, 'pipeline');
+    this.pipelineGates.push(gate);
+    let stage = [gate];
+    for (let index = 0; index < stageCount; index++) {
+      await this.untilAccepted(stage);
+      const request = { team: 'blue', runS: 3, awaits: stage.map((job) => job.request.ref) } as const;
+      stage = Array.from({ length: jobCount }, () => this.submit(request, 'pipeline'));
+      const cancelled = stage[Math.floor(this.random() * jobCount)];
+      if (index !== cancelledStage || !cancelled) continue;
+      clock.after(Math.max(0, cancelAt - clock.now()), () => void this.cancel(cancelled));
+    }
+  }
+
+  private async untilAccepted(jobs: readonly UserJob[]): Promise<void> {
+    while (jobs.some(({ state }) => state === 'new'))
+      await new Promise<void>((resolve) => {
+        this.site.clock.after(PIPELINE_ACCEPTANCE_CHECK_MS, resolve);
+      });
+  }
+
+  private cancelPipelineGates(): void {
+    for (const gate of this.pipelineGates) void this.cancel(gate);
+  }
+
   private scheduleArrivals(): void {
     if (this.hasStoppedArrivals) return;
     const rate = this.plan.hasPlacementJobs ? PLACEMENT_ARRIVAL_RATE_RATIO : 1;
@@ -184,7 +240,11 @@
 
   /** Returns a random subset of the four latest accepted arrays, in any state. */
   private randomAcceptedArrays(): string[] {
-    const recent = this.jobs.filter((job) => job.state !== 'new' && job.request.kind !== 'service').slice(-4);
+    const recent = this.jobs
+      .filter(
+        ({ state, request, role }) => state !== 'new' && request.kind !== 'service' && role === 'random',
+      )
+      .slice(-4);
     return recent.filter(() => this.random() < 0.5).map((job) => job.request.ref);
   }
 
@@ -194,18 +254,19 @@
     return running[Math.floor(this.random() * running.length)] ?? (nodes[0] as string);
   }
 
-  private submit(request: Omit<JobRequest, 'ref'>, isBacklog = false): void {
+  private submit(request: Omit<JobRequest, 'ref'>, role: JobRole = 'random'): UserJob {
     const ref = `j-${String(this.jobs.length + 1).padStart(6, '0')}`;
     const job: UserJob = {
       request: { ref, ...request },
       state: 'new',
-      isBacklog,
+      role,
       isCancelling: false,
       submittedAt: this.site.clock.now(),
       doneAt: null,
     };
     this.jobs.push(job);
     void this.submitUntilAccepted(job);
+    return job;
   }
 
   private async submitUntilAccepted(job: UserJob): Promise<void> {
@@ -215,7 +276,7 @@
       this.answerGaps.recordAnswer(job.request.ref, this.site.clock.now());
       this.scheduleQueries(job);
       // A user cancels a service with a probability of 40 %, 10 to 70 s after the service was accepted.
-      if (job.request.kind === 'service' && !job.isBacklog && this.random() < 0.4) {
+      if (job.request.kind === 'service' && job.role !== 'backlog' && this.random() < 0.4) {
         this.site.clock.after(10_000 + 60_000 * this.random(), () => void this.cancel(job));
       }
     } else if (this.site.clock.now() - job.submittedAt < 60_000) {
@@ -299,7 +360,7 @@
   private mayStillComplete(): boolean {
     const now = this.site.clock.now();
     const incompleteArrays = this.jobs.filter(
-      ({ state, request }) => state === 'accepted' && request.kind !== 'service',
+      ({ state, request, role }) => state === 'accepted' && request.kind !== 'service' && role === 'random',
     );
     const deadlines = incompleteArrays.map(
       (job) => (this.readyAt(job) ?? Infinity) + MAX_COMPLETION_S * 1000,
@@ -311,17 +372,21 @@
 
   /**
    * Returns descriptions of all jobs in a wrong final state: accepted arrays must be done, all replicas of accepted
-   * services must run, and no task of a cancelled job may run.
+   * services must run, no task of a cancelled job may run, and all jobs of a pipeline must be cancelled.
    */
   private describeIncompleteJobs(): string[] {
     const { site } = this;
     const violations: string[] = [];
-    for (const { request, state, isBacklog } of this.jobs) {
+    for (const { request, state, role } of this.jobs) {
       if (state === 'new' || state === 'done') continue;
       const running = site.runningTaskCount(request.ref);
       const tasks = request.tasks ?? 1;
       if (state === 'cancelled' && running > 0) violations.push(`ran_cancelled: ${request.ref} at the end`);
-      if (isBacklog) continue;
+      if (role === 'backlog') continue;
+      if (role === 'pipeline') {
+        if (state === 'accepted') violations.push(`waits: ${request.ref} is not cancelled with its pipeline`);
+        continue;
+      }
       if (state === 'accepted' && request.kind !== 'service')
         violations.push(`waits: ${request.ref} is not done, ${running} of ${tasks} run`);
       if (state === 'accepted' && request.kind === 'service' && running < tasks)
--- a/test/soak/broken-controller.ts
+++ b/test/soak/broken-controller.ts
@@ -1,6 +1,6 @@
 /**
- * Builds controllers that lack one part of the placement rule, or the ordered lookups of jobs. The soak test requires
- * the rule checker to detect each.
+ * Builds controllers that lack one part of the placement rule, the ordered lookups of jobs, or the bound on the cost of
+ * a change to the dependency graph. The soak test requires the rule checker to detect each.
  */
 import { readFileSync } from 'node:fs';
 import { build, type Plugin } from 'esbuild';
@@ -53,7 +53,7 @@
   ],
   lookups: [
     {
-      file: 'api/job-reader.ts',
+      file: 'api/job-watch.ts',
       from: 'await this.preloader.load()',
       to: "(await this.ctx.store.range('epoch')).revision",
     },
@@ -63,6 +63,22 @@
       to: 'if (!lookup || this.expectedWaitMs > MAX_WAIT_MS) { this.unchecked.delete(id); this.existing.delete(id);',
     },
   ],
+  pipelines: [
+    {
+      file: 'scheduler/priority-inheritance.ts',
+      from: 'this.passOn(job, job.inheritedPriority, null);',
+      to: `
+        const followAllPaths = (waiting) => {
+          this.visits++;
+          for (const id of waiting.dependencies.unmet) {
+            const dependency = this.graph.jobs.get(id);
+            if (dependency) followAllPaths(dependency);
+          }
+        };
+        followAllPaths(job);
+        this.passOn(job, job.inheritedPriority, null);`,
+    },
+  ],
 } satisfies Record<string, readonly SourceReplacement[]>;
 
 /** The name of a part, as given to `--broken`. */
@@ -74,9 +90,12 @@
 /** The part without which open jobs are not loaded at start, and a lookup whose turn is not near is dropped. */
 export const LOOKUP_PART = 'lookups' satisfies ProgramPart;
 
+/** The part without which the cancellation of a waiting job follows every path through its dependencies. */
+export const PIPELINE_PART = 'pipelines' satisfies ProgramPart;
+
 /** Returns the rule that a program without the part breaks: the start of the violation's description. */
 export function violationOf(part: ProgramPart): string {
-  return part === LOOKUP_PART ? 'forgotten' : 'wrong_place';
+  return part === LOOKUP_PART || part === PIPELINE_PART ? 'forgotten' : 'wrong_place';
 }
 
 function applyReplacements(path: string, replacements: readonly SourceReplacement[]): string {
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,8 +1,8 @@
 /**
  * Runs the soak test, which injects random faults into controller processes on loopback:
  * `npm run soak -- --seeds 1-50`. Each seed runs in a child process of its own; `--parallel` sets how many seeds run
- * concurrently. `--broken type|zone|spot|zoneAffinity|zoneAntiAffinity|lookups` runs controllers that lack the named
- * part, and passes if the rule checker detects the violation for every seed. Exit codes: 0 passed,
+ * concurrently. `--broken type|zone|spot|zoneAffinity|zoneAntiAffinity|lookups|pipelines` runs controllers that lack the
+ * named part, and passes if the rule checker detects the violation for every seed. Exit codes: 0 passed,
  * 1 failed, 2 invalid arguments.
  */
 import { spawn } from 'node:child_process';
--- a/test/soak/seed.ts
+++ b/test/soak/seed.ts
@@ -1,9 +1,9 @@
 /** Runs the soak test for a seed: a scenario on real processes with concurrent faults. */
 import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { PLACEMENT_PLAN, Scenario, type ScenarioPlan } from '../simulation/scenario.js';
+import { type PipelineShape, PLACEMENT_PLAN, Scenario, type ScenarioPlan } from '../simulation/scenario.js';
 import { type Fault, FAULTS } from '../simulation/faults.js';
-import { LOOKUP_PART, type ProgramPart, violationOf } from './broken-controller.js';
+import { LOOKUP_PART, PIPELINE_PART, type ProgramPart, violationOf } from './broken-controller.js';
 import { LoopbackSite } from './loopback-site.js';
 import { restartsOfAll, soakFaults, storeLimitChanges } from './soak-faults.js';
 
@@ -54,6 +54,14 @@
 const LARGE_BACKLOG_INTERVAL = 20;
 const BACKLOG_JOB_COUNT = 500;
 const BACKLOG_STORE_RATES = { rps: 80, writeRps: 60 };
+/** Every fifth seed, from seed 2 on, has pipelines of several shapes that wait while leaders change. */
+const PIPELINE_INTERVAL = 5;
+const FIRST_PIPELINE_SEED = 2;
+const PIPELINES: readonly PipelineShape[] = [
+  { stageCount: 12, jobCount: 6, cancelledStage: 11 },
+  { stageCount: 30, jobCount: 1, cancelledStage: 15 },
+  { stageCount: 3, jobCount: 16, cancelledStage: 0 },
+];
 /** In seconds of the scenario clock: the backlog is submitted before the faults, and checked for 75 s after them. */
 const QUIET_BEFORE_FAULTS_WITH_BACKLOG_S = 60;
 const MIN_AFTER_FAULTS_WITH_BACKLOG_S = 85;
@@ -80,6 +88,10 @@
   return seed % BACKLOG_INTERVAL === FIRST_BACKLOG_SEED || seed % LARGE_BACKLOG_INTERVAL === 0;
 }
 
+function hasPipelines(seed: number): boolean {
+  return seed % PIPELINE_INTERVAL === FIRST_PIPELINE_SEED;
+}
+
 function sizeOf(seed: number, usesLowLimits: boolean): typeof SMALL_SITE {
   if (seed % LARGE_SITE_INTERVAL === 0) return LARGE_SITE;
   return usesLowLimits ? LOW_LIMITS_SITE : SMALL_SITE;
@@ -89,7 +101,8 @@
   const { random } = site;
   const candidates = [...FAULTS, ...soakFaults(site)];
   const [leaderChange] = FAULTS;
-  const drawnFaults: Fault[] = random() < LEADER_CHANGE_PROBABILITY && leaderChange ? [leaderChange] : [];
+  const changesLeader = random() < LEADER_CHANGE_PROBABILITY || hasPipelines(seed);
+  const drawnFaults: Fault[] = changesLeader && leaderChange ? [leaderChange] : [];
   if (hasLowLimits(seed)) drawnFaults.push(storeLimitChanges(site));
   while (drawnFaults.length < CONCURRENT_FAULT_COUNT) {
     const fault = candidates[Math.floor(random() * candidates.length)] as Fault;
@@ -98,21 +111,49 @@
   return drawnFaults;
 }
 
-/**
- * Runs the scenario of a seed. A seed repeats the site's size, the faults and the sequences of random numbers; the
- * timing of the processes varies, and with it the choices for which the numbers are used.
- */
-export async function runSeed({ seed, program, folder, missingPart }: SeedOptions): Promise<SeedResult> {
-  const usesLowLimits = missingPart === null && hasLowLimits(seed);
-  const usesBacklog = missingPart === null ? hasBacklog(seed) : missingPart === LOOKUP_PART;
-  const size = sizeOf(seed, usesLowLimits);
-  const controllers =
-    seed % LARGE_CONTROLLER_COUNT_INTERVAL === 0 ? LARGE_CONTROLLER_COUNT : DEFAULT_CONTROLLER_COUNT;
-  rmSync(folder, { recursive: true, force: true });
-  mkdirSync(folder, { recursive: true });
-  const site = await LoopbackSite.open({
+/** What a seed runs besides the random jobs; a program without a part gets only what shows the missing part. */
+interface SeedFeatures {
+  readonly usesLowLimits: boolean;
+  readonly usesBacklog: boolean;
+  readonly usesPipelines: boolean;
+}
+
+function featuresOf(seed: number, missingPart: ProgramPart | null): SeedFeatures {
+  if (missingPart !== null) {
+    return {
+      usesLowLimits: false,
+      usesBacklog: missingPart === LOOKUP_PART,
+      usesPipelines: missingPart === PIPELINE_PART,
+    };
+  }
+  return {
+    usesLowLimits: hasLowLimits(seed),
+    usesBacklog: hasBacklog(seed),
+    usesPipelines: hasPipelines(seed),
+  };
+}
+
+function planOf({ usesBacklog, usesPipelines }: SeedFeatures, maxTasks: number): ScenarioPlan {
+  const isPolledAfterwards = usesBacklog || usesPipelines;
+  return {
+    ...PLACEMENT_PLAN,
+    maxTasks,
+    quietBeforeS: isPolledAfterwards ? QUIET_BEFORE_FAULTS_WITH_BACKLOG_S : QUIET_BEFORE_FAULTS_S,
+    minAfterS: isPolledAfterwards ? MIN_AFTER_FAULTS_WITH_BACKLOG_S : MIN_AFTER_FAULTS_S,
+    backlogJobCount: usesBacklog ? BACKLOG_JOB_COUNT : 0,
+    pipelines: usesPipelines ? PIPELINES : [],
+  };
+}
+
+function openSite(
+  { seed, program, folder }: SeedOptions,
+  size: typeof SMALL_SITE,
+  { usesLowLimits, usesBacklog }: SeedFeatures,
+): Promise<LoopbackSite> {
+  const isLarge = seed % LARGE_CONTROLLER_COUNT_INTERVAL === 0;
+  return LoopbackSite.open({
     seed,
-    controllers,
+    controllers: isLarge ? LARGE_CONTROLLER_COUNT : DEFAULT_CONTROLLER_COUNT,
     program,
     folder,
     ...size,
@@ -120,20 +161,27 @@
     hasLowLimits: usesLowLimits,
     storeRates: usesBacklog ? BACKLOG_STORE_RATES : null,
   });
+}
+
+/**
+ * Runs the scenario of a seed. A seed repeats the site's size, the faults and the sequences of random numbers; the
+ * timing of the processes varies, and with it the choices for which the numbers are used.
+ */
+export async function runSeed(options: SeedOptions): Promise<SeedResult> {
+  const { seed, folder, missingPart } = options;
+  const features = featuresOf(seed, missingPart);
+  const size = sizeOf(seed, features.usesLowLimits);
+  rmSync(folder, { recursive: true, force: true });
+  mkdirSync(folder, { recursive: true });
+  const site = await openSite(options, size, features);
   const faults = missingPart === null ? drawFaults(seed, site) : [];
-  if (usesBacklog) faults.unshift(restartsOfAll(site));
-  const plan: ScenarioPlan = {
-    ...PLACEMENT_PLAN,
-    maxTasks: size.maxTasks,
-    quietBeforeS: usesBacklog ? QUIET_BEFORE_FAULTS_WITH_BACKLOG_S : QUIET_BEFORE_FAULTS_S,
-    minAfterS: usesBacklog ? MIN_AFTER_FAULTS_WITH_BACKLOG_S : MIN_AFTER_FAULTS_S,
-    backlogJobCount: usesBacklog ? BACKLOG_JOB_COUNT : 0,
-  };
-  const waitsForViolation = missingPart !== null && missingPart !== LOOKUP_PART;
+  if (features.usesBacklog) faults.unshift(restartsOfAll(site));
+  const plan = planOf(features, size.maxTasks);
+  const breaksPlacement = missingPart !== null && violationOf(missingPart) === 'wrong_place';
   const scenario = new Scenario(
     seed,
     site,
-    waitsForViolation ? { ...plan, quietBeforeS: MAX_VIOLATION_DETECTION_S } : plan,
+    breaksPlacement ? { ...plan, quietBeforeS: MAX_VIOLATION_DETECTION_S } : plan,
   );
   const detected = new Promise<void>((resolve) => {
     if (missingPart === null) return;
