Name the step that holds the event loop, and report the loop's longest delay

`lateMs` decays within a second and is written every few seconds at most, so a shorter hold left no trace.

Change: StepMonitor measures the synchronous steps whose cost depends on what users submitted (a change to the graph, a load of jobs, watched changes, the judgement of dependencies, the first part of a user's request). One that takes more than 1 s is an error line with its step, job and duration; the summary tells the longest step and the longest delay of the event loop since the last one, and how many records of dependencies are missing.

A hold without end still writes nothing; the bound on visits is what prevents it.

--- a/src/api/admission.ts
+++ b/src/api/admission.ts
@@ -20,6 +20,7 @@
 export class Admission {
   private readonly active: Record<RequestClass, number> = { submission: 0, query: 0 };
   private latenessMs = 0;
+  private longestLatenessMs = 0;
   private expectedAt: MonotonicTime;
 
   constructor(
@@ -37,6 +38,7 @@
     this.clock.after(SAMPLE_INTERVAL_MS, () => {
       const latenessMs = Math.max(0, since(this.clock.now(), this.expectedAt));
       this.latenessMs = Math.max(latenessMs, this.latenessMs * LATENESS_DECAY_RATIO);
+      this.longestLatenessMs = Math.max(latenessMs, this.longestLatenessMs);
       this.sampleLateness();
     });
   }
@@ -61,6 +63,13 @@
     this.active[requestClass]--;
   }
 
+  /** Returns the longest delay of the event loop since the last call, in milliseconds, rounded. */
+  takeLongestLatenessMs(): number {
+    const longestMs = Math.round(this.longestLatenessMs);
+    this.longestLatenessMs = 0;
+    return longestMs;
+  }
+
   /** The recent lateness of the event loop's timers in milliseconds: a decaying maximum, rounded. */
   get lateMs(): number {
     return Math.round(this.latenessMs);
--- a/src/api/dependency-checker.ts
+++ b/src/api/dependency-checker.ts
@@ -49,7 +49,7 @@
 /** Checks the states of the jobs that a job depends on. */
 export class DependencyChecker {
   constructor(
-    private readonly ctx: Pick<ControllerContext, 'clock'>,
+    private readonly ctx: Pick<ControllerContext, 'clock' | 'steps'>,
     private readonly parts: DependencyCheckerParts,
   ) {}
 
@@ -127,7 +127,7 @@
       const waitMs = this.remainingMs(deadline);
       const hasCaughtUp = waitMs > 0 && (await withTimeout(this.ctx.clock, jobWatch.catchUp(), waitMs));
       if (!hasCaughtUp) throw new DependenciesUnresolvedError();
-      verdict = index.judge(id);
+      verdict = this.ctx.steps.run('dependencies judged', id, () => index.judge(id));
       if (verdict === 'unresolved') resolver.start();
     }
     return verdict === 'cancelled';
--- a/src/api/job-reader.ts
+++ b/src/api/job-reader.ts
@@ -28,7 +28,7 @@
 /** Reads job records in the store; all methods but `read` and `progress` add the records to the cache. */
 export class JobReader implements JobChangeListener, OpenJobListener {
   constructor(
-    private readonly ctx: Pick<ControllerContext, 'cancellations' | 'clock' | 'random' | 'store'>,
+    private readonly ctx: Pick<ControllerContext, 'cancellations' | 'clock' | 'random' | 'steps' | 'store'>,
     private readonly cache: JobCache,
     private readonly index: DependencyIndex,
     private readonly progressOf: (id: JobId) => TaskCounts | null,
@@ -36,6 +36,10 @@
 
   /** Updates the cache and the dependency index with changes of job records. */
   onJobChanges(changes: readonly JobChange[]): void {
+    this.ctx.steps.run('job changes applied to cache', changes[0]?.id, () => this.applyChanges(changes));
+  }
+
+  private applyChanges(changes: readonly JobChange[]): void {
     const cancelled: ConfirmedCancellation[] = [];
     for (const { id, record, revision } of changes) {
       if (record.state === 'cancelled') cancelled.push({ id, age: ms(0) });
--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -51,6 +51,7 @@
   private readonly lookups: JobLookups;
   private readonly budgets: UserBudgets;
   private readonly jobWatch: JobWatch;
+  private readonly index: DependencyIndex;
   private readonly dependencies: DependencyChecker;
   private readonly submissions: Submissions;
 
@@ -68,6 +69,7 @@
     this.budgets = new UserBudgets(ctx, controllerCount);
     const { budgets } = this;
     const index = new DependencyIndex((id) => cache.finalState(id));
+    this.index = index;
     const reader = new JobReader(ctx, cache, index, progressOf);
     this.reader = reader;
     this.lookups = new JobLookups(ctx, cache, reader, budgets);
@@ -97,6 +99,11 @@
     return this.lookups.queuedCount;
   }
 
+  /** The number of jobs whose records are needed to answer for their dependents and have not been read. */
+  get unresolvedDependencyCount(): number {
+    return this.index.unresolvedCount;
+  }
+
   /** Frees memory: evicts the cached jobs that nobody asks about; later requests read their records again. */
   evictIdleJobs(): void {
     const evicted = this.cache.evictIdle();
--- a/src/controller/controller-summary.ts
+++ b/src/controller/controller-summary.ts
@@ -2,6 +2,7 @@
 import type { Admission } from '../api/admission.js';
 import type { UnansweredQueries } from '../api/unanswered-queries.js';
 import type { UserService } from '../api/user-service.js';
+import type { StepMonitor } from '../core/step-monitor.js';
 import type { Failover } from '../leadership/failover/failover.js';
 import type { Leadership } from './leadership.js';
 import type { PeerGroup } from './peer-group.js';
@@ -17,6 +18,7 @@
   readonly admission: Admission;
   readonly userService: UserService;
   readonly unansweredQueries: UnansweredQueries;
+  readonly steps: StepMonitor;
   /** The fraction of its processor time that this process uses, between 0 and 1. */
   readonly load: number;
 }
@@ -26,8 +28,7 @@
  * the leader's counts of writes and decisions.
  */
 export function controllerSummary(sources: ControllerSummarySources): object {
-  const { leadership, failover, connectivity, peers, admission, userService, unansweredQueries, load } =
-    sources;
+  const { leadership, failover, connectivity, peers, admission, userService, unansweredQueries } = sources;
   const cpu = process.cpuUsage();
   return {
     ...leadership.leader?.summary(),
@@ -36,10 +37,13 @@
     stateOk: connectivity.isStoreReachable,
     peers: peers.connected.length,
     lateMs: admission.lateMs,
-    load: Math.round(load * 100) / 100,
+    longestDelayMs: admission.takeLongestLatenessMs(),
+    longestStep: sources.steps.takeLongest(),
+    load: Math.round(sources.load * 100) / 100,
     refusals: userService.refusals.takeCounts(),
     cachedJobs: userService.cachedJobCount,
     queuedLookups: userService.queuedLookupCount,
+    unresolvedDependencies: userService.unresolvedDependencyCount,
     overdueQueries: unansweredQueries.takeOverdueCount(),
     rssMb: Math.round(process.memoryUsage.rss() / 1e6),
     cpuMs: Math.round((cpu.user + cpu.system) / 1000),
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -8,6 +8,7 @@
 import type { OperatorSettings } from '../config/operators.js';
 import { ConfirmedCancellations } from '../core/confirmed-cancellations.js';
 import type { ControllerContext } from '../core/context.js';
+import { StepMonitor } from '../core/step-monitor.js';
 import type { Failover } from '../leadership/failover/failover.js';
 import type { Logger } from '../log/logger.js';
 import { PROTOCOL_VERSION } from '../model/protocol.js';
@@ -193,6 +194,7 @@
       maxConcurrentWorkerCalls: Math.floor(sockets.workers * CONCURRENT_CALL_RATIO),
       load,
       storeLimits,
+      steps: new StepMonitor(clock, log),
       cancellations,
       allPeersSupport: (version) => this.peers.allCandidatesSupport(version),
       peers: this.peers,
@@ -248,8 +250,8 @@
 
   private createUserRouter(): UserRouter {
     const { userService, admission, unansweredQueries, connectivity, peers } = this;
-    const { random } = this.options;
-    return new UserRouter({ userService, admission, unansweredQueries, connectivity, peers, random });
+    const { random, steps } = this.ctx;
+    return new UserRouter({ userService, admission, unansweredQueries, connectivity, peers, random, steps });
   }
 
   private createFrontServer(sockets: SocketAllocation): FrontServer {
@@ -311,6 +313,7 @@
   private logSummary(): void {
     const { leadership, failover, connectivity, peers, admission, userService, unansweredQueries } = this;
     const sources = { leadership, failover, connectivity, peers, admission, userService, unansweredQueries };
-    this.options.log.info(controllerSummary({ ...sources, load: this.ctx.load() }), 'summary');
+    const { steps } = this.ctx;
+    this.options.log.info(controllerSummary({ ...sources, steps, load: this.ctx.load() }), 'summary');
   }
 }
--- a/src/controller/user-router.ts
+++ b/src/controller/user-router.ts
@@ -4,6 +4,7 @@
 import type { RefusalReason } from '../api/refusals.js';
 import type { UnansweredQueries } from '../api/unanswered-queries.js';
 import type { UserService } from '../api/user-service.js';
+import type { StepMonitor } from '../core/step-monitor.js';
 import { parseJson } from '../net/http-client.js';
 import { FrameKind } from '../peer/frames.js';
 import { encodeUserRequest, type UserVerb } from '../peer/user-request.js';
@@ -28,6 +29,7 @@
   readonly unansweredQueries: UnansweredQueries;
   readonly connectivity: StoreConnectivityMonitor;
   readonly peers: Pick<PeerGroup, 'connected'>;
+  readonly steps: StepMonitor;
   /** Returns a random number from 0 up to, but not including, 1. */
   readonly random: () => number;
 }
@@ -81,6 +83,12 @@
   }
 
   private answer(verb: UserVerb, body: Buffer): Promise<UserAnswer> {
+    const subject = verb === 'submit' ? verb : `${verb} ${body.toString('utf8')}`;
+    // Only the part before the first wait is one step.
+    return this.dependencies.steps.run('user request', subject, () => this.callService(verb, body));
+  }
+
+  private callService(verb: UserVerb, body: Buffer): Promise<UserAnswer> {
     const { userService } = this.dependencies;
     switch (verb) {
       case 'submit':
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -15,6 +15,7 @@
 import type { Settings } from '../wire/settings.js';
 import type { WorkerRegistry } from '../workers/state/worker-registry.js';
 import type { ConfirmedCancellations } from './confirmed-cancellations.js';
+import type { StepMonitor } from './step-monitor.js';
 
 /** Exchanges views of leadership and confirmed cancellations with the other controllers. */
 export interface PeerStatusSource {
@@ -49,6 +50,8 @@
   /** Returns the share of its processor time that this process uses, from 0 to 1. */
   readonly load: () => number;
   readonly storeLimits: StoreLimits;
+  /** Measures the steps that hold the event loop. */
+  readonly steps: StepMonitor;
   readonly cancellations: ConfirmedCancellations;
   readonly peers: PeerStatusSource;
   /** Whether the last observed leader, if any, and every connected controller support the protocol version. */
--- a/src/leader/dependency-tracker.ts
+++ b/src/leader/dependency-tracker.ts
@@ -75,7 +75,7 @@
 
   /** Marks a job as durably done and releases the jobs that have no other unmet dependency. */
   markDone(id: JobId): void {
-    this.releaseJobs(this.parts.graph.complete(id));
+    this.ctx.steps.run('job completed', id, () => this.releaseJobs(this.parts.graph.complete(id)));
   }
 
   private addDependency(job: ActiveJob, dependency: JobId): void {
--- a/src/leader/job-canceller.ts
+++ b/src/leader/job-canceller.ts
@@ -35,6 +35,10 @@
    * have started. All are removed from the dependency graph as one change.
    */
   cancel(ids: readonly JobId[]): void {
+    this.ctx.steps.run('jobs cancelled', ids[0], () => this.apply(ids));
+  }
+
+  private apply(ids: readonly JobId[]): void {
     const { cancellations, jobs } = this.ctx;
     cancellations.learn(ids.map((id) => ({ id, age: ms(0) })));
     const named = new Set(ids);
--- a/src/leader/job-intake.ts
+++ b/src/leader/job-intake.ts
@@ -23,6 +23,10 @@
 
   /** Adds unfinished jobs, except those that the leader already knows. */
   addOpenJobs(jobs: readonly ActiveJob[]): void {
+    this.ctx.steps.run('jobs added', jobs[0]?.spec.id, () => this.addUnknown(jobs));
+  }
+
+  private addUnknown(jobs: readonly ActiveJob[]): void {
     const { canceller, dependencies, demand } = this.parts;
     const added = jobs.filter((job) => this.ctx.jobs.add(job));
     dependencies.add(added);
--- a/test/simulation/polled-site.ts
+++ b/test/simulation/polled-site.ts
@@ -2,6 +2,7 @@
 import { Admission } from '../../src/api/admission.js';
 import type { RefusalCounts, RefusalReason } from '../../src/api/refusals.js';
 import { UnansweredQueries } from '../../src/api/unanswered-queries.js';
+import { StepMonitor } from '../../src/core/step-monitor.js';
 import { MemoryMonitor } from '../../src/controller/memory-monitor.js';
 import { StoreConnectivityMonitor } from '../../src/controller/store-connectivity-monitor.js';
 import { UserRouter } from '../../src/controller/user-router.js';
@@ -124,6 +125,7 @@
       connectivity: new StoreConnectivityMonitor(clock),
       peers: { connected: [] },
       random: this.random,
+      steps: new StepMonitor(clock, log),
     });
     this.routers.set(name, router);
     void users.watch();
--- a/test/simulation/simulated-controllers.ts
+++ b/test/simulation/simulated-controllers.ts
@@ -4,6 +4,7 @@
 import { UserService } from '../../src/api/user-service.js';
 import { ConfirmedCancellations } from '../../src/core/confirmed-cancellations.js';
 import type { ControllerContext, PeerStatusSource } from '../../src/core/context.js';
+import { StepMonitor } from '../../src/core/step-monitor.js';
 import { Failover } from '../../src/leadership/failover/failover.js';
 import { Leadership } from '../../src/controller/leadership.js';
 import type { FailoverFeature } from '../../src/config/features.js';
@@ -102,6 +103,7 @@
       maxConcurrentWorkerCalls: 64,
       load: () => this.load,
       storeLimits: limits,
+      steps: new StepMonitor(clock, this.log),
       cancellations,
       allPeersSupport: (version) =>
         version <= this.version && !this.nodes.some((other) => this.earlierVersionNodes.has(other)),
