Bound the dependencies of all open jobs by the heap

What callers would see: one user who submits 920 jobs that each name 800 others, with bodies of 10 KB, ends every controller for want of heap within a minute; each successor loads the same records and ends as well.

Cause: every controller holds the dependencies of all open jobs, the leader twice, and only the heap itself bounded them: submissions are refused at nine tenths of the accepting controller's heap, and the leader's is fuller.

Fix: a new submission with which the open jobs would have more dependencies than a quarter of the heap holds, at 80 bytes each, is refused with 503, its reason (`dependency-limit`) and Retry-After; repeated submissions, queries and jobs that wait for few are not.

--- a/src/api/dependency-checker.ts
+++ b/src/api/dependency-checker.ts
@@ -4,6 +4,7 @@
 import type { JobKind, JobSpec } from '../model/job.js';
 import { type MonotonicTime, plus, since, withTimeout } from '../model/time.js';
 import type { DependencyIndex, DependencyVerdict } from './dependency-index.js';
+import { DependencyLimitError } from './dependency-limit.js';
 import type { DependencyResolver } from './dependency-resolver.js';
 import type { FoundRecord, JobBatchReader } from './job-batch-reader.js';
 import type { JobCache } from './job-cache.js';
@@ -44,6 +45,8 @@
   readonly resolver: Pick<DependencyResolver, 'start'>;
   readonly batchReader: JobBatchReader;
   readonly budgets: Pick<UserBudgets, 'acquireJobRead'>;
+  /** How many dependencies all open jobs together may have. */
+  readonly maxDependencyCount: number;
 }
 
 /** Checks the states of the jobs that a job depends on. */
@@ -57,11 +60,13 @@
    * Returns why the job's dependencies are invalid: one of them is the job itself, a service, or a job that was never
    * accepted. Null: the dependencies are valid; a cancelled job is a valid dependency (`withoutDoneDependencies`).
    *
-   * Rejects with `LookupDelayedError` if too many of the named jobs are neither open nor cached. Those that were read
-   * are cached, so that a repeated submission continues with the others.
+   * Rejects with `DependencyLimitError` if a new job would add too many dependencies, and with `LookupDelayedError` if
+   * too many of the named jobs are neither open nor cached. Those that were read are cached, so that a repeated
+   * submission continues with the others.
    */
   async findInvalidDependency(spec: JobSpec): Promise<string | null> {
     if (spec.dependencies.includes(spec.id)) return 'awaits must not name the job itself';
+    this.checkLimit(spec);
     const unknownIds: JobId[] = [];
     for (const id of spec.dependencies) {
       const kind = this.knownKindOf(id);
@@ -71,6 +76,13 @@
     return this.findInvalidAmong(unknownIds.sort());
   }
 
+  private checkLimit({ id, dependencies }: JobSpec): void {
+    const { index, maxDependencyCount } = this.parts;
+    const isKnown = index.kindOf(id) !== undefined;
+    if (!isKnown && index.edgeCount + dependencies.length > maxDependencyCount)
+      throw new DependencyLimitError();
+  }
+
   private knownKindOf(id: JobId): JobKind | undefined {
     return this.parts.index.kindOf(id) ?? this.parts.cache.observed(id)?.kind;
   }
--- a/src/api/dependency-index.ts
+++ b/src/api/dependency-index.ts
@@ -55,6 +55,7 @@
   private readonly toRead = new Set<Node>();
   /** The unresolved jobs and all their dependents; null: outdated. */
   private unresolvedClosure: Set<Node> | null = null;
+  private dependencyCount = 0;
   private visits = 0;
 
   constructor(
@@ -67,6 +68,11 @@
     return this.visits;
   }
 
+  /** The number of dependencies that the jobs in the index have, those that are done by now included. */
+  get edgeCount(): number {
+    return this.dependencyCount;
+  }
+
   /** The number of jobs in the index. */
   get jobCount(): number {
     return this.jobs.size;
@@ -83,6 +89,7 @@
     this.toConfirm.clear();
     this.toRead.clear();
     this.unresolvedClosure = null;
+    this.dependencyCount = 0;
   }
 
   /** Returns the kind of an open job; undefined: the job is not known to be open. */
@@ -208,6 +215,7 @@
       dependency.dependents ??= new Set();
       dependency.dependents.add(job);
       job.dependencies.push(dependency);
+      this.dependencyCount++;
       this.updateResolution(dependency);
       isCancelled ||= dependency.state === 'cancelled';
     }
@@ -240,6 +248,7 @@
   private unlink(job: Node): void {
     for (const dependency of job.dependencies.splice(0)) {
       this.visits++;
+      this.dependencyCount--;
       dependency.dependents?.delete(job);
       if (dependency.dependents?.size === 0) dependency.dependents = null;
       this.updateResolution(dependency);
--- a/src/api/refusals.ts
+++ b/src/api/refusals.ts
@@ -12,6 +12,8 @@
   | 'read-budget'
   /** Records of the job's dependencies have to be read before it is known that none is cancelled. */
   | 'dependencies-unresolved'
+  /** With the submission, the open jobs would have more dependencies than a leader can hold. */
+  | 'dependency-limit'
   /** The store's rate limit refused the request. */
   | 'store-rate-limited'
   /** The store refused the request or did not answer. */
--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -12,6 +12,7 @@
 import { jobStatus, type TaskCounts } from '../wire/users.js';
 import { DependenciesUnresolvedError, DependencyChecker } from './dependency-checker.js';
 import { DependencyIndex } from './dependency-index.js';
+import { DependencyLimitError, maxDependencyCount } from './dependency-limit.js';
 import { DependencyResolver } from './dependency-resolver.js';
 import { JobBatchReader } from './job-batch-reader.js';
 import { JobCache, type ObservedJob } from './job-cache.js';
@@ -60,6 +61,8 @@
     progressOf: (id: JobId) => TaskCounts | null,
     /** Returns the number of controllers that share the store's limits, this controller included. */
     controllerCount: () => number = () => 1,
+    /** How many dependencies all open jobs together may have. */
+    maxDependencies: number = maxDependencyCount(),
   ) {
     const { clock, store, storeLimits } = ctx;
     const cache = new JobCache(clock, ctx.settings.peers.length + 1);
@@ -78,6 +81,7 @@
     const batchReader = new JobBatchReader(ctx, reader);
     const resolver = new DependencyResolver(ctx, { index, batchReader, budgets });
     const dependencies = new DependencyChecker(ctx, {
+      maxDependencyCount: maxDependencies,
       cache,
       index,
       jobWatch,
@@ -146,11 +150,13 @@
     }
   }
 
-  /** Returns the refusal of a request whose records are not read in time; rethrows any other error. */
+  /** Returns the refusal of a request that exceeds a limit or misses records; rethrows any other error. */
   private refuseDelayed(error: unknown, verb: UserVerb, id: string | null): UserAnswer {
-    const isUnresolved = error instanceof DependenciesUnresolvedError;
-    if (!isUnresolved && !(error instanceof LookupDelayedError)) throw error;
-    this.refusals.record(isUnresolved ? 'dependencies-unresolved' : 'read-budget', verb, id);
+    if (error instanceof DependenciesUnresolvedError)
+      this.refusals.record('dependencies-unresolved', verb, id);
+    else if (error instanceof DependencyLimitError) this.refusals.record('dependency-limit', verb, id);
+    else if (error instanceof LookupDelayedError) this.refusals.record('read-budget', verb, id);
+    else throw error;
     return unavailable(error.message, error.retryAfterS);
   }
 
--- a/test/simulation/simulated-controllers.ts
+++ b/test/simulation/simulated-controllers.ts
@@ -48,6 +48,8 @@
   readonly isolatedNodes = new Set<string>();
   /** Whether nodes that start from now on begin without machine types. */
   machineTypesUnknown = false;
+  /** How many dependencies the controllers that start from now on allow all open jobs together. */
+  maxDependencyCount = Infinity;
   /** Nodes that run an earlier version, which does not exchange cancellations with its peers. */
   readonly earlierVersionNodes = new Set<string>();
   /** The protocol version of all nodes that are not in `earlierVersionNodes`. */
@@ -122,6 +124,7 @@
         context,
         () => null,
         () => this.running.size,
+        this.maxDependencyCount,
       ),
     });
     cancellations.onLearned((ids) => {
--- a/test/traces/pipeline-submissions.test.ts
+++ b/test/traces/pipeline-submissions.test.ts
@@ -81,3 +81,32 @@
     );
   },
 );
+
+describe('a submission with which the open jobs would have too many dependencies', () => {
+  // Guards against one user who fills the heap of every controller: 736,000 dependencies ended all of them.
+  it('is refused by itself until others have ended; jobs that wait for few, and repeated submissions, are accepted', async () => {
+    const site = new PolledSite(SITE);
+    site.maxDependencyCount = 100;
+    site.startAll();
+    await site.run(1);
+    const first = Array.from({ length: 10 }, (_, n) => jobIdOf(1 + n));
+    await site.acceptDirectly(first.map((ref) => ({ ref, runS: 2000 })));
+    await site.run(1);
+    const accepted: JobId[] = [];
+    const submit = async (n: number, awaits: readonly JobId[]): Promise<number> => {
+      const status = await site.submit({ ref: jobIdOf(n), awaits: [...awaits] });
+      // The watch delivers the accepted job.
+      await site.run(0.1);
+      return status;
+    };
+    for (let n = 100; (await submit(n, first)) === 201; n++) accepted.push(jobIdOf(n));
+    expect(accepted).toHaveLength(10);
+    expect(await submit(100, first)).toBe(200);
+    expect(await submit(200, [])).toBe(201);
+    expect(site.takeRefusals()['dependency-limit']).toBe(1);
+    expect(await site.cancel(accepted[0] as JobId)).toBe('cancelled');
+    await site.run(2);
+    expect(await submit(300, first)).toBe(201);
+    expect(site.rules.violations).toEqual([]);
+  });
+});
--- a/test/unit/dependency-index.test.ts
+++ b/test/unit/dependency-index.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { DependencyIndex } from '../../src/api/dependency-index.js';
+import { maxDependencyCount } from '../../src/api/dependency-limit.js';
 import type { JobId, Revision } from '../../src/model/ids.js';
 import type { FinalState, JobRecord } from '../../src/model/job.js';
 import type { WallTime } from '../../src/model/time.js';
@@ -183,3 +184,12 @@
     expect(site.index.jobCount).toBe(0);
   });
 });
+
+describe('maxDependencyCount', () => {
+  it('leaves room in the smallest heap of the deploy file for five stages of 200 jobs', () => {
+    const HEAP_LIMIT_BYTES = 76 * 1024 * 1024;
+    expect(maxDependencyCount(HEAP_LIMIT_BYTES)).toBeGreaterThan(4 * 200 * 200);
+    const doubled = maxDependencyCount(2 * HEAP_LIMIT_BYTES);
+    expect(Math.abs(doubled - 2 * maxDependencyCount(HEAP_LIMIT_BYTES))).toBeLessThanOrEqual(1);
+  });
+});
