--- a/src/api/user-service.ts
+++ b/src/api/user-service.ts
@@ -62,7 +62,7 @@
     /** Returns the number of controllers that share the store's limits, this controller included. */
     controllerCount: () => number = () => 1,
     /** How many dependencies all open jobs together may have. */
-    maxDependencies: number = maxDependencyCount(),
+    maxDependencies: number = maxDependencyCount(ctx.settings.memoryMb),
   ) {
     const { clock, store, storeLimits } = ctx;
     const cache = new JobCache(clock, ctx.settings.peers.length + 1);
