Count the machines that take no tasks by the state that keeps tasks off them

Change: the summary has `unschedulable` (machines by the state that keeps tasks off them), `avoidingJobs` and `backingOffJobs`; 'task failed' has `ranMs`. The decision loop and the summary judge machines by one function (workers/state/schedulability).

--- a/src/leader/decision-loop.ts
+++ b/src/leader/decision-loop.ts
@@ -19,6 +19,7 @@
 import { isStarving } from '../scheduler/starvation.js';
 import type { Committer } from './committer.js';
 import type { CommandDispatcher } from '../workers/command-dispatcher.js';
+import { unschedulableReason } from '../workers/state/schedulability.js';
 import type { Worker } from '../workers/state/worker.js';
 import type { LeaderContext } from '../core/context.js';
 import { jobView, machineView, victimsOn } from './placement-views.js';
@@ -139,9 +140,8 @@
   private schedulableMachines(): MachineView[] {
     const machines: MachineView[] = [];
     for (const worker of this.ctx.workers.values()) {
-      if (worker.cordon || !worker.hasReported || worker.interruptionAt !== null || worker.isUnreachable)
-        continue;
-      if (worker.confirmedFacts) machines.push(machineView(worker, worker.confirmedFacts));
+      if (worker.confirmedFacts && unschedulableReason(worker) === null)
+        machines.push(machineView(worker, worker.confirmedFacts));
     }
     return machines;
   }
--- a/src/leader/heartbeat-handler.ts
+++ b/src/leader/heartbeat-handler.ts
@@ -235,8 +235,8 @@
 
   private recordFailures(worker: Worker, { failed, lost }: ReconciliationResult, now: MonotonicTime): void {
     const { log } = this.ctx;
-    for (const { task, cause } of failed) {
-      if (cause !== 'stopped') log.info({ machine: worker.id, task: task.id, cause }, 'task failed');
+    for (const { task, cause, ranMs } of failed) {
+      if (cause !== 'stopped') log.info({ machine: worker.id, task: task.id, cause, ranMs }, 'task failed');
       if (cause === 'error') this.failurePolicy.recordFailure(worker, task.job, now);
     }
     for (const task of lost) log.info({ machine: worker.id, task: task.id }, 'task lost');
--- a/src/leader/leader-summary.ts
+++ b/src/leader/leader-summary.ts
@@ -1,6 +1,8 @@
 /** Summarizes a leader's state for the log line `summary`. */
 import { seriesKey } from '../fleet/capacity-plan.js';
+import type { MonotonicTime } from '../model/time.js';
 import type { JobStore } from '../scheduler/job-store.js';
+import { type UnschedulableReason, unschedulableReason } from '../workers/state/schedulability.js';
 import type { Worker } from '../workers/state/worker.js';
 import type { WorkerRegistry } from '../workers/state/worker-registry.js';
 
@@ -14,21 +16,25 @@
   withReplicas: number;
 }
 
-/** Returns counts of jobs, tasks and machines, and CPU totals. */
-export function summaryOf(jobs: JobStore, workers: WorkerRegistry): object {
-  return { ...jobSummary(jobs), ...workerSummary(workers) };
+/** Returns counts of jobs, tasks and machines, with the states that keep tasks off machines, and CPU totals. */
+export function summaryOf(jobs: JobStore, workers: WorkerRegistry, now: MonotonicTime): object {
+  return { ...jobSummary(jobs, now), ...workerSummary(workers) };
 }
 
-function jobSummary(jobs: JobStore): object {
+function jobSummary(jobs: JobStore, now: MonotonicTime): object {
   let waiting = 0;
   let blocked = 0;
   let assigned = 0;
   let runningCpus = 0;
   let mixedChunkJobs = 0;
   let heldBackJobs = 0;
+  let backingOffJobs = 0;
+  let avoidingJobs = 0;
   for (const job of jobs.values()) {
     if (job.hasMixedChunkSizes) mixedChunkJobs++;
     if (job.hasUnreadableProgress) heldBackJobs++;
+    if (job.failures.isBackingOff(now)) backingOffJobs++;
+    if (job.failures.avoidedMachines.size > 0) avoidingJobs++;
     if (job.isBlocked) blocked += job.waitingCount;
     else waiting += job.waitingCount;
     assigned += job.assignedCount;
@@ -42,6 +48,8 @@
     runningCpus: Math.round(runningCpus),
     mixedChunkJobs,
     heldBackJobs,
+    backingOffJobs,
+    avoidingJobs,
   };
 }
 
@@ -50,9 +58,12 @@
   let cpus = 0;
   let usedCpus = 0;
   let unconfirmed = 0;
+  const unschedulable: Partial<Record<UnschedulableReason, number>> = {};
   const pools: Record<string, PoolSummary> = {};
   for (const worker of workers.values()) {
     if (worker.facts.state !== 'confirmed') unconfirmed++;
+    const reason = unschedulableReason(worker);
+    if (reason !== null) unschedulable[reason] = (unschedulable[reason] ?? 0) + 1;
     if (!worker.isUp || !worker.presumedFacts) continue;
     const { machine, type } = worker.presumedFacts;
     up++;
@@ -61,7 +72,7 @@
     const pool = (pools[seriesKey(machine.type, machine.spot)] ??= emptyPool());
     addToPool(pool, worker);
   }
-  return { workers: workers.size, up, unconfirmed, cpus, usedCpus: Math.round(usedCpus), pools };
+  return { workers: workers.size, up, unconfirmed, cpus, usedCpus: Math.round(usedCpus), unschedulable, pools };
 }
 
 function emptyPool(): PoolSummary {
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -135,7 +135,7 @@
   summary(): object {
     const { ctx, writeCounts, decisionLog, issuer, fleet } = this.parts;
     return {
-      ...summaryOf(ctx.jobs, ctx.workers),
+      ...summaryOf(ctx.jobs, ctx.workers, ctx.clock.now()),
       writes: writeCounts.take(),
       decisions: decisionLog.takeCounts(),
       withheld: issuer.withheld,
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -20,6 +20,8 @@
 interface FailedTask {
   readonly task: Task;
   readonly cause: string | null;
+  /** See `FinishedTask.ranMs`. */
+  readonly ranMs: number | null;
 }
 
 /** The changes that a heartbeat has caused, for the caller to act on. */
@@ -151,7 +153,7 @@
       this.finished.push({ task, ranMs });
     } else {
       task.job.releaseTask(task, now);
-      this.failed.push({ task, cause: attempt.cause });
+      this.failed.push({ task, cause: attempt.cause, ranMs });
     }
     const chunk = task.job.chunkOf(task.index);
     worker.endedAttempts.set(attemptKey(attempt), {
