Try a machine that was cordoned as failing again, with one task at a time

Cause: three counted failures cordon a machine as `failing`, and only its deletion ended that. It is deleted once it is empty, which a machine with a service never is, so the cordon lasted as long as the leader's term.

Fix: a quarantine like a circuit breaker (workers/state/failure-quarantine). 20 s after the last counted failure, then 40 s, the machine takes one trial task that has no room elsewhere, of the job with the fewest failures, so that a job that fails everywhere cannot use up the trials. A trial that fails begins the next pause; one that succeeds, or runs for 5 s, ends the cordon. Empty machines are still deleted at once, as before.

--- a/src/leader/decision-loop.ts
+++ b/src/leader/decision-loop.ts
@@ -19,7 +19,7 @@
 import { isStarving } from '../scheduler/starvation.js';
 import type { Committer } from './committer.js';
 import type { CommandDispatcher } from '../workers/command-dispatcher.js';
-import { unschedulableReason } from '../workers/state/schedulability.js';
+import { isReadyForTasks, unschedulableReason } from '../workers/state/schedulability.js';
 import type { Worker } from '../workers/state/worker.js';
 import type { LeaderContext } from '../core/context.js';
 import { jobView, machineView, victimsOn } from './placement-views.js';
@@ -127,6 +127,7 @@
     const plan = place({
       jobs: waitingJobs,
       machines: this.schedulableMachines(),
+      trialMachines: this.trialMachines(now),
       guaranteed: guaranteedJobIds,
       teams: this.teams,
       teamUsage: this.ctx.jobs.teamUsage(),
@@ -146,6 +147,17 @@
     return machines;
   }
 
+  /** Returns the machines in quarantine that accept a trial task now. */
+  private trialMachines(now: MonotonicTime): MachineView[] {
+    const machines: MachineView[] = [];
+    for (const worker of this.ctx.workers.values()) {
+      if (worker.cordon !== 'failing' || worker.isRemoving || !worker.confirmedFacts) continue;
+      if (!isReadyForTasks(worker) || !worker.quarantine.acceptsTrial(worker.tasks, now)) continue;
+      machines.push(machineView(worker, worker.confirmedFacts));
+    }
+    return machines;
+  }
+
   private guaranteedJobIds(openJobs: readonly ActiveJob[]): ReadonlySet<JobId> {
     const { version } = this.ctx.jobs;
     if (this.guaranteed?.version !== version) {
@@ -160,7 +172,9 @@
       const job = this.ctx.jobs.get(start.job);
       const worker = this.ctx.workers.get(start.machine);
       if (!job || !worker?.confirmedFacts) continue;
-      worker.assign(job.beginAttempt(worker.id, worker.confirmedFacts.machine.zone, now));
+      const task = job.beginAttempt(worker.id, worker.confirmedFacts.machine.zone, now);
+      worker.assign(task);
+      if (worker.cordon === 'failing') this.beginTrial(worker, task);
       worker.idleSince = null;
       // The stop commands are sent together with the start commands after the start is committed.
       preemptedWorkers.delete(worker);
@@ -168,6 +182,11 @@
     for (const worker of preemptedWorkers) this.parts.dispatcher.dispatch(worker);
   }
 
+  private beginTrial(worker: Worker, task: Task): void {
+    worker.quarantine.beginTrial(task);
+    this.ctx.log.info({ machine: worker.id, task: task.id }, 'failing machine gets a trial task');
+  }
+
   /** Marks the plan's preempted tasks for stopping and returns the workers on which they run. */
   private preempt({ preemptions }: PlacementPlan, now: MonotonicTime): Set<Worker> {
     const workers = new Set<Worker>();
--- a/src/leader/heartbeat-handler.ts
+++ b/src/leader/heartbeat-handler.ts
@@ -226,20 +226,19 @@
       const { jobClass, estimatedRunS } = task.job.spec;
       if (ranMs !== null) this.parts.lifetimes.recordRun(jobClass, ranMs, estimatedRunS * 1000);
     }
-    this.recordFailures(worker, result, now);
+    this.logUnsuccessful(worker, result);
+    this.failurePolicy.apply(worker, result, now);
     if (result.changed) {
       this.parts.committer.schedule();
       this.ctx.requestDecision();
     }
   }
 
-  private recordFailures(worker: Worker, { failed, lost }: ReconciliationResult, now: MonotonicTime): void {
+  private logUnsuccessful(worker: Worker, { failed, lost }: ReconciliationResult): void {
     const { log } = this.ctx;
     for (const { task, cause, ranMs } of failed) {
       if (cause !== 'stopped') log.info({ machine: worker.id, task: task.id, cause, ranMs }, 'task failed');
-      if (cause === 'error') this.failurePolicy.recordFailure(worker, task.job, now);
     }
     for (const task of lost) log.info({ machine: worker.id, task: task.id }, 'task lost');
-    this.failurePolicy.cordonIfFailing(worker);
   }
 }
--- a/src/leader/leader-summary.ts
+++ b/src/leader/leader-summary.ts
@@ -72,7 +72,15 @@
     const pool = (pools[seriesKey(machine.type, machine.spot)] ??= emptyPool());
     addToPool(pool, worker);
   }
-  return { workers: workers.size, up, unconfirmed, cpus, usedCpus: Math.round(usedCpus), unschedulable, pools };
+  return {
+    workers: workers.size,
+    up,
+    unconfirmed,
+    cpus,
+    usedCpus: Math.round(usedCpus),
+    unschedulable,
+    pools,
+  };
 }
 
 function emptyPool(): PoolSummary {
--- a/src/leader/placement-views.ts
+++ b/src/leader/placement-views.ts
@@ -31,6 +31,7 @@
     waitingCount: job.waitingCount,
     zones: new Map(isZoneBound ? job.zoneTally.counts : []),
     avoidedMachines: job.failures.avoidedMachines,
+    failureCount: job.failures.failureCount,
     slackMs,
     isStarving,
     isDeferred: hasUnknownZone || job.failures.isBackingOff(now),
--- a/src/leader/task-failure-policy.ts
+++ b/src/leader/task-failure-policy.ts
@@ -1,13 +1,28 @@
-/** Attributes task failures to machines or jobs, and cordons machines with too many failures. */
+/** Attributes task failures to machines or jobs, and quarantines machines with too many failures. */
 import type { LeaderContext } from '../core/context.js';
 import type { MonotonicTime } from '../model/time.js';
-import type { TaskJob } from '../scheduler/task.js';
+import type { Task, TaskJob } from '../scheduler/task.js';
+import type { ReconciliationResult } from '../workers/reconciliation.js';
 import type { Worker } from '../workers/state/worker.js';
 
-/** Counts a failed task against its machine or its job, and cordons failing machines. */
+/** What a trial task has shown about its machine. */
+type TrialEvidence = 'trial succeeded' | 'trial runs' | 'trial failed' | 'none';
+
+/** Counts a failed task against its machine or its job, and cordons failing machines until a trial task runs. */
 export class TaskFailurePolicy {
   constructor(private readonly ctx: Pick<LeaderContext, 'log' | 'operators'>) {}
 
+  /** Applies the ended tasks of a heartbeat: counts failures, and begins, renews or ends the machine's quarantine. */
+  apply(worker: Worker, result: Pick<ReconciliationResult, 'finished' | 'failed'>, now: MonotonicTime): void {
+    const evidence = worker.cordon === 'failing' ? trialEvidence(worker, result, now) : 'none';
+    for (const { task, cause } of result.failed) {
+      if (cause === 'error') this.recordFailure(worker, task.job, now);
+    }
+    if (evidence === 'trial failed') this.quarantine(worker, now);
+    else if (evidence !== 'none') this.endQuarantine(worker, evidence);
+    this.cordonIfFailing(worker, now);
+  }
+
   /**
    * Counts a failure of one of the job's tasks on this worker. The first machine on which a job fails is assumed to be
    * at fault. A job that fails on a second machine is more likely at fault itself: its failures count against no
@@ -20,12 +35,44 @@
 
   /**
    * Cordons a worker with at least `maxTaskFailures` counted failures, unless it is already cordoned. Its running tasks
-   * continue; the machine is returned after they have ended.
+   * continue; the machine is returned after they have ended, or gets a trial task after some time.
    */
-  cordonIfFailing(worker: Worker): void {
-    const { log, operators } = this.ctx;
-    if (worker.cordon !== null || worker.taskFailureCount < operators.workers.maxTaskFailures) return;
-    log.info({ machine: worker.id, failures: worker.taskFailureCount }, 'failing machine cordoned');
+  cordonIfFailing(worker: Worker, now: MonotonicTime): void {
+    if (worker.cordon !== null || worker.taskFailureCount < this.ctx.operators.workers.maxTaskFailures)
+      return;
     worker.cordon = 'failing';
+    this.quarantine(worker, now);
   }
+
+  private quarantine(worker: Worker, now: MonotonicTime): void {
+    const pauseMs = worker.quarantine.begin(now);
+    this.ctx.log.info(
+      { machine: worker.id, failures: worker.taskFailureCount, pauseMs },
+      'failing machine cordoned',
+    );
+  }
+
+  /**
+   * Ends the quarantine and the cordon, unless the machine is being deleted. A machine whose trial task still runs is
+   * cordoned again after a single failure.
+   */
+  private endQuarantine(worker: Worker, evidence: 'trial succeeded' | 'trial runs'): void {
+    if (worker.isRemoving) return;
+    worker.quarantine.end(evidence);
+    worker.cordon = null;
+    const { maxTaskFailures } = this.ctx.operators.workers;
+    worker.taskFailureCount = evidence === 'trial succeeded' ? 0 : maxTaskFailures - 1;
+    this.ctx.log.info({ machine: worker.id, evidence }, 'failing machine uncordoned');
+  }
+}
+
+function trialEvidence(
+  { quarantine, tasks }: Worker,
+  { finished, failed }: Pick<ReconciliationResult, 'finished' | 'failed'>,
+  now: MonotonicTime,
+): TrialEvidence {
+  const isTrial = ({ task }: { readonly task: Task }): boolean => quarantine.isTrial(task);
+  if (finished.some(isTrial)) return 'trial succeeded';
+  if (failed.some((failure) => failure.cause === 'error' && isTrial(failure))) return 'trial failed';
+  return quarantine.hasTrialRun(tasks, now) ? 'trial runs' : 'none';
 }
--- a/src/scheduler/job-failures.ts
+++ b/src/scheduler/job-failures.ts
@@ -20,10 +20,15 @@
  * machine, and backs off after each further failure, for longer each time up to `MAX_BACKOFF_MS`.
  */
 export class JobFailures {
-  private failureCount = 0;
+  private failedAttemptCount = 0;
   private readonly failedMachines = new Set<MachineId>();
   private backoffUntil: MonotonicTime | null = null;
 
+  /** The number of the job's failed attempts. */
+  get failureCount(): number {
+    return this.failedAttemptCount;
+  }
+
   /** The number of machines on which the job's tasks failed. */
   get machineCount(): number {
     return this.failedMachines.size;
@@ -40,10 +45,10 @@
 
   /** Records a task that failed on a machine, and extends the backoff of a faulty job. */
   record(machine: MachineId, now: MonotonicTime): void {
-    this.failureCount++;
+    this.failedAttemptCount++;
     this.failedMachines.add(machine);
     if (!this.isJobFaulty) return;
-    const doublings = Math.min(MAX_BACKOFF_DOUBLING_COUNT, this.failureCount - 2);
+    const doublings = Math.min(MAX_BACKOFF_DOUBLING_COUNT, this.failedAttemptCount - 2);
     this.backoffUntil = plus(now, Math.min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2 ** doublings));
   }
 
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -40,8 +40,7 @@
     const { spec } = job;
     const team = this.snapshot.teams.get(spec.team);
     if (!team || job.waitingCount === 0 || job.isDeferred) return;
-    const teamUsage = this.usageByTeam.get(spec.team) ?? { cpus: 0, gpus: 0 };
-    this.usageByTeam.set(spec.team, teamUsage);
+    const teamUsage = this.usageOf(spec.team);
     let remaining = Math.min(job.waitingCount, remainingQuota(team, teamUsage, spec));
     // A starving job gets only part of its tasks placed ahead of its rank: the job makes progress, and other jobs are
     // not blocked.
@@ -50,31 +49,73 @@
     // preempting there takes precedence over an image fetch on a free machine.
     if (spec.priority === Priority.Production) {
       const hasImage: MachineFilter = (machine) => machine.images.has(spec.image);
-      remaining = this.firstFit(job, teamUsage, remaining, hasImage);
-      remaining = this.preempt(job, teamUsage, remaining, hasImage);
+      remaining = this.firstFit(job, remaining, hasImage);
+      remaining = this.preempt(job, remaining, hasImage);
     }
-    remaining = this.firstFit(job, teamUsage, remaining, () => true);
-    remaining = this.preempt(job, teamUsage, remaining, () => true);
+    remaining = this.firstFit(job, remaining, () => true);
+    remaining = this.preempt(job, remaining, () => true);
     if (remaining > 0) {
       const tasks = Math.min(job.waitingCount, remainingQuota(team, teamUsage, spec));
       this.plan.unmet.push({ job, tasks });
     }
   }
 
-  private start(job: JobView, teamUsage: TeamUsage, machine: MachineView): void {
+  /**
+   * Places one task on each machine that accepts a trial, of the jobs that have no room elsewhere. Jobs with the fewest
+   * failures come first: a job that fails on every machine must not use up the trials of the others.
+   */
+  placeTrials(): void {
+    const { trialMachines } = this.snapshot;
+    if (trialMachines.length === 0) return;
+    const candidates = this.plan.unmet.toSorted(
+      (left, right) => left.job.failureCount - right.job.failureCount,
+    );
+    for (const machine of trialMachines) {
+      const unmet = candidates.find(({ job, tasks }) => tasks > 0 && this.canTry(job, machine));
+      if (!unmet) continue;
+      this.recordStart(unmet.job, machine);
+      unmet.tasks--;
+    }
+    this.plan.unmet = this.plan.unmet.filter(({ tasks }) => tasks > 0);
+  }
+
+  /** Whether a task of the job may start on the machine as a trial. */
+  private canTry(job: JobView, machine: MachineView): boolean {
+    const { spec } = job;
+    const team = this.snapshot.teams.get(spec.team);
+    if (!team || remainingQuota(team, this.usageOf(spec.team), spec) === 0) return false;
+    if (job.avoidedMachines.has(machine.id) || !fits(spec, machine.free)) return false;
+    return machineRefusal(spec, machine) === null && zoneRefusal(spec, job.zones, machine.zone) === null;
+  }
+
+  private usageOf(team: TeamId): TeamUsage {
+    let usage = this.usageByTeam.get(team);
+    if (!usage) {
+      usage = { cpus: 0, gpus: 0 };
+      this.usageByTeam.set(team, usage);
+    }
+    return usage;
+  }
+
+  private start(job: JobView, machine: MachineView): void {
+    this.recordStart(job, machine);
+    this.spotIndex.markChanged(machine);
+    this.onDemandIndex.markChanged(machine);
+  }
+
+  private recordStart(job: JobView, machine: MachineView): void {
     const { spec } = job;
     this.plan.starts.push({ job: spec.id, machine: machine.id });
     allocate(machine.free, spec);
+    const teamUsage = this.usageOf(spec.team);
     teamUsage.cpus += spec.cpus;
     teamUsage.gpus += spec.gpus;
     job.zones.set(machine.zone, (job.zones.get(machine.zone) ?? 0) + 1);
     job.waitingCount--;
-    this.spotIndex.markChanged(machine);
-    this.onDemandIndex.markChanged(machine);
   }
 
   /** Starts tasks on machines with free capacity. Returns how many tasks are still to be placed. */
-  private firstFit(job: JobView, teamUsage: TeamUsage, remaining: number, isEligible: MachineFilter): number {
+  private firstFit(job: JobView, remaining: number, isEligible: MachineFilter): number {
     if (remaining <= 0) return remaining;
     const { spec } = job;
     const index = spec.allowsSpot ? this.spotIndex : this.onDemandIndex;
@@ -86,7 +127,7 @@
         fits(spec, machine.free) &&
         zoneRefusal(spec, job.zones, machine.zone) === null
       ) {
-        this.start(job, teamUsage, machine);
+        this.start(job, machine);
         remaining--;
       }
       if (remaining === 0) break;
@@ -107,7 +148,7 @@
    * Starts one task after the other where preemption costs least, if tasks may be preempted for the job. Returns how
    * many tasks are still to be placed.
    */
-  private preempt(job: JobView, teamUsage: TeamUsage, remaining: number, isEligible: MachineFilter): number {
+  private preempt(job: JobView, remaining: number, isEligible: MachineFilter): number {
     const canPreempt = remaining > 0 ? preemptionFilter(job, this.snapshot.guaranteed) : null;
     if (!canPreempt) return remaining;
     const { spec } = job;
@@ -122,7 +163,7 @@
       const index = cheapestOption(options, job);
       const option = options[index];
       if (!option) break;
-      this.applyOption(job, teamUsage, option);
+      this.applyOption(job, option);
       remaining--;
       const next = preemptionOption(spec, option.machine, option.candidates, canPreempt);
       if (next) options[index] = next;
@@ -131,14 +172,14 @@
     return remaining;
   }
 
-  private applyOption(job: JobView, teamUsage: TeamUsage, option: PreemptionOption): void {
+  private applyOption(job: JobView, option: PreemptionOption): void {
     const { machine, candidates, victims } = option;
     for (const victim of victims) {
       this.plan.preemptions.push({ machine: machine.id, task: victim.task, preemptor: job.spec.id });
       candidates.splice(candidates.indexOf(victim), 1);
       release(machine.free, victim);
     }
-    this.start(job, teamUsage, machine);
+    this.start(job, machine);
   }
 }
 
@@ -170,5 +211,6 @@
 export function place(snapshot: PlacementSnapshot): PlacementPlan {
   const round = new PlacementRound(snapshot);
   for (const job of queueOrder(snapshot.jobs, snapshot.guaranteed)) round.place(job);
+  round.placeTrials();
   return round.plan;
 }
--- a/src/scheduler/snapshot.ts
+++ b/src/scheduler/snapshot.ts
@@ -46,7 +46,10 @@
    * zone constraint.
    */
   readonly zones: Map<ZoneId, number>;
+  /** Machines on which no task of the job may start for now. */
   readonly avoidedMachines: ReadonlySet<MachineId>;
+  /** The number of the job's failed attempts (`JobFailures.failureCount`). */
+  readonly failureCount: number;
   /**
    * Whether none of the job's tasks may start for now: zones that its placement rule depends on are unknown, or the job
    * backs off after failures.
@@ -78,7 +81,7 @@
 /** The number of a job's waiting tasks that could not be placed, without those beyond its team's quota limit. */
 interface UnmetDemand {
   readonly job: JobView;
-  readonly tasks: number;
+  tasks: number;
 }
 
 /** The decisions of one placement round. */
@@ -86,7 +89,7 @@
   readonly starts: TaskStart[];
   readonly preemptions: Preemption[];
   /** Demand that could not be placed, in queue order. */
-  readonly unmet: UnmetDemand[];
+  unmet: UnmetDemand[];
 }
 
 /** The complete input of one placement round. */
@@ -95,6 +98,11 @@
   readonly jobs: readonly JobView[];
   /** The machines that accept tasks. A machine without free capacity is considered for preemption only. */
   readonly machines: readonly MachineView[];
+  /**
+   * Machines in quarantine after failures that accept one trial task each (`FailureQuarantine`). They are used only for
+   * tasks that have no room elsewhere.
+   */
+  readonly trialMachines: readonly MachineView[];
   /**
    * The jobs that fit into their team's guaranteed quota (`guaranteedJobs`), of those that are neither blocked,
    * cancelled nor complete.
--- a/src/workers/state/schedulability.ts
+++ b/src/workers/state/schedulability.ts
@@ -11,15 +11,19 @@
  * - `facts unconfirmed`: the machine's type, zone or kind is not confirmed yet.
  */
 export type UnschedulableReason =
-  | CordonReason
-  | 'not reported'
-  | 'interruption notice'
-  | 'unreachable'
-  | 'facts unconfirmed';
+  CordonReason | 'not reported' | 'interruption notice' | 'unreachable' | 'facts unconfirmed';
 
 /** Returns why no task may start on the machine, whatever its free capacity; null: tasks may start. */
 export function unschedulableReason(worker: Worker): UnschedulableReason | null {
-  if (worker.cordon !== null) return worker.cordon;
+  return worker.cordon ?? notReadyReason(worker);
+}
+
+/** Whether tasks could start on the machine if it was not cordoned. */
+export function isReadyForTasks(worker: Worker): boolean {
+  return notReadyReason(worker) === null;
+}
+
+function notReadyReason(worker: Worker): UnschedulableReason | null {
   if (!worker.hasReported) return 'not reported';
   if (worker.interruptionAt !== null) return 'interruption notice';
   if (worker.isUnreachable) return 'unreachable';
--- a/src/workers/state/worker.ts
+++ b/src/workers/state/worker.ts
@@ -14,6 +14,7 @@
 import type { Attempt, Heartbeat } from '../../model/heartbeat.js';
 import type { MonotonicTime } from '../../model/time.js';
 import type { DurableProgress, Task } from '../../scheduler/task.js';
+import { FailureQuarantine } from './failure-quarantine.js';
 import { HeartbeatCursor } from './heartbeat-cursor.js';
 import { ImageCache } from './image-cache.js';
 import { CommandCallState } from './command-call-state.js';
@@ -67,6 +68,8 @@
    * The number of task failures that count against the machine (`TaskFailurePolicy`) since a task last succeeded on it.
    */
   taskFailureCount = 0;
+  /** When a machine that is cordoned as failing gets a trial task. */
+  readonly quarantine = new FailureQuarantine();
   isRemoving = false;
   /** Whether the cloud's list shows the machine as running. */
   isListedRunning = false;
--- a/test/unit/placement.test.ts
+++ b/test/unit/placement.test.ts
@@ -63,6 +63,7 @@
   waitingCount: specOverrides.taskCount ?? 1,
   zones: new Map(),
   avoidedMachines: new Set(),
+  failureCount: 0,
   isDeferred: false,
   slackMs: 10_000,
   isStarving: false,
@@ -111,6 +112,7 @@
   return {
     jobs,
     machines,
+    trialMachines: [],
     teams,
     teamUsage,
     guaranteed: guaranteedJobs(jobs, teams),
@@ -178,6 +180,41 @@
   });
 });
 
+describe('place with machines that accept a trial task', () => {
+  const placeWithTrials = (jobs: JobView[], machines: MachineWithVictims[], trials: MachineView[]) =>
+    placeSnapshot({ ...snapshot(jobs, machines, TEAMS, new Map()), trialMachines: trials });
+
+  it('uses them only for tasks that have no room elsewhere, with one task each', () => {
+    const other = machine('a', { free: { cpus: 2, gpus: 0, memoryGb: 32 } });
+    const plan = placeWithTrials([job({ taskCount: 4 })], [other], [machine('b'), machine('c')]);
+    expect(plan.starts.map((start) => start.machine)).toEqual(['a', 'b', 'c']);
+    expect(plan.unmet.map(({ tasks }) => tasks)).toEqual([1]);
+    expect(placeWithTrials([job({})], [machine('a')], [machine('b')]).starts).toHaveLength(1);
+  });
+
+  // Guards against a job that fails on every machine and, ahead in the queue, uses up each trial of a sound machine.
+  it('prefers jobs with fewer failures to jobs that come earlier in the queue', () => {
+    const failed = job({ id: 'j-000001' as JobId }, { failureCount: 3, slackMs: 0 });
+    const sound = job({ id: 'j-000002' as JobId }, { slackMs: null });
+    const { starts, unmet } = placeWithTrials([failed, sound], [], [machine('a')]);
+    expect(starts).toEqual([{ job: 'j-000002', machine: 'a' }]);
+    expect(unmet.map(({ job: { spec: unmetSpec } }) => unmetSpec.id)).toEqual(['j-000001']);
+  });
+
+  it('obeys quotas, placement constraints and the machines that a job avoids', () => {
+    const avoiding = job({}, { avoidedMachines: new Set(['a' as MachineId]) });
+    expect(placeWithTrials([avoiding], [], [machine('a')]).starts).toEqual([]);
+    expect(placeWithTrials([job({ allowsSpot: false })], [], [machine('a', { spot: true })]).starts).toEqual(
+      [],
+    );
+    const trials = ['a', 'b', 'c', 'd', 'e'].map((id) => machine(id));
+    expect(placeWithTrials([job({ taskCount: 9 })], [], trials).starts).toHaveLength(4);
+    const zoneBound = job({ taskCount: 3, zoneAffinity: true });
+    const zones = [machine('a'), machine('b', { zone: 'south' as ZoneId }), machine('c')];
+    expect(placeWithTrials([zoneBound], [], zones).starts.map((start) => start.machine)).toEqual(['a', 'c']);
+  });
+});
+
 describe('place on large snapshots', () => {
   const generator = xoroshiro128plus(11);
   /** Returns a random integer from 0 up to but not including the bound. */
--- a/test/unit/task-failure-policy.test.ts
+++ b/test/unit/task-failure-policy.test.ts
@@ -3,8 +3,9 @@
 import { TaskFailurePolicy } from '../../src/leader/task-failure-policy.js';
 import { silentLogger } from '../../src/log/logger.js';
 import type { MachineId, MachineTypeId, Revision, ZoneId } from '../../src/model/ids.js';
-import type { MonotonicTime, WallTime } from '../../src/model/time.js';
+import { type MonotonicTime, plus, type WallTime } from '../../src/model/time.js';
 import { ActiveJob } from '../../src/scheduler/active-job.js';
+import type { Task } from '../../src/scheduler/task.js';
 import type { Worker } from '../../src/workers/state/worker.js';
 import { submission } from '../simulation/submission.js';
 import { confirmedWorker } from '../simulation/worker-state.js';
@@ -39,7 +40,7 @@
     for (let failures = 1; failures <= operators.workers.maxTaskFailures; failures++) {
       expect(failing.cordon).toBeNull();
       policy.recordFailure(failing, createJob(), NOW);
-      policy.cordonIfFailing(failing);
+      policy.cordonIfFailing(failing, NOW);
     }
     expect(failing.cordon).toBe('failing');
   });
@@ -55,3 +56,97 @@
     expect(backoffs).toEqual([null, null, 2000, 4000]);
   });
 });
+
+describe('quarantine of a failing machine', () => {
+  const operators = defaultOperators();
+  const policy = new TaskFailurePolicy({ log: silentLogger, operators });
+  const FIRST_TRIAL_AT = plus(NOW, 20_000);
+  const NONE = { finished: [], failed: [] };
+
+  function cordonedWorker(): Worker {
+    const worker = createWorker('a');
+    worker.taskFailureCount = operators.workers.maxTaskFailures;
+    policy.cordonIfFailing(worker, NOW);
+    return worker;
+  }
+
+  function beginTrial(worker: Worker, now: MonotonicTime): Task {
+    const task = createJob().beginAttempt(worker.id, 'north' as ZoneId, now);
+    worker.assign(task);
+    worker.quarantine.beginTrial(task);
+    return task;
+  }
+
+  function endTrial(worker: Worker, task: Task, cause: string, now: MonotonicTime): void {
+    worker.unassign(task);
+    policy.apply(worker, { finished: [], failed: [{ task, cause, ranMs: null }] }, now);
+  }
+
+  /** Returns the time from `from` until the machine accepts a trial task, in seconds; null: more than 60 s. */
+  function secondsToTrial(worker: Worker, from: MonotonicTime): number | null {
+    for (let seconds = 0; seconds <= 60; seconds++)
+      if (worker.quarantine.acceptsTrial(worker.tasks, plus(from, seconds * 1000))) return seconds;
+    return null;
+  }
+
+  it('accepts one task at a time after a pause, which doubles up to 40 s with each trial that fails', () => {
+    const worker = cordonedWorker();
+    let now = NOW;
+    const pauses = [1, 2, 3].map(() => {
+      const pause = secondsToTrial(worker, now);
+      now = plus(now, (pause ?? 0) * 1000);
+      const task = beginTrial(worker, now);
+      expect(worker.quarantine.acceptsTrial(worker.tasks, now)).toBe(false);
+      endTrial(worker, task, 'error', now);
+      expect(worker.cordon).toBe('failing');
+      return pause;
+    });
+    expect(pauses).toEqual([20, 40, 40]);
+  });
+
+  it('ends with a trial task that succeeds', () => {
+    const worker = cordonedWorker();
+    const task = beginTrial(worker, FIRST_TRIAL_AT);
+    worker.unassign(task);
+    policy.apply(worker, { finished: [{ task, ranMs: 100 }], failed: [] }, FIRST_TRIAL_AT);
+    expect(worker.cordon).toBeNull();
+    expect(worker.taskFailureCount).toBe(0);
+  });
+
+  it('ends with a trial task that runs for 5 s, and begins again with a single failure after that', () => {
+    const worker = cordonedWorker();
+    const task = beginTrial(worker, FIRST_TRIAL_AT);
+    task.observedState = 'running';
+    task.runningAt = FIRST_TRIAL_AT;
+    policy.apply(worker, NONE, plus(FIRST_TRIAL_AT, 4900));
+    expect(worker.cordon).toBe('failing');
+    policy.apply(worker, NONE, plus(FIRST_TRIAL_AT, 5000));
+    expect(worker.cordon).toBeNull();
+    endTrial(worker, task, 'error', plus(FIRST_TRIAL_AT, 6000));
+    expect(worker.cordon).toBe('failing');
+    expect(secondsToTrial(worker, plus(FIRST_TRIAL_AT, 6000))).toBe(40);
+  });
+
+  // Guards against a quarantine that waits for the result of a trial task that was stopped or lost.
+  it('accepts another trial at once if the trial task ends without a result', () => {
+    const worker = cordonedWorker();
+    const stopped = beginTrial(worker, FIRST_TRIAL_AT);
+    endTrial(worker, stopped, 'stopped', FIRST_TRIAL_AT);
+    expect(worker.quarantine.acceptsTrial(worker.tasks, FIRST_TRIAL_AT)).toBe(true);
+    const lost = beginTrial(worker, FIRST_TRIAL_AT);
+    worker.unassign(lost);
+    policy.apply(worker, NONE, FIRST_TRIAL_AT);
+    expect(worker.quarantine.acceptsTrial(worker.tasks, FIRST_TRIAL_AT)).toBe(true);
+  });
+
+  it('is not affected by tasks that were placed before it, and not ended on a machine that is being deleted', () => {
+    const worker = cordonedWorker();
+    const earlier = createJob().beginAttempt(worker.id, 'north' as ZoneId, NOW);
+    policy.apply(worker, { finished: [{ task: earlier, ranMs: 100 }], failed: [] }, NOW);
+    expect(worker.cordon).toBe('failing');
+    const task = beginTrial(worker, FIRST_TRIAL_AT);
+    worker.isRemoving = true;
+    policy.apply(worker, { finished: [{ task, ranMs: 100 }], failed: [] }, FIRST_TRIAL_AT);
+    expect(worker.cordon).toBe('failing');
+  });
+});
