A job avoids a machine on which it failed for 30 to 60 s, not for the leader's term

Cause: JobFailures kept each machine on which a task of the job had failed, and placement left these machines out. Only failures on three machines ended that, which a job that may use two machines never has.

Fix: a job avoids a machine for 30 s after its first failure there and for 60 s after further ones. That is longer than the pauses of a machine's quarantine, so the next trial goes to another job where there is one, and ends within the 90 s.

--- a/src/leader/leader-summary.ts
+++ b/src/leader/leader-summary.ts
@@ -34,7 +34,7 @@
     if (job.hasMixedChunkSizes) mixedChunkJobs++;
     if (job.hasUnreadableProgress) heldBackJobs++;
     if (job.failures.isBackingOff(now)) backingOffJobs++;
-    if (job.failures.avoidedMachines.size > 0) avoidingJobs++;
+    if (job.failures.avoidedMachines(now).size > 0) avoidingJobs++;
     if (job.isBlocked) blocked += job.waitingCount;
     else waiting += job.waitingCount;
     assigned += job.assignedCount;
--- a/src/leader/placement-views.ts
+++ b/src/leader/placement-views.ts
@@ -30,7 +30,7 @@
     waitedMs,
     waitingCount: job.waitingCount,
     zones: new Map(isZoneBound ? job.zoneTally.counts : []),
-    avoidedMachines: job.failures.avoidedMachines,
+    avoidedMachines: job.failures.avoidedMachines(now),
     failureCount: job.failures.failureCount,
     slackMs,
     isStarving,
--- a/src/scheduler/job-failures.ts
+++ b/src/scheduler/job-failures.ts
@@ -1,4 +1,4 @@
-/** The failed attempts of one job, and the backoff of the job that follows from them. */
+/** The failed attempts of one job, the machines that the job avoids because of them, and the backoff of the job. */
 import type { MachineId } from '../model/ids.js';
 import { type MonotonicTime, plus } from '../model/time.js';
 
@@ -11,17 +11,29 @@
 const BASE_BACKOFF_MS = 1000;
 const MAX_BACKOFF_MS = 60_000;
 const MAX_BACKOFF_DOUBLING_COUNT = 6;
+/**
+ * How long a job avoids a machine after its first failure there; doubled with each further one. Longer than the pauses
+ * of a machine's quarantine, so that a job that fails everywhere leaves the next trial to other jobs.
+ */
+const BASE_AVOIDANCE_MS = 30_000;
+const MAX_AVOIDANCE_MS = 60_000;
 
 const NO_MACHINES: ReadonlySet<MachineId> = new Set();
 
+/** The failures of one job on one machine. */
+interface FailedMachine {
+  failureCount: number;
+  avoidedUntil: MonotonicTime;
+}
+
 /**
- * Records the machines on which a job's tasks failed. Usually the machine is at fault, and the job avoids it. A job
- * that has failed on `FAULTY_JOB_MACHINE_COUNT` machines is more likely at fault itself: it no longer avoids any
- * machine, and backs off after each further failure, for longer each time up to `MAX_BACKOFF_MS`.
+ * Records the machines on which a job's tasks failed. Usually the machine is at fault, and the job avoids it for some
+ * time. A job that has failed on `FAULTY_JOB_MACHINE_COUNT` machines is more likely at fault itself: it no longer avoids
+ * any machine, and backs off after each further failure, for longer each time up to `MAX_BACKOFF_MS`.
  */
 export class JobFailures {
   private failedAttemptCount = 0;
-  private readonly failedMachines = new Set<MachineId>();
+  private readonly failedMachines = new Map<MachineId, FailedMachine>();
   private backoffUntil: MonotonicTime | null = null;
 
   /** The number of the job's failed attempts. */
@@ -38,20 +50,33 @@
     return this.failedMachines.size >= FAULTY_JOB_MACHINE_COUNT;
   }
 
-  /** The machines on which no task of the job should start; empty once the job itself counts as faulty. */
-  get avoidedMachines(): ReadonlySet<MachineId> {
-    return this.isJobFaulty ? NO_MACHINES : this.failedMachines;
+  /** Returns the machines on which no task of the job should start yet; none once the job itself counts as faulty. */
+  avoidedMachines(now: MonotonicTime): ReadonlySet<MachineId> {
+    if (this.failedMachines.size === 0 || this.isJobFaulty) return NO_MACHINES;
+    const avoided = new Set<MachineId>();
+    for (const [machine, { avoidedUntil }] of this.failedMachines)
+      if (avoidedUntil > now) avoided.add(machine);
+    return avoided;
   }
 
   /** Records a task that failed on a machine, and extends the backoff of a faulty job. */
   record(machine: MachineId, now: MonotonicTime): void {
     this.failedAttemptCount++;
-    this.failedMachines.add(machine);
+    this.avoid(machine, now);
     if (!this.isJobFaulty) return;
     const doublings = Math.min(MAX_BACKOFF_DOUBLING_COUNT, this.failedAttemptCount - 2);
     this.backoffUntil = plus(now, Math.min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2 ** doublings));
   }
 
+  private avoid(machine: MachineId, now: MonotonicTime): void {
+    const earlierFailureCount = this.failedMachines.get(machine)?.failureCount ?? 0;
+    const avoidanceMs = Math.min(MAX_AVOIDANCE_MS, BASE_AVOIDANCE_MS * 2 ** earlierFailureCount);
+    this.failedMachines.set(machine, {
+      failureCount: earlierFailureCount + 1,
+      avoidedUntil: plus(now, avoidanceMs),
+    });
+  }
+
   /** Whether the job is backing off after failures, so that none of its tasks may start yet. */
   isBackingOff(now: MonotonicTime): boolean {
     return this.backoffUntil !== null && this.backoffUntil > now;
--- a/test/traces/failing-machines.test.ts
+++ b/test/traces/failing-machines.test.ts
@@ -11,7 +11,7 @@
 const POOLS = ['north', 'south'].flatMap((zone) => [`small|${zone}|ordinary`, `small|${zone}|spot`]);
 
 /** Starts a site with two machines and a cloud that provides no more; a service takes 5 of the 8 CPUs of each. */
-async function fullyRentedSite(): Promise<SimulatedSite> {
+async function fullyRentedSite({ hasServices = true } = {}): Promise<SimulatedSite> {
   const site = new SimulatedSite();
   for (const pool of POOLS) site.cloud.remainingCapacity.set(pool, 0);
   MACHINES.forEach((id, index) => {
@@ -20,6 +20,7 @@
   });
   site.startAll();
   await site.run(2);
+  if (!hasServices) return site;
   for (const ref of SERVICES) await site.submit({ ref, kind: 'service', cpus: 5 });
   await runUntil(site, () => SERVICES.every((ref) => site.runningTaskCount(ref) === 1));
   return site;
@@ -55,4 +56,15 @@
     await site.run(MAX_WAIT_S);
     expect(await statesOf(site, ['j-000200'])).toEqual(['done']);
   });
+
+  // Guards against jobs that avoid the machines on which they failed for as long as the leader leads.
+  it('a job that failed once on each machine that it may use starts there again', async () => {
+    const site = await fullyRentedSite();
+    setFailing(site, true);
+    await submitAll(site, ['j-000101']);
+    await site.run(12);
+    setFailing(site, false);
+    await site.run(MAX_WAIT_S);
+    expect(await statesOf(site, ['j-000101'])).toEqual(['done']);
+  });
 });
--- a/test/unit/task-failure-policy.test.ts
+++ b/test/unit/task-failure-policy.test.ts
@@ -57,6 +57,23 @@
   });
 });
 
+describe('JobFailures', () => {
+  /** Returns for how long the job avoids the machine `a` after one failure there at each of the times, in seconds. */
+  function avoidanceS(failureTimes: readonly MonotonicTime[]): number {
+    const { failures } = createJob();
+    for (const at of failureTimes) failures.record('a' as MachineId, at);
+    let seconds = 0;
+    while (failures.avoidedMachines(plus(failureTimes.at(-1) ?? NOW, seconds * 1000)).size > 0) seconds++;
+    return seconds;
+  }
+
+  it('avoids a machine for 30 s after a failure there, and for at most 60 s after further ones', () => {
+    expect(avoidanceS([NOW])).toBe(30);
+    expect(avoidanceS([NOW, NOW])).toBe(60);
+    expect(avoidanceS([NOW, NOW, NOW, NOW])).toBe(60);
+  });
+});
+
 describe('quarantine of a failing machine', () => {
   const operators = defaultOperators();
   const policy = new TaskFailurePolicy({ log: silentLogger, operators });
