Keep an empty failing machine that the cloud cannot replace, and try it again

What callers saw: after a spell in which all machines of a site fail their tasks, and with a cloud that has no others, the site has no machine left and its jobs wait for ever, though the machines were sound again.

Cause: an empty machine that is cordoned as failing was deleted at once, on the assumption that the cloud provides another one.

Fix: an empty failing machine is deleted 5 s after its last task, by when the cloud has answered the requests for the tasks that it does not take, unless its pool did not fill its last request within 60 s. Otherwise its quarantine gives it a trial task. Waiting tasks repeat refused requests every 15 s, so the 60 s bridge them; without waiting tasks the machine is deleted after 60 s.

--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -80,7 +80,11 @@
       },
     });
     this.backlog = new BacklogScaler(ctx, { scaleOut: this.scaleOut, cloudCalls, lifetimes });
-    this.idleMachines = new IdleMachineRemover(ctx, this.forecast, this.scaleIn);
+    this.idleMachines = new IdleMachineRemover(ctx, {
+      forecast: this.forecast,
+      scaleIn: this.scaleIn,
+      scaleOut: this.scaleOut,
+    });
     this.consolidator = new Consolidator(ctx, lifetimes, sloTargets);
     this.slotEndsAt = plus(ctx.startedAt, this.forecast.slotMs);
   }
--- a/src/fleet/idle-machines.ts
+++ b/src/fleet/idle-machines.ts
@@ -7,13 +7,23 @@
 import { MIN_BILLED_MS } from './consolidator.js';
 import { type DemandForecast, NEGLIGIBLE_MACHINE_RATIO } from './demand-forecast.js';
 import type { ScaleIn } from './scale-in.js';
+import type { ScaleOut } from './scale-out.js';
+
+/** The time after which the cloud has usually answered the requests for tasks that a failing machine does not take. */
+const FAILING_IDLE_TIMEOUT_MS = 5000;
+
+/** The components that an `IdleMachineRemover` uses. */
+export interface IdleMachineRemoverOptions {
+  readonly forecast: DemandForecast;
+  readonly scaleIn: ScaleIn;
+  readonly scaleOut: ScaleOut;
+}
 
 /** Scales in idle machines beyond the target reserve of the forecast. */
 export class IdleMachineRemover {
   constructor(
     private readonly ctx: LeaderContext,
-    private readonly forecast: DemandForecast,
-    private readonly scaleIn: ScaleIn,
+    private readonly options: IdleMachineRemoverOptions,
   ) {}
 
   /**
@@ -21,28 +31,29 @@
    * for `MIN_BILLED_MS`.
    */
   removeSurplus(now: MonotonicTime, projectionAt: (now: MonotonicTime) => CapacityProjection): void {
+    const { forecast, scaleIn } = this.options;
     const idle = this.removableMachinesBySeries(now);
     if (idle.size === 0) return;
     const projected = projectionAt(now);
     for (const [series, workers] of idle) {
-      const targetReserve = Math.max(0, this.forecast.targetReserve(series, projected));
+      const targetReserve = Math.max(0, forecast.targetReserve(series, projected));
       const reserve = projected.reserves.get(series) ?? 0;
       const surplus = Math.floor(reserve - targetReserve + NEGLIGIBLE_MACHINE_RATIO);
-      for (const worker of workers.slice(0, Math.max(0, surplus)))
-        this.scaleIn.deleteMachine(worker, 'surplus');
+      for (const worker of workers.slice(0, Math.max(0, surplus))) scaleIn.deleteMachine(worker, 'surplus');
     }
   }
 
   /**
    * Returns the machines whose idle timeout and minimum billed time have passed, by series. Empty machines that are
-   * cordoned as failing or draining are deleted immediately instead.
+   * cordoned as draining are deleted immediately instead, and failing ones if the cloud can replace them.
    */
   private removableMachinesBySeries(now: MonotonicTime): Map<string, Worker[]> {
     const idle = new Map<string, Worker[]>();
     for (const worker of this.ctx.workers.values()) {
       if (!worker.isUp || worker.isRemoving || !worker.isEmpty || worker.idleSince === null) continue;
       if (worker.cordon === 'failing' || worker.cordon === 'draining') {
-        this.scaleIn.deleteMachine(worker, worker.cordon);
+        if (worker.cordon === 'draining' || this.isReplaceable(worker, worker.idleSince, now))
+          this.options.scaleIn.deleteMachine(worker, worker.cordon);
         continue;
       }
       if (!worker.presumedFacts) continue;
@@ -56,6 +67,16 @@
     return idle;
   }
 
+  /**
+   * Whether a failing machine may be deleted: nothing shows that the cloud would provide no other machine like it. One
+   * that cannot be replaced gets trial tasks instead (`FailureQuarantine`).
+   */
+  private isReplaceable(worker: Worker, idleSince: MonotonicTime, now: MonotonicTime): boolean {
+    if (since(now, idleSince) < FAILING_IDLE_TIMEOUT_MS) return false;
+    const machine = worker.presumedFacts?.machine;
+    return !machine || !this.options.scaleOut.wasRefused(machine, now);
+  }
+
   private hasIdledLongEnough(
     worker: Worker,
     idleSince: MonotonicTime,
--- a/test/traces/failing-machines.test.ts
+++ b/test/traces/failing-machines.test.ts
@@ -1,33 +1,48 @@
 import { describe, expect, it } from 'vitest';
 import type { MachineId, MachineTypeId, ZoneId } from '../../src/model/ids.js';
+import type { Machine } from '../../src/model/machine.js';
 import { SimulatedSite } from '../simulation/simulated-site.js';
 import type { JobRequest } from '../simulation/site-setup.js';
 import { runUntil } from './steps.js';
 
 /** The time for which a job may wait while a machine that fits has room (hunt/LATER.md). */
 const MAX_WAIT_S = 90;
-const MACHINES = ['host-000000', 'host-000001'] as MachineId[];
-const SERVICES = ['j-000001', 'j-000002'];
 const POOLS = ['north', 'south'].flatMap((zone) => [`small|${zone}|ordinary`, `small|${zone}|spot`]);
 
-/** Starts a site with two machines and a cloud that provides no more; a service takes 5 of the 8 CPUs of each. */
-async function fullyRentedSite({ hasServices = true } = {}): Promise<SimulatedSite> {
+interface SiteOptions {
+  readonly machineCount?: number;
+  /** Whether a service takes 5 of the 8 CPUs of each machine. */
+  readonly hasServices?: boolean;
+}
+
+const machineOf = (id: string): Machine => ({
+  id: id as MachineId,
+  type: 'small' as MachineTypeId,
+  zone: 'north' as ZoneId,
+  spot: false,
+});
+
+/** Starts a site whose machines are up, and whose cloud provides no more. */
+async function fullyRentedSite({
+  machineCount = 2,
+  hasServices = true,
+}: SiteOptions = {}): Promise<SimulatedSite> {
   const site = new SimulatedSite();
   for (const pool of POOLS) site.cloud.remainingCapacity.set(pool, 0);
-  MACHINES.forEach((id, index) => {
-    const zone = (index === 0 ? 'north' : 'south') as ZoneId;
-    site.cloud.addRunningMachine({ id, type: 'small' as MachineTypeId, zone, spot: false });
-  });
+  const numbers = Array.from({ length: machineCount }, (_, index) => index + 1);
+  for (const number of numbers) site.cloud.addRunningMachine(machineOf(`host-00000${number}`));
   site.startAll();
   await site.run(2);
   if (!hasServices) return site;
-  for (const ref of SERVICES) await site.submit({ ref, kind: 'service', cpus: 5 });
-  await runUntil(site, () => SERVICES.every((ref) => site.runningTaskCount(ref) === 1));
+  const services = numbers.map((number) => `j-00000${number}`);
+  for (const ref of services) await site.submit({ ref, kind: 'service', cpus: 5 });
+  await runUntil(site, () => services.every((ref) => site.runningTaskCount(ref) === 1));
   return site;
 }
 
+/** Sets whether the machines that are up now fail every task that they start. */
 function setFailing(site: SimulatedSite, fails: boolean): void {
-  for (const id of MACHINES) site.worker(id).failsTasks = fails;
+  for (const worker of site.workers.values()) worker.failsTasks = fails;
 }
 
 async function submitAll(
@@ -57,6 +72,20 @@
     expect(await statesOf(site, ['j-000200'])).toEqual(['done']);
   });
 
+  // Guards against the deletion of empty failing machines that the cloud cannot replace.
+  it('jobs run on machines without other tasks that were cordoned, since the cloud has no others', async () => {
+    const site = await fullyRentedSite({ hasServices: false });
+    setFailing(site, true);
+    const early = ['j-000101', 'j-000102', 'j-000103', 'j-000104', 'j-000105', 'j-000106'];
+    await submitAll(site, early, { cpus: 4 });
+    await site.run(12);
+    setFailing(site, false);
+    await submitAll(site, ['j-000200']);
+    await site.run(MAX_WAIT_S);
+    const refs = [...early, 'j-000200'];
+    expect(await statesOf(site, refs)).toEqual(refs.map(() => 'done'));
+  });
+
   // Guards against jobs that avoid the machines on which they failed for as long as the leader leads.
   it('a job that failed once on each machine that it may use starts there again', async () => {
     const site = await fullyRentedSite();
