A job that failed is started on machines on which it has not failed first

What callers saw: a job that failed on three failing machines is started on one of them again and again, and waits for ever, though a sound machine has room all the time.

Cause: after failures on three machines a job counts as faulty and avoids no machine any more. The order of placement is the same each time (machines with the image, then the fullest first), so it gets the same failing machine after each backoff; and its failures count against no machine without earlier ones, so that this machine is not cordoned either.

Fix: placement fills the machines on which the job has not failed first, then the others as before. The last 64 machines are remembered for a job. This is a preference: a job that has failed everywhere has the same machines as before.

--- a/src/leader/placement-views.ts
+++ b/src/leader/placement-views.ts
@@ -31,6 +31,7 @@
     waitingCount: job.waitingCount,
     zones: new Map(isZoneBound ? job.zoneTally.counts : []),
     avoidedMachines: job.failures.avoidedMachines(now),
+    failedMachines: job.failures.failedMachines,
     failureCount: job.failures.failureCount,
     slackMs,
     isStarving,
--- a/src/scheduler/job-failures.ts
+++ b/src/scheduler/job-failures.ts
@@ -18,12 +18,15 @@
 const BASE_AVOIDANCE_MS = 30_000;
 const MAX_AVOIDANCE_MS = 60_000;
 
+/** The number of machines that are remembered for one job; of more, those of the earliest failures are forgotten. */
+const MAX_REMEMBERED_MACHINE_COUNT = 64;
+
 const NO_MACHINES: ReadonlySet<MachineId> = new Set();
 
 /** The failures of one job on one machine. */
-interface FailedMachine {
-  failureCount: number;
-  avoidedUntil: MonotonicTime;
+interface MachineFailures {
+  readonly count: number;
+  readonly avoidedUntil: MonotonicTime;
 }
 
 /**
@@ -33,7 +36,8 @@
  */
 export class JobFailures {
   private failedAttemptCount = 0;
-  private readonly failedMachines = new Map<MachineId, FailedMachine>();
+  /** By machine, the one with the earliest last failure first. */
+  private readonly byMachine = new Map<MachineId, MachineFailures>();
   private backoffUntil: MonotonicTime | null = null;
 
   /** The number of the job's failed attempts. */
@@ -41,40 +45,45 @@
     return this.failedAttemptCount;
   }
 
-  /** The number of machines on which the job's tasks failed. */
+  /** The number of machines on which the job's tasks failed, up to `MAX_REMEMBERED_MACHINE_COUNT`. */
   get machineCount(): number {
-    return this.failedMachines.size;
+    return this.byMachine.size;
   }
 
   private get isJobFaulty(): boolean {
-    return this.failedMachines.size >= FAULTY_JOB_MACHINE_COUNT;
+    return this.machineCount >= FAULTY_JOB_MACHINE_COUNT;
+  }
+
+  /** The machines on which the job's tasks failed. */
+  get failedMachines(): Pick<ReadonlySet<MachineId>, 'has' | 'size'> {
+    return this.byMachine;
   }
 
   /** Returns the machines on which no task of the job should start yet; none once the job itself counts as faulty. */
   avoidedMachines(now: MonotonicTime): ReadonlySet<MachineId> {
-    if (this.failedMachines.size === 0 || this.isJobFaulty) return NO_MACHINES;
+    if (this.machineCount === 0 || this.isJobFaulty) return NO_MACHINES;
     const avoided = new Set<MachineId>();
-    for (const [machine, { avoidedUntil }] of this.failedMachines)
-      if (avoidedUntil > now) avoided.add(machine);
+    for (const [machine, { avoidedUntil }] of this.byMachine) if (avoidedUntil > now) avoided.add(machine);
     return avoided;
   }
 
   /** Records a task that failed on a machine, and extends the backoff of a faulty job. */
   record(machine: MachineId, now: MonotonicTime): void {
     this.failedAttemptCount++;
-    this.avoid(machine, now);
+    this.recordMachine(machine, now);
     if (!this.isJobFaulty) return;
     const doublings = Math.min(MAX_BACKOFF_DOUBLING_COUNT, this.failedAttemptCount - 2);
     this.backoffUntil = plus(now, Math.min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2 ** doublings));
   }
 
-  private avoid(machine: MachineId, now: MonotonicTime): void {
-    const earlierFailureCount = this.failedMachines.get(machine)?.failureCount ?? 0;
-    const avoidanceMs = Math.min(MAX_AVOIDANCE_MS, BASE_AVOIDANCE_MS * 2 ** earlierFailureCount);
-    this.failedMachines.set(machine, {
-      failureCount: earlierFailureCount + 1,
-      avoidedUntil: plus(now, avoidanceMs),
-    });
+  private recordMachine(machine: MachineId, now: MonotonicTime): void {
+    const earlierCount = this.byMachine.get(machine)?.count ?? 0;
+    const avoidanceMs = Math.min(MAX_AVOIDANCE_MS, BASE_AVOIDANCE_MS * 2 ** earlierCount);
+    this.byMachine.delete(machine);
+    this.byMachine.set(machine, { count: earlierCount + 1, avoidedUntil: plus(now, avoidanceMs) });
+    const [oldest] = this.byMachine.keys();
+    if (this.byMachine.size > MAX_REMEMBERED_MACHINE_COUNT && oldest !== undefined)
+      this.byMachine.delete(oldest);
   }
 
   /** Whether the job is backing off after failures, so that none of its tasks may start yet. */
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -114,8 +114,22 @@
     job.waitingCount--;
   }
 
-  /** Starts tasks on machines with free capacity. Returns how many tasks are still to be placed. */
+  /**
+   * Starts tasks on machines with free capacity, those on which the job has failed last. Returns how many tasks are
+   * still to be placed.
+   */
   private firstFit(job: JobView, remaining: number, isEligible: MachineFilter): number {
+    const { failedMachines } = job;
+    if (failedMachines.size === 0) return this.fill(job, remaining, isEligible);
+    const unplaced = this.fill(
+      job,
+      remaining,
+      (machine) => !failedMachines.has(machine.id) && isEligible(machine),
+    );
+    return this.fill(job, unplaced, (machine) => failedMachines.has(machine.id) && isEligible(machine));
+  }
+
+  private fill(job: JobView, remaining: number, isEligible: MachineFilter): number {
     if (remaining <= 0) return remaining;
     const { spec } = job;
     const index = spec.allowsSpot ? this.spotIndex : this.onDemandIndex;
--- a/src/scheduler/snapshot.ts
+++ b/src/scheduler/snapshot.ts
@@ -48,6 +48,8 @@
   readonly zones: Map<ZoneId, number>;
   /** Machines on which no task of the job may start for now. */
   readonly avoidedMachines: ReadonlySet<MachineId>;
+  /** Machines on which a task of the job has failed; others with room are preferred. */
+  readonly failedMachines: Pick<ReadonlySet<MachineId>, 'has' | 'size'>;
   /** The number of the job's failed attempts (`JobFailures.failureCount`). */
   readonly failureCount: number;
   /**
--- a/test/traces/failing-machines.test.ts
+++ b/test/traces/failing-machines.test.ts
@@ -97,3 +97,16 @@
     expect(await statesOf(site, ['j-000101'])).toEqual(['done']);
   });
 });
+
+describe('beside machines that keep failing tasks', () => {
+  // Guards against a job that counts as faulty and is started on the same failing machine again and again.
+  it('a job that failed on three machines starts on a machine on which it has not failed', async () => {
+    const site = await fullyRentedSite({ machineCount: 3 });
+    setFailing(site, true);
+    site.cloud.addRunningMachine(machineOf('host-000009'));
+    await site.run(5);
+    await submitAll(site, ['j-000101']);
+    await site.run(MAX_WAIT_S);
+    expect(await statesOf(site, ['j-000101'])).toEqual(['done']);
+  });
+});
--- a/test/unit/placement.test.ts
+++ b/test/unit/placement.test.ts
@@ -63,6 +63,7 @@
   waitingCount: specOverrides.taskCount ?? 1,
   zones: new Map(),
   avoidedMachines: new Set(),
+  failedMachines: new Set(),
   failureCount: 0,
   isDeferred: false,
   slackMs: 10_000,
@@ -268,6 +269,7 @@
           waitedMs: randomBelow(3000),
           waitingCount: 1 + randomBelow(taskCount),
           slackMs: randomBelow(3) ? randomBelow(90_000) : null,
+          failedMachines: new Set(machines.filter(() => randomBelow(6) === 0).map(({ id }) => id)),
         },
       );
     });
--- a/test/unit/reference-placement.ts
+++ b/test/unit/reference-placement.ts
@@ -2,7 +2,13 @@
 import { fits, release, type JobSpec, Priority, allocate } from '../../src/model/job.js';
 import { machineRefusal, zoneRefusal } from '../../src/scheduler/placement-rule.js';
 import { queueOrder, remainingQuota } from '../../src/scheduler/queue.js';
-import type { MachineView, PlacementPlan, PlacementSnapshot, Victim } from '../../src/scheduler/snapshot.js';
+import type {
+  JobView,
+  MachineView,
+  PlacementPlan,
+  PlacementSnapshot,
+  Victim,
+} from '../../src/scheduler/snapshot.js';
 
 /** Copies a snapshot so that a placement round on the copy does not change the original. */
 export function copySnapshot(snapshot: PlacementSnapshot): PlacementSnapshot {
@@ -24,14 +30,15 @@
 }
 
 /** Returns the machines that a job may use in the documented first-fit order, sorted in full for every job. */
-function machineOrder(spec: JobSpec, machines: readonly MachineView[]): MachineView[] {
+function machineOrder({ spec, failedMachines }: JobView, machines: readonly MachineView[]): MachineView[] {
   const keyOf = (machine: MachineView): SortKey => {
+    const failed = failedMachines.has(machine.id) ? 1 : 0;
     const reachability = machine.isReachable ? 0 : 1;
     const image = machine.images.has(spec.image) ? 0 : 1;
     const freeCpus = machine.free.cpus;
     return spec.allowsSpot
-      ? [reachability, machine.spot ? 0 : 1, freeCpus, image, machine.id]
-      : [reachability, image, machine.cpus, freeCpus, machine.id];
+      ? [failed, reachability, machine.spot ? 0 : 1, freeCpus, image, machine.id]
+      : [failed, reachability, image, machine.cpus, freeCpus, machine.id];
   };
   return machines
     .filter((machine) => machineRefusal(spec, machine) === null)
@@ -91,7 +98,7 @@
       remaining--;
     };
     const firstFit = (isEligible: (machine: MachineView) => boolean): void => {
-      for (const machine of machineOrder(spec, snapshot.machines)) {
+      for (const machine of machineOrder(job, snapshot.machines)) {
         if (!isEligible(machine) || job.avoidedMachines.has(machine.id)) continue;
         while (
           remaining > 0 &&
