Delete an empty failing machine unless the cloud has given nothing at all for a minute

Cause: kept an empty failing machine if its own pool had refused a request within 60 s. On the large sites pools refuse parts of requests all the time while others, and the same ones a little later, give machines: a refusal of one pool does not show that a machine cannot be replaced.

Fix: it is kept only if requests were refused and no machine was created, in any pool, within 60 s.

Result: failing-machines.test.ts passes.

--- a/src/fleet/idle-machines.ts
+++ b/src/fleet/idle-machines.ts
@@ -52,7 +52,7 @@
     for (const worker of this.ctx.workers.values()) {
       if (!worker.isUp || worker.isRemoving || !worker.isEmpty || worker.idleSince === null) continue;
       if (worker.cordon === 'failing' || worker.cordon === 'draining') {
-        if (worker.cordon === 'draining' || this.isReplaceable(worker, worker.idleSince, now))
+        if (worker.cordon === 'draining' || this.isReplaceable(worker.idleSince, now))
           this.options.scaleIn.deleteMachine(worker, worker.cordon);
         continue;
       }
@@ -68,13 +68,11 @@
   }
 
   /**
-   * Whether a failing machine may be deleted: nothing shows that the cloud would provide no other machine like it. One
-   * that cannot be replaced gets trial tasks instead (`FailureQuarantine`).
+   * Whether a failing machine may be deleted: nothing shows that the cloud has no machines left. One that cannot be
+   * replaced gets trial tasks instead (`FailureQuarantine`).
    */
-  private isReplaceable(worker: Worker, idleSince: MonotonicTime, now: MonotonicTime): boolean {
-    if (since(now, idleSince) < FAILING_IDLE_TIMEOUT_MS) return false;
-    const machine = worker.presumedFacts?.machine;
-    return !machine || !this.options.scaleOut.wasRefused(machine, now);
+  private isReplaceable(idleSince: MonotonicTime, now: MonotonicTime): boolean {
+    return since(now, idleSince) >= FAILING_IDLE_TIMEOUT_MS && !this.options.scaleOut.hasOnlyRefusals(now);
   }
 
   private hasIdledLongEnough(
--- a/src/fleet/scale-out.ts
+++ b/src/fleet/scale-out.ts
@@ -6,7 +6,6 @@
 import type { LeaderContext } from '../core/context.js';
 import { errorMessage } from '../log/logger.js';
 import type { MachineTypeId, ScaleOutRequestId, ZoneId } from '../model/ids.js';
-import type { Machine } from '../model/machine.js';
 import { FactSource } from '../model/machine-facts.js';
 import { type MonotonicTime, plus, since, sleep } from '../model/time.js';
 import type { ScaleOutRequest } from '../wire/cloud.js';
@@ -26,7 +25,7 @@
 
 /** The time after which machines are requested again from a pool that was sold out. */
 const SOLD_OUT_BACKOFF_MS = 15_000;
-/** The time for which a refusal shows that the cloud has no machines of a pool; longer than the backoff after it. */
+/** The time for which refusals show that the cloud has no machines left; longer than the backoff after a refusal. */
 const REFUSAL_VALIDITY_MS = 60_000;
 const MAX_MACHINES_PER_REQUEST = 50;
 const MAX_ATTEMPT_COUNT = 4;
@@ -71,8 +70,8 @@
 /** Sends machine requests, and tracks the pending requests and the pools that are sold out. */
 export class ScaleOut {
   private readonly soldOutUntil = new Map<string, MonotonicTime>();
-  /** The time of the last request that a pool did not fill, unless a later one was filled, by pool. */
-  private readonly refusedAt = new Map<string, MonotonicTime>();
+  private lastRefusedAt: MonotonicTime | null = null;
+  private lastCreatedAt: MonotonicTime | null = null;
   private readonly inProgress = new Map<string, CapacityRequest>();
   private requestCount = 0;
   /**
@@ -99,10 +98,11 @@
     );
   }
 
-  /** Whether the pool did not fill its last request, within the last `REFUSAL_VALIDITY_MS`. */
-  wasRefused(pool: Pick<Machine, 'type' | 'zone' | 'spot'>, now: MonotonicTime): boolean {
-    const refusedAt = this.refusedAt.get(poolKey(pool));
-    return refusedAt !== undefined && since(now, refusedAt) < REFUSAL_VALIDITY_MS;
+  /** Whether requests were refused within the last `REFUSAL_VALIDITY_MS`, and no machine was created. */
+  hasOnlyRefusals(now: MonotonicTime): boolean {
+    const isRecent = (time: MonotonicTime | null): boolean =>
+      time !== null && since(now, time) < REFUSAL_VALIDITY_MS;
+    return isRecent(this.lastRefusedAt) && !isRecent(this.lastCreatedAt);
   }
 
   /** Returns the requested machines that are not up yet, except those whose boot is overdue and may have failed. */
@@ -194,10 +194,13 @@
     if (missingCount > 0) {
       // While the pool is marked as sold out, machines are requested from other zones and types.
       this.soldOutUntil.set(poolKey(request), plus(now, SOLD_OUT_BACKOFF_MS));
-      this.refusedAt.set(poolKey(request), now);
+      this.lastRefusedAt = now;
       listener.soldOut(series);
-    } else this.refusedAt.delete(poolKey(request));
-    if (createdIds.length > 0) listener.machinesCreated();
+    }
+    if (createdIds.length > 0) {
+      this.lastCreatedAt = now;
+      listener.machinesCreated();
+    }
     if (purpose === 'forecast' && missingCount > 0) this.requestAhead(series, missingCount);
   }
 
