Failures count against a job only until one of its tasks succeeds, and against machines on which several jobs fail

What callers saw: an array that has failed on three failing machines is `pending` for most of the time, though a sound machine has room and its tasks succeed there; a failing machine goes on getting tasks of job after job.

Cause: the machines on which a job failed were counted for the leader's term. From the third on each failure holds the whole job back, for up to 60 s, whatever its other tasks do, and its failures no longer count against a machine. So a machine that fails the tasks of jobs that have all failed elsewhere before is not cordoned. A service never lost the count either.

Fix: a task that succeeds, or that has run for 60 s (services never end), ends the count and the backoff of its job. A failure counts against the machine if at least as many jobs have failed there, since a task last succeeded there, as the job has failed on machines, or if a task of the job has succeeded. Failures on a machine that is known to fail do not count against the job.

--- a/src/leader/task-failure-policy.ts
+++ b/src/leader/task-failure-policy.ts
@@ -5,6 +5,9 @@
 import type { ReconciliationResult } from '../workers/reconciliation.js';
 import type { Worker } from '../workers/state/worker.js';
 
+/** The run time after which a task that ends shows that its job can run; tasks of services never end by themselves. */
+const SOUND_RUN_MS = 60_000;
+
 /** What a trial task has shown about its machine. */
 type TrialEvidence = 'trial succeeded' | 'trial runs' | 'trial failed' | 'none';
 
@@ -15,7 +18,9 @@
   /** Applies the ended tasks of a heartbeat: counts failures, and begins, renews or ends the machine's quarantine. */
   apply(worker: Worker, result: Pick<ReconciliationResult, 'finished' | 'failed'>, now: MonotonicTime): void {
     const evidence = worker.cordon === 'failing' ? trialEvidence(worker, result, now) : 'none';
-    for (const { task, cause } of result.failed) {
+    for (const { task } of result.finished) task.job.failures.recordSuccess();
+    for (const { task, cause, ranMs } of result.failed) {
+      if (ranMs !== null && ranMs >= SOUND_RUN_MS) task.job.failures.recordSuccess();
       if (cause === 'error') this.recordFailure(worker, task.job, now);
     }
     if (evidence === 'trial failed') this.quarantine(worker, now);
@@ -24,13 +29,17 @@
   }
 
   /**
-   * Counts a failure of one of the job's tasks on this worker. The first machine on which a job fails is assumed to be
-   * at fault. A job that fails on a second machine is more likely at fault itself: its failures count against no
-   * further machine without earlier failures, and after a third machine the job backs off (`JobFailures`).
+   * Counts a failure of one of the job's tasks on this worker. The machine is assumed to be at fault if failures have
+   * counted against it before, if at least as many jobs have failed on it as the job has failed on machines, or if other
+   * tasks of the job have succeeded. Otherwise the job is more likely at fault itself; after a third machine it backs
+   * off (`JobFailures`). A failure on a machine that is cordoned as failing shows nothing about the job.
    */
   recordFailure(worker: Worker, job: TaskJob, now: MonotonicTime): void {
-    job.failures.record(worker.id, now);
-    if (job.failures.machineCount <= 1 || worker.taskFailureCount > 0) worker.taskFailureCount++;
+    const { failures, spec, doneCount } = job;
+    failures.record(worker.id, now, { countsAgainstJob: worker.cordon !== 'failing' });
+    worker.failedJobs.add(spec.id);
+    const isMachineSuspect = worker.taskFailureCount > 0 || worker.failedJobs.size >= failures.machineCount;
+    if (isMachineSuspect || doneCount > 0) worker.taskFailureCount++;
   }
 
   /**
--- a/src/scheduler/job-failures.ts
+++ b/src/scheduler/job-failures.ts
@@ -31,23 +31,27 @@
 
 /**
  * Records the machines on which a job's tasks failed. Usually the machine is at fault, and the job avoids it for some
- * time. A job that has failed on `FAULTY_JOB_MACHINE_COUNT` machines is more likely at fault itself: it no longer avoids
- * any machine, and backs off after each further failure, for longer each time up to `MAX_BACKOFF_MS`.
+ * time. A job that has failed on `FAULTY_JOB_MACHINE_COUNT` machines is more likely at fault itself, until one of its
+ * tasks succeeds: it no longer avoids any machine, and backs off after each further failure, for longer each time up to
+ * `MAX_BACKOFF_MS`.
  */
 export class JobFailures {
+  /** The number of failed attempts since a task of the job last succeeded. */
   private failedAttemptCount = 0;
+  /** The machines on which attempts failed, and count against the job, since a task of the job last succeeded. */
+  private readonly machinesAgainstJob = new Set<MachineId>();
   /** By machine, the one with the earliest last failure first. */
   private readonly byMachine = new Map<MachineId, MachineFailures>();
   private backoffUntil: MonotonicTime | null = null;
 
-  /** The number of the job's failed attempts. */
+  /** The number of the job's failed attempts since one of its tasks last succeeded. */
   get failureCount(): number {
     return this.failedAttemptCount;
   }
 
-  /** The number of machines on which the job's tasks failed, up to `MAX_REMEMBERED_MACHINE_COUNT`. */
+  /** The number of machines whose failures count against the job, up to the number at which the job counts as faulty. */
   get machineCount(): number {
-    return this.byMachine.size;
+    return this.machinesAgainstJob.size;
   }
 
   private get isJobFaulty(): boolean {
@@ -61,21 +65,34 @@
 
   /** Returns the machines on which no task of the job should start yet; none once the job itself counts as faulty. */
   avoidedMachines(now: MonotonicTime): ReadonlySet<MachineId> {
-    if (this.machineCount === 0 || this.isJobFaulty) return NO_MACHINES;
+    if (this.byMachine.size === 0 || this.isJobFaulty) return NO_MACHINES;
     const avoided = new Set<MachineId>();
     for (const [machine, { avoidedUntil }] of this.byMachine) if (avoidedUntil > now) avoided.add(machine);
     return avoided;
   }
 
-  /** Records a task that failed on a machine, and extends the backoff of a faulty job. */
-  record(machine: MachineId, now: MonotonicTime): void {
+  /**
+   * Records a task that failed on a machine, and extends the backoff of a faulty job. `countsAgainstJob` is false for a
+   * machine that is known to fail tasks.
+   */
+  record(machine: MachineId, now: MonotonicTime, { countsAgainstJob = true } = {}): void {
     this.failedAttemptCount++;
     this.recordMachine(machine, now);
+    if (!countsAgainstJob) return;
+    if (!this.isJobFaulty) this.machinesAgainstJob.add(machine);
     if (!this.isJobFaulty) return;
     const doublings = Math.min(MAX_BACKOFF_DOUBLING_COUNT, this.failedAttemptCount - 2);
     this.backoffUntil = plus(now, Math.min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2 ** doublings));
   }
 
+  /** Records a task of the job that succeeded: the job is not at fault, and ends its backoff. */
+  recordSuccess(): void {
+    if (this.failedAttemptCount === 0) return;
+    this.failedAttemptCount = 0;
+    this.machinesAgainstJob.clear();
+    this.backoffUntil = null;
+  }
+
   private recordMachine(machine: MachineId, now: MonotonicTime): void {
     const earlierCount = this.byMachine.get(machine)?.count ?? 0;
     const avoidanceMs = Math.min(MAX_AVOIDANCE_MS, BASE_AVOIDANCE_MS * 2 ** earlierCount);
--- a/src/scheduler/task.ts
+++ b/src/scheduler/task.ts
@@ -48,6 +48,8 @@
   readonly effectiveSpec: JobSpec;
   readonly readyAt: WallTime;
   readonly isCancelled: boolean;
+  /** The number of tasks that have ended with success. */
+  readonly doneCount: number;
   readonly zoneTally: ZoneTally;
   readonly failures: JobFailures;
   readonly history: AttemptHistory;
--- a/src/workers/state/worker.ts
+++ b/src/workers/state/worker.ts
@@ -4,6 +4,7 @@
   Epoch,
   FencingToken,
   ImageId,
+  JobId,
   MachineId,
   MemberId,
   TaskId,
@@ -68,6 +69,8 @@
    * The number of task failures that count against the machine (`TaskFailurePolicy`) since a task last succeeded on it.
    */
   taskFailureCount = 0;
+  /** The jobs of which a task has failed on the machine since a task last succeeded on it. */
+  readonly failedJobs = new Set<JobId>();
   /** When a machine that is cordoned as failing gets a trial task. */
   readonly quarantine = new FailureQuarantine();
   isRemoving = false;
@@ -193,6 +196,12 @@
     return this.contact.isUnreachable;
   }
 
+  /** Records that a task has succeeded on the machine, which shows that earlier failures do not count against it. */
+  recordTaskSuccess(): void {
+    this.taskFailureCount = 0;
+    this.failedJobs.clear();
+  }
+
   /** Records a use of the image by the machine, which has the image cached afterwards. */
   cacheImage(image: ImageId, sizeGb: number): void {
     this.images.use(image, sizeGb, this.type?.cacheGb ?? 0);
--- a/test/traces/failing-machines.test.ts
+++ b/test/traces/failing-machines.test.ts
@@ -109,4 +109,16 @@
     await site.run(MAX_WAIT_S);
     expect(await statesOf(site, ['j-000101'])).toEqual(['done']);
   });
+
+  // Guards against an array that is held back for up to a minute after each failure, though its other tasks succeed.
+  it('an array whose tasks succeed on a sound machine continues there at once', async () => {
+    const site = await fullyRentedSite({ machineCount: 3 });
+    setFailing(site, true);
+    site.cloud.addRunningMachine(machineOf('host-000009'));
+    await site.run(5);
+    // The sound machine runs 4 tasks at a time: 10 rounds of 4 s.
+    await submitAll(site, ['j-000101'], { tasks: 40 });
+    await site.run(MAX_WAIT_S);
+    expect(await statesOf(site, ['j-000101'])).toEqual(['done']);
+  });
 });
--- a/test/unit/task-failure-policy.test.ts
+++ b/test/unit/task-failure-policy.test.ts
@@ -22,7 +22,8 @@
   return confirmedWorker(machine, NOW);
 }
 
-const createJob = (): ActiveJob => new ActiveJob(submission({}), 1 as Revision, 0 as WallTime, 300);
+const createJob = (ref = 'j-000001'): ActiveJob =>
+  new ActiveJob(submission({ ref }), 1 as Revision, 0 as WallTime, 300);
 
 /** Returns how long the job backs off from `NOW`, in milliseconds; null if the job does not back off. */
 function backoffMs({ failures }: ActiveJob): number | null {
@@ -57,6 +58,64 @@
   });
 });
 
+describe('attribution of failures', () => {
+  const operators = defaultOperators();
+  const policy = new TaskFailurePolicy({ log: silentLogger, operators });
+
+  function fail(worker: Worker, job: ActiveJob, ranMs: number | null = null): void {
+    const task = job.beginAttempt(worker.id, 'north' as ZoneId, NOW);
+    policy.apply(worker, { finished: [], failed: [{ task, cause: 'error', ranMs }] }, NOW);
+    job.releaseTask(task, NOW);
+  }
+
+  /** Returns a job that has failed on as many machines as a faulty one. */
+  function jobThatFailedElsewhere(ref = 'j-000001'): ActiveJob {
+    const job = createJob(ref);
+    for (const id of ['x', 'y', 'z']) fail(createWorker(id), job);
+    return job;
+  }
+
+  // Guards against a failing machine that is never cordoned, since each job that fails there has failed elsewhere before.
+  it('counts failures of several jobs against the machine, though each has failed on other machines', () => {
+    const worker = createWorker('a');
+    const failedJobs = [1, 2, 3, 4, 5].map((number) => jobThatFailedElsewhere(`j-00010${number}`));
+    for (const job of failedJobs.slice(0, 4)) fail(worker, job);
+    expect(worker.cordon).toBeNull();
+    for (const job of failedJobs.slice(4)) fail(worker, job);
+    expect(worker.cordon).toBe('failing');
+  });
+
+  it('counts failures of a job that has succeeded against the machine, and ends the backoff of such a job', () => {
+    const job = jobThatFailedElsewhere();
+    expect(backoffMs(job)).toBe(2000);
+    const task = job.beginAttempt('w' as MachineId, 'north' as ZoneId, NOW);
+    job.finishTask(task, NOW);
+    policy.apply(createWorker('w'), { finished: [{ task, ranMs: 100 }], failed: [] }, NOW);
+    expect(backoffMs(job)).toBeNull();
+    const worker = createWorker('a');
+    for (let failures = 0; failures < operators.workers.maxTaskFailures; failures++) fail(worker, job);
+    expect(worker.cordon).toBe('failing');
+  });
+
+  // Guards against a service that failed on three machines in the past and backs off after every later failure.
+  it('does not count earlier failures against a job of which a task has run for a minute', () => {
+    const job = jobThatFailedElsewhere();
+    fail(createWorker('a'), job, 60_000);
+    expect(job.failures.machineCount).toBe(1);
+    expect(backoffMs(job)).toBeNull();
+  });
+
+  it('does not count failures on a machine that is cordoned as failing against the job', () => {
+    const worker = createWorker('a');
+    worker.taskFailureCount = operators.workers.maxTaskFailures;
+    policy.cordonIfFailing(worker, NOW);
+    const job = createJob();
+    fail(worker, job);
+    expect(job.failures.machineCount).toBe(0);
+    expect([...job.failures.avoidedMachines(NOW)]).toEqual(['a']);
+  });
+});
+
 describe('JobFailures', () => {
   /** Returns for how long the job avoids the machine `a` after one failure there at each of the times, in seconds. */
   function avoidanceS(failureTimes: readonly MonotonicTime[]): number {
