Scenarios and soak: machines fail every task that they start, with each other fault and on every fifth seed

Cause: no scenario had machines that fail tasks, so neither the cordons without an end nor the jobs that avoid machines could show.

It is not part of FAULTS, of which the soak draws by number: the draws of all seeds stay as they are.

--- a/test/simulation/faults.ts
+++ b/test/simulation/faults.ts
@@ -69,6 +69,25 @@
   };
 }
 
+/**
+ * Most machines fail every task that they start, and then run tasks again. Not part of `FAULTS`, of which the seeds of
+ * the soak draw by number.
+ */
+export const FAILING_MACHINES: Fault = {
+  name: 'machines fail every task that they start',
+  durationS: 25,
+  inject(site, _users, random) {
+    const machines = randomMachines(site, 0.8, random);
+    for (const machine of machines) site.worker(machine).failsTasks = true;
+    return () => {
+      for (const machine of machines) {
+        const worker = site.workers.get(machine);
+        if (worker) worker.failsTasks = false;
+      }
+    };
+  },
+};
+
 /**
  * The faults that the protocol describes, and faults during which users observed violations of the protocol's rules.
  */
--- a/test/simulation/scenario-site.ts
+++ b/test/simulation/scenario-site.ts
@@ -5,6 +5,7 @@
 
 /** The operations of a worker that faults use. */
 interface FaultInjectableWorker {
+  failsTasks: boolean;
   hang(): void;
   resume(): void;
 }
--- a/test/soak/seed.ts
+++ b/test/soak/seed.ts
@@ -2,7 +2,7 @@
 import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { type PipelineShape, PLACEMENT_PLAN, Scenario, type ScenarioPlan } from '../simulation/scenario.js';
-import { type Fault, FAULTS } from '../simulation/faults.js';
+import { FAILING_MACHINES, type Fault, FAULTS } from '../simulation/faults.js';
 import { LOOKUP_PART, PIPELINE_PART, type ProgramPart, violationOf } from './broken-controller.js';
 import { LoopbackSite } from './loopback-site.js';
 import { restartsOfAll, soakFaults, storeLimitChanges } from './soak-faults.js';
@@ -62,6 +62,9 @@
   { stageCount: 30, jobCount: 1, cancelledStage: 15 },
   { stageCount: 3, jobCount: 16, cancelledStage: 0 },
 ];
+/** On every fifth seed, from seed 4 on, most machines fail the tasks that they start for some time. */
+const FAILING_MACHINES_INTERVAL = 5;
+const FIRST_FAILING_MACHINES_SEED = 4;
 /** In seconds of the scenario clock: the backlog is submitted before the faults, and checked for 75 s after them. */
 const QUIET_BEFORE_FAULTS_WITH_BACKLOG_S = 60;
 const MIN_AFTER_FAULTS_WITH_BACKLOG_S = 85;
@@ -104,6 +107,7 @@
   const changesLeader = random() < LEADER_CHANGE_PROBABILITY || hasPipelines(seed);
   const drawnFaults: Fault[] = changesLeader && leaderChange ? [leaderChange] : [];
   if (hasLowLimits(seed)) drawnFaults.push(storeLimitChanges(site));
+  if (seed % FAILING_MACHINES_INTERVAL === FIRST_FAILING_MACHINES_SEED) drawnFaults.push(FAILING_MACHINES);
   while (drawnFaults.length < CONCURRENT_FAULT_COUNT) {
     const fault = candidates[Math.floor(random() * candidates.length)] as Fault;
     if (!drawnFaults.includes(fault)) drawnFaults.push(fault);
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -44,8 +44,8 @@
   it(
     'break no rule, and serve every accepted job',
     async () => {
-      const { status, output } = await runSoak('--seeds', '1-3', '--parallel', '3');
-      expect(output).toContain('3 seeds run, 0 failed');
+      const { status, output } = await runSoak('--seeds', '1-4', '--parallel', '4');
+      expect(output).toContain('4 seeds run, 0 failed');
       expect(status).toBe(0);
     },
     RUN_TIMEOUT_MS,
--- a/test/traces/fault-combinations.test.ts
+++ b/test/traces/fault-combinations.test.ts
@@ -1,7 +1,9 @@
 import { describe, expect, it } from 'vitest';
 import { Scenario } from '../simulation/scenario.js';
 import { SimulatedSite } from '../simulation/simulated-site.js';
-import { type Fault, FAULTS } from '../simulation/faults.js';
+import { FAILING_MACHINES, type Fault, FAULTS } from '../simulation/faults.js';
+
+const ALL_FAULTS: readonly Fault[] = [...FAULTS, FAILING_MACHINES];
 
 /**
  * Runs a scenario with the given faults (docs/safety.md has the table of all combinations of two). The rule checker
@@ -20,7 +22,7 @@
 }
 
 describe('a single fault', () => {
-  it.each(FAULTS.map((fault) => [fault.name, fault] as const))('%s', async (_name, fault) => {
+  it.each(ALL_FAULTS.map((fault) => [fault.name, fault] as const))('%s', async (_name, fault) => {
     await runScenario([fault], 1);
   });
 });
@@ -32,10 +34,10 @@
 const EXTRA_SCENARIO_COUNT = Number(process.env['MEETING_SEEDS'] ?? 0);
 
 describe('two faults at once', () => {
-  for (const [firstIndex, first] of FAULTS.entries()) {
+  for (const [firstIndex, first] of ALL_FAULTS.entries()) {
     // Each pair runs once, in the test of the fault with the higher index; extra scenarios run in the tests of both.
     it(`${first.name}, with every preceding fault, or with every other fault in extra scenarios`, async () => {
-      for (const [secondIndex, second] of FAULTS.entries()) {
+      for (const [secondIndex, second] of ALL_FAULTS.entries()) {
         // The parity of the sum of both indexes selects the fault that comes first, so that both orders occur.
         if (secondIndex < firstIndex)
           await runScenario(
