A machine on which a task failed gets one task at a time until one runs; longer pauses between trials

Cause: trial tasks cost tasks on machines that stay faulty, and a failing machine got tasks for all of its room two or three times before its failures were counted. Tasks that had been running since before the machine failed also reset its count.

Change: the first failure on a machine puts it on probation, unless the job counts as faulty: it gets one trial task at a time, only where there is no room elsewhere, until one succeeds or runs for 5 s, or 60 s have passed. Pauses are 30 s, then 45 s (20 and 40 before); jobs avoid a machine for 40 s, then 60 s. A trial without a result, such as one that fetches a large image, blocks others for 20 s only: before, it did so for as long as the fetch took.

--- a/src/leader/decision-loop.ts
+++ b/src/leader/decision-loop.ts
@@ -19,7 +19,7 @@
 import { isStarving } from '../scheduler/starvation.js';
 import type { Committer } from './committer.js';
 import type { CommandDispatcher } from '../workers/command-dispatcher.js';
-import { isReadyForTasks, unschedulableReason } from '../workers/state/schedulability.js';
+import { acceptsTrialTask, unschedulableReason } from '../workers/state/schedulability.js';
 import type { Worker } from '../workers/state/worker.js';
 import type { LeaderContext } from '../core/context.js';
 import { jobView, machineView, victimsOn } from './placement-views.js';
@@ -126,8 +126,8 @@
     const guaranteedJobIds = this.guaranteedJobIds(openJobs);
     const plan = place({
       jobs: waitingJobs,
-      machines: this.schedulableMachines(),
-      trialMachines: this.trialMachines(now),
+      machines: this.machineViews((worker) => unschedulableReason(worker, now) === null),
+      trialMachines: this.machineViews((worker) => acceptsTrialTask(worker, now)),
       guaranteed: guaranteedJobIds,
       teams: this.teams,
       teamUsage: this.ctx.jobs.teamUsage(),
@@ -138,26 +138,16 @@
     this.parts.committer.schedule();
   }
 
-  private schedulableMachines(): MachineView[] {
+  /** Returns the views of the machines with confirmed facts that are selected. */
+  private machineViews(isSelected: (worker: Worker) => boolean): MachineView[] {
     const machines: MachineView[] = [];
     for (const worker of this.ctx.workers.values()) {
-      if (worker.confirmedFacts && unschedulableReason(worker) === null)
+      if (worker.confirmedFacts && isSelected(worker))
         machines.push(machineView(worker, worker.confirmedFacts));
     }
     return machines;
   }
 
-  /** Returns the machines in quarantine that accept a trial task now. */
-  private trialMachines(now: MonotonicTime): MachineView[] {
-    const machines: MachineView[] = [];
-    for (const worker of this.ctx.workers.values()) {
-      if (worker.cordon !== 'failing' || worker.isRemoving || !worker.confirmedFacts) continue;
-      if (!isReadyForTasks(worker) || !worker.quarantine.acceptsTrial(worker.tasks, now)) continue;
-      machines.push(machineView(worker, worker.confirmedFacts));
-    }
-    return machines;
-  }
-
   private guaranteedJobIds(openJobs: readonly ActiveJob[]): ReadonlySet<JobId> {
     const { version } = this.ctx.jobs;
     if (this.guaranteed?.version !== version) {
@@ -174,7 +164,7 @@
       if (!job || !worker?.confirmedFacts) continue;
       const task = job.beginAttempt(worker.id, worker.confirmedFacts.machine.zone, now);
       worker.assign(task);
-      if (worker.cordon === 'failing') this.beginTrial(worker, task);
+      if (worker.quarantine.isActive(now)) this.recordTrial(worker, task);
       worker.idleSince = null;
       // The stop commands are sent together with the start commands after the start is committed.
       preemptedWorkers.delete(worker);
@@ -182,9 +172,10 @@
     for (const worker of preemptedWorkers) this.parts.dispatcher.dispatch(worker);
   }
 
-  private beginTrial(worker: Worker, task: Task): void {
-    worker.quarantine.beginTrial(task);
-    this.ctx.log.info({ machine: worker.id, task: task.id }, 'failing machine gets a trial task');
+  private recordTrial(worker: Worker, task: Task): void {
+    worker.quarantine.recordTrial(task);
+    if (worker.cordon === 'failing')
+      this.ctx.log.info({ machine: worker.id, task: task.id }, 'failing machine gets a trial task');
   }
 
   /** Marks the plan's preempted tasks for stopping and returns the workers on which they run. */
--- a/src/leader/leader-summary.ts
+++ b/src/leader/leader-summary.ts
@@ -18,7 +18,7 @@
 
 /** Returns counts of jobs, tasks and machines, with the states that keep tasks off machines, and CPU totals. */
 export function summaryOf(jobs: JobStore, workers: WorkerRegistry, now: MonotonicTime): object {
-  return { ...jobSummary(jobs, now), ...workerSummary(workers) };
+  return { ...jobSummary(jobs, now), ...workerSummary(workers, now) };
 }
 
 function jobSummary(jobs: JobStore, now: MonotonicTime): object {
@@ -53,7 +53,7 @@
   };
 }
 
-function workerSummary(workers: WorkerRegistry): object {
+function workerSummary(workers: WorkerRegistry, now: MonotonicTime): object {
   let up = 0;
   let cpus = 0;
   let usedCpus = 0;
@@ -62,7 +62,7 @@
   const pools: Record<string, PoolSummary> = {};
   for (const worker of workers.values()) {
     if (worker.facts.state !== 'confirmed') unconfirmed++;
-    const reason = unschedulableReason(worker);
+    const reason = unschedulableReason(worker, now);
     if (reason !== null) unschedulable[reason] = (unschedulable[reason] ?? 0) + 1;
     if (!worker.isUp || !worker.presumedFacts) continue;
     const { machine, type } = worker.presumedFacts;
--- a/src/leader/task-failure-policy.ts
+++ b/src/leader/task-failure-policy.ts
@@ -3,27 +3,30 @@
 import type { MonotonicTime } from '../model/time.js';
 import type { Task, TaskJob } from '../scheduler/task.js';
 import type { ReconciliationResult } from '../workers/reconciliation.js';
+import type { TrialSuccess } from '../workers/state/failure-quarantine.js';
 import type { Worker } from '../workers/state/worker.js';
 
 /** The run time after which a task that ends shows that its job can run; tasks of services never end by themselves. */
 const SOUND_RUN_MS = 60_000;
 
-/** What a trial task has shown about its machine. */
-type TrialEvidence = 'trial succeeded' | 'trial runs' | 'trial failed' | 'none';
+type EndedTasks = Pick<ReconciliationResult, 'finished' | 'failed'>;
+
+/** What the ended and running tasks of a heartbeat show about a machine that gets trial tasks only. */
+type Evidence = TrialSuccess | 'trial failed' | 'none';
 
 /** Counts a failed task against its machine or its job, and cordons failing machines until a trial task runs. */
 export class TaskFailurePolicy {
   constructor(private readonly ctx: Pick<LeaderContext, 'log' | 'operators'>) {}
 
   /** Applies the ended tasks of a heartbeat: counts failures, and begins, renews or ends the machine's quarantine. */
-  apply(worker: Worker, result: Pick<ReconciliationResult, 'finished' | 'failed'>, now: MonotonicTime): void {
-    const evidence = worker.cordon === 'failing' ? trialEvidence(worker, result, now) : 'none';
+  apply(worker: Worker, result: EndedTasks, now: MonotonicTime): void {
+    const evidence = worker.quarantine.isActive(now) ? evidenceOf(worker, result, now) : 'none';
     for (const { task } of result.finished) task.job.failures.recordSuccess();
     for (const { task, cause, ranMs } of result.failed) {
       if (ranMs !== null && ranMs >= SOUND_RUN_MS) task.job.failures.recordSuccess();
       if (cause === 'error') this.recordFailure(worker, task.job, now);
     }
-    if (evidence === 'trial failed') this.quarantine(worker, now);
+    if (evidence === 'trial failed') this.restrictAgain(worker, now);
     else if (evidence !== 'none') this.endQuarantine(worker, evidence);
     this.cordonIfFailing(worker, now);
   }
@@ -33,6 +36,9 @@
    * counted against it before, if at least as many jobs have failed on it as the job has failed on machines, or if other
    * tasks of the job have succeeded. Otherwise the job is more likely at fault itself; after a third machine it backs
    * off (`JobFailures`). A failure on a machine that is cordoned as failing shows nothing about the job.
+   *
+   * Unless the job is at fault, the machine is put on probation, so that it does not fail all tasks that have room there
+   * before its heartbeats show the failures.
    */
   recordFailure(worker: Worker, job: TaskJob, now: MonotonicTime): void {
     const { failures, spec, doneCount } = job;
@@ -40,6 +46,7 @@
     worker.failedJobs.add(spec.id);
     const isMachineSuspect = worker.taskFailureCount > 0 || worker.failedJobs.size >= failures.machineCount;
     if (isMachineSuspect || doneCount > 0) worker.taskFailureCount++;
+    if (!failures.isJobFaulty && !worker.quarantine.isActive(now)) worker.quarantine.beginProbation(now);
   }
 
   /**
@@ -53,6 +60,11 @@
     this.quarantine(worker, now);
   }
 
+  private restrictAgain(worker: Worker, now: MonotonicTime): void {
+    if (worker.cordon === 'failing') this.quarantine(worker, now);
+    else worker.quarantine.beginProbation(now);
+  }
+
   private quarantine(worker: Worker, now: MonotonicTime): void {
     const pauseMs = worker.quarantine.begin(now);
     this.ctx.log.info(
@@ -62,12 +74,13 @@
   }
 
   /**
-   * Ends the quarantine and the cordon, unless the machine is being deleted. A machine whose trial task still runs is
-   * cordoned again after a single failure.
+   * Ends quarantine or probation, unless the machine is being deleted. A machine that was cordoned and whose trial task
+   * still runs is cordoned again after a single failure.
    */
-  private endQuarantine(worker: Worker, evidence: 'trial succeeded' | 'trial runs'): void {
+  private endQuarantine(worker: Worker, evidence: TrialSuccess): void {
     if (worker.isRemoving) return;
     worker.quarantine.end(evidence);
+    if (worker.cordon !== 'failing') return;
     worker.cordon = null;
     const { maxTaskFailures } = this.ctx.operators.workers;
     worker.taskFailureCount = evidence === 'trial succeeded' ? 0 : maxTaskFailures - 1;
@@ -75,11 +88,12 @@
   }
 }
 
-function trialEvidence(
+/** Only trial tasks are evidence: others were already running when tasks began to fail. */
+function evidenceOf(
   { quarantine, tasks }: Worker,
-  { finished, failed }: Pick<ReconciliationResult, 'finished' | 'failed'>,
+  { finished, failed }: EndedTasks,
   now: MonotonicTime,
-): TrialEvidence {
+): Evidence {
   const isTrial = ({ task }: { readonly task: Task }): boolean => quarantine.isTrial(task);
   if (finished.some(isTrial)) return 'trial succeeded';
   if (failed.some((failure) => failure.cause === 'error' && isTrial(failure))) return 'trial failed';
--- a/src/scheduler/job-failures.ts
+++ b/src/scheduler/job-failures.ts
@@ -15,7 +15,7 @@
  * How long a job avoids a machine after its first failure there; doubled with each further one. Longer than the pauses
  * of a machine's quarantine, so that a job that fails everywhere leaves the next trial to other jobs.
  */
-const BASE_AVOIDANCE_MS = 30_000;
+const BASE_AVOIDANCE_MS = 40_000;
 const MAX_AVOIDANCE_MS = 60_000;
 
 /** The number of machines that are remembered for one job; of more, those of the earliest failures are forgotten. */
@@ -54,7 +54,8 @@
     return this.machinesAgainstJob.size;
   }
 
-  private get isJobFaulty(): boolean {
+  /** Whether the job itself is likely at fault. */
+  get isJobFaulty(): boolean {
     return this.machineCount >= FAULTY_JOB_MACHINE_COUNT;
   }
 
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -148,7 +148,7 @@
     this.changed = true;
     if (attempt.cause === 'done') {
       worker.cacheImage(task.job.spec.image, task.job.spec.imageGb);
-      worker.recordTaskSuccess();
+      worker.recordTaskSuccess(task, now);
       task.job.finishTask(task, now);
       this.finished.push({ task, ranMs });
     } else {
--- a/src/workers/state/schedulability.ts
+++ b/src/workers/state/schedulability.ts
@@ -1,4 +1,5 @@
 /** Whether placement may start tasks on a machine and, if not, which state of the machine prevents it. */
+import type { MonotonicTime } from '../../model/time.js';
 import type { CordonReason, Worker } from './worker.js';
 
 /**
@@ -9,18 +10,20 @@
  * - `interruption notice`: the cloud is about to reclaim the machine.
  * - `unreachable`: the last direct call failed, and nothing has shown since then that answers reach the worker.
  * - `facts unconfirmed`: the machine's type, zone or kind is not confirmed yet.
+ * - `probation`: a task has failed on the machine, and only trial tasks may start (`FailureQuarantine`).
  */
 export type UnschedulableReason =
-  CordonReason | 'not reported' | 'interruption notice' | 'unreachable' | 'facts unconfirmed';
+  CordonReason | 'not reported' | 'interruption notice' | 'unreachable' | 'facts unconfirmed' | 'probation';
 
-/** Returns why no task may start on the machine, whatever its free capacity; null: tasks may start. */
-export function unschedulableReason(worker: Worker): UnschedulableReason | null {
-  return worker.cordon ?? notReadyReason(worker);
+/** Returns why tasks may not start on the machine, whatever its free capacity; null: they may. */
+export function unschedulableReason(worker: Worker, now: MonotonicTime): UnschedulableReason | null {
+  return worker.cordon ?? notReadyReason(worker) ?? (worker.quarantine.isActive(now) ? 'probation' : null);
 }
 
-/** Whether tasks could start on the machine if it was not cordoned. */
-export function isReadyForTasks(worker: Worker): boolean {
-  return notReadyReason(worker) === null;
+/** Whether a trial task may start on a machine that gets trial tasks only. */
+export function acceptsTrialTask(worker: Worker, now: MonotonicTime): boolean {
+  if (!worker.quarantine.acceptsTrial(worker.tasks, now) || worker.isRemoving) return false;
+  return (worker.cordon === null || worker.cordon === 'failing') && notReadyReason(worker) === null;
 }
 
 function notReadyReason(worker: Worker): UnschedulableReason | null {
--- a/src/workers/state/worker.ts
+++ b/src/workers/state/worker.ts
@@ -71,7 +71,7 @@
   taskFailureCount = 0;
   /** The jobs of which a task has failed on the machine since a task last succeeded on it. */
   readonly failedJobs = new Set<JobId>();
-  /** When a machine that is cordoned as failing gets a trial task. */
+  /** Whether the machine gets trial tasks only, because tasks have failed on it. */
   readonly quarantine = new FailureQuarantine();
   isRemoving = false;
   /** Whether the cloud's list shows the machine as running. */
@@ -196,8 +196,12 @@
     return this.contact.isUnreachable;
   }
 
-  /** Records that a task has succeeded on the machine, which shows that earlier failures do not count against it. */
-  recordTaskSuccess(): void {
+  /**
+   * Records a task that has succeeded on the machine, so that earlier failures no longer count against it. A task that
+   * was already running when others began to fail shows nothing.
+   */
+  recordTaskSuccess(task: Task, now: MonotonicTime): void {
+    if (this.quarantine.isActive(now) && !this.quarantine.isTrial(task)) return;
     this.taskFailureCount = 0;
     this.failedJobs.clear();
   }
--- a/test/unit/task-failure-policy.test.ts
+++ b/test/unit/task-failure-policy.test.ts
@@ -6,6 +6,7 @@
 import { type MonotonicTime, plus, type WallTime } from '../../src/model/time.js';
 import { ActiveJob } from '../../src/scheduler/active-job.js';
 import type { Task } from '../../src/scheduler/task.js';
+import { acceptsTrialTask, unschedulableReason } from '../../src/workers/state/schedulability.js';
 import type { Worker } from '../../src/workers/state/worker.js';
 import { submission } from '../simulation/submission.js';
 import { confirmedWorker } from '../simulation/worker-state.js';
@@ -126,8 +127,8 @@
     return seconds;
   }
 
-  it('avoids a machine for 30 s after a failure there, and for at most 60 s after further ones', () => {
-    expect(avoidanceS([NOW])).toBe(30);
+  it('avoids a machine for 40 s after a failure there, and for at most 60 s after further ones', () => {
+    expect(avoidanceS([NOW])).toBe(40);
     expect(avoidanceS([NOW, NOW])).toBe(60);
     expect(avoidanceS([NOW, NOW, NOW, NOW])).toBe(60);
   });
@@ -136,7 +137,7 @@
 describe('quarantine of a failing machine', () => {
   const operators = defaultOperators();
   const policy = new TaskFailurePolicy({ log: silentLogger, operators });
-  const FIRST_TRIAL_AT = plus(NOW, 20_000);
+  const FIRST_TRIAL_AT = plus(NOW, 30_000);
   const NONE = { finished: [], failed: [] };
 
   function cordonedWorker(): Worker {
@@ -149,7 +150,7 @@
   function beginTrial(worker: Worker, now: MonotonicTime): Task {
     const task = createJob().beginAttempt(worker.id, 'north' as ZoneId, now);
     worker.assign(task);
-    worker.quarantine.beginTrial(task);
+    worker.quarantine.recordTrial(task);
     return task;
   }
 
@@ -165,7 +166,7 @@
     return null;
   }
 
-  it('accepts one task at a time after a pause, which doubles up to 40 s with each trial that fails', () => {
+  it('accepts one task at a time after a pause, which grows to 45 s with trials that fail', () => {
     const worker = cordonedWorker();
     let now = NOW;
     const pauses = [1, 2, 3].map(() => {
@@ -177,7 +178,7 @@
       expect(worker.cordon).toBe('failing');
       return pause;
     });
-    expect(pauses).toEqual([20, 40, 40]);
+    expect(pauses).toEqual([30, 45, 45]);
   });
 
   it('ends with a trial task that succeeds', () => {
@@ -200,7 +201,7 @@
     expect(worker.cordon).toBeNull();
     endTrial(worker, task, 'error', plus(FIRST_TRIAL_AT, 6000));
     expect(worker.cordon).toBe('failing');
-    expect(secondsToTrial(worker, plus(FIRST_TRIAL_AT, 6000))).toBe(40);
+    expect(secondsToTrial(worker, plus(FIRST_TRIAL_AT, 6000))).toBe(45);
   });
 
   // Guards against a quarantine that waits for the result of a trial task that was stopped or lost.
@@ -225,4 +226,66 @@
     policy.apply(worker, { finished: [{ task, ranMs: 100 }], failed: [] }, FIRST_TRIAL_AT);
     expect(worker.cordon).toBe('failing');
   });
+
+  // Guards against a trial that fetches a large image, and keeps the machine from the tasks that could show success.
+  it('accepts another trial after 20 s beside one that has not started to run', () => {
+    const worker = cordonedWorker();
+    const fetching = beginTrial(worker, FIRST_TRIAL_AT);
+    expect(secondsToTrial(worker, FIRST_TRIAL_AT)).toBe(20);
+    const task = beginTrial(worker, plus(FIRST_TRIAL_AT, 20_000));
+    expect(secondsToTrial(worker, plus(FIRST_TRIAL_AT, 20_000))).toBe(20);
+    worker.unassign(fetching);
+    policy.apply(worker, { finished: [{ task: fetching, ranMs: 10 }], failed: [] }, FIRST_TRIAL_AT);
+    expect(worker.cordon).toBeNull();
+    expect(worker.quarantine.isTrial(task)).toBe(false);
+  });
+});
+
+describe('probation of a machine on which a task has failed', () => {
+  const policy = new TaskFailurePolicy({ log: silentLogger, operators: defaultOperators() });
+
+  function workerOnProbation(): Worker {
+    const worker = createWorker('a');
+    worker.hasReported = true;
+    policy.recordFailure(worker, createJob(), NOW);
+    return worker;
+  }
+
+  // Guards against a failing machine that gets tasks for all of its room again and again before it is cordoned.
+  it('admits one trial task at a time, at once', () => {
+    const worker = workerOnProbation();
+    expect(unschedulableReason(worker, NOW)).toBe('probation');
+    expect(acceptsTrialTask(worker, NOW)).toBe(true);
+    const task = createJob().beginAttempt(worker.id, 'north' as ZoneId, NOW);
+    worker.assign(task);
+    worker.quarantine.recordTrial(task);
+    expect(acceptsTrialTask(worker, NOW)).toBe(false);
+  });
+
+  it('ends with a trial that succeeds, not with a task that ran before, and after 60 s', () => {
+    const worker = workerOnProbation();
+    const task = createJob().beginAttempt(worker.id, 'north' as ZoneId, NOW);
+    const succeed = (): void => {
+      worker.recordTaskSuccess(task, NOW);
+      policy.apply(worker, { finished: [{ task, ranMs: 100 }], failed: [] }, NOW);
+    };
+    succeed();
+    expect(unschedulableReason(worker, NOW)).toBe('probation');
+    expect(worker.taskFailureCount).toBe(1);
+    worker.quarantine.recordTrial(task);
+    succeed();
+    expect(unschedulableReason(worker, NOW)).toBeNull();
+    expect(worker.taskFailureCount).toBe(0);
+    expect(unschedulableReason(workerOnProbation(), plus(NOW, 59_900))).toBe('probation');
+    expect(unschedulableReason(workerOnProbation(), plus(NOW, 60_000))).toBeNull();
+  });
+
+  it('does not begin with a failure of a job that is at fault itself', () => {
+    const faulty = createJob();
+    for (const id of ['x', 'y']) policy.recordFailure(createWorker(id), faulty, NOW);
+    const worker = createWorker('a');
+    worker.hasReported = true;
+    policy.recordFailure(worker, faulty, NOW);
+    expect(unschedulableReason(worker, NOW)).toBeNull();
+  });
 });
