A late copy of a heartbeat does not end a quarantine

What callers would see: a failing machine that hangs with its trial task counts as sound, and gets tasks that end with it.

Fix: the 5 s are counted to the last heartbeat that was processed.

Result: the new unit test failed before and passes.

--- a/src/leader/task-failure-policy.ts
+++ b/src/leader/task-failure-policy.ts
@@ -90,12 +90,13 @@
 
 /** Only trial tasks are evidence: others were already running when tasks began to fail. */
 function evidenceOf(
-  { quarantine, tasks }: Worker,
+  { quarantine, tasks, contact }: Worker,
   { finished, failed }: EndedTasks,
   now: MonotonicTime,
 ): Evidence {
   const isTrial = ({ task }: { readonly task: Task }): boolean => quarantine.isTrial(task);
   if (finished.some(isTrial)) return 'trial succeeded';
   if (failed.some((failure) => failure.cause === 'error' && isTrial(failure))) return 'trial failed';
-  return quarantine.hasTrialRun(tasks, now) ? 'trial runs' : 'none';
+  // A late copy of an older heartbeat does not show that the trial task still runs.
+  return quarantine.hasTrialRun(tasks, contact.lastHeartbeatAt ?? now) ? 'trial runs' : 'none';
 }
--- a/src/workers/state/failure-quarantine.ts
+++ b/src/workers/state/failure-quarantine.ts
@@ -89,11 +89,11 @@
     return this.trials.has(task);
   }
 
-  /** Whether a trial task is on the machine that has run for `TRIAL_RUN_MS`, according to a heartbeat of `now`. */
-  hasTrialRun(tasks: ReadonlySet<Task>, now: MonotonicTime): boolean {
+  /** Whether a trial task is on the machine and had run for `TRIAL_RUN_MS` at the time of the last heartbeat. */
+  hasTrialRun(tasks: ReadonlySet<Task>, lastHeartbeatAt: MonotonicTime): boolean {
     for (const trial of this.trials) {
       if (!tasks.has(trial) || trial.observedState !== 'running' || trial.runningAt === null) continue;
-      if (since(now, trial.runningAt) >= TRIAL_RUN_MS) return true;
+      if (since(lastHeartbeatAt, trial.runningAt) >= TRIAL_RUN_MS) return true;
     }
     return false;
   }
--- a/test/unit/task-failure-policy.test.ts
+++ b/test/unit/task-failure-policy.test.ts
@@ -204,6 +204,17 @@
     expect(secondsToTrial(worker, plus(FIRST_TRIAL_AT, 6000))).toBe(45);
   });
 
+  // Guards against a late copy of a heartbeat that ends the quarantine of a machine that hangs with its trial task.
+  it('does not end with a heartbeat that is older than the 5 s of the trial', () => {
+    const worker = cordonedWorker();
+    const task = beginTrial(worker, FIRST_TRIAL_AT);
+    task.observedState = 'running';
+    task.runningAt = FIRST_TRIAL_AT;
+    worker.contact.recordHeartbeat(plus(FIRST_TRIAL_AT, 1000));
+    policy.apply(worker, NONE, plus(FIRST_TRIAL_AT, 6000));
+    expect(worker.cordon).toBe('failing');
+  });
+
   // Guards against a quarantine that waits for the result of a trial task that was stopped or lost.
   it('accepts another trial at once if the trial task ends without a result', () => {
     const worker = cordonedWorker();
